--- /dev/null
+++ b/balance/balancer.go
@@ -0,0 +1,835 @@
+// Package balance decides where a command goes, when it gets a second copy, and when it is given up.
+//
+// A front makes one Balancer for each instance with New, calls one method for each thing that happens
+// (Command, Outcome, Started, Departed, Fleet, ListFailed, Probed, Wake), always with the clock in seconds,
+// and carries out what the Balancer asks of its Host. Interface and plain types are in host.go; what the
+// mechanism is and where it is departed from is told in docs/design.md. Not safe for concurrent calls.
+package balance
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+	"slices"
+
+	"github.com/DataDog/sketches-go/ddsketch"
+)
+
+const (
+	// Delay of second copies (the mechanism's own figures).
+	percentile    = 0.9   // quantile of latency after which a copy goes out
+	accuracy      = 0.02  // relative error of the sketches: far below the spread of latencies
+	rotation      = 10.0  // seconds between sketch rotations
+	minDelay      = 0.001 // seconds, floor of the delay
+	warmupDelay   = 0.01  // seconds, delay while a verb is not yet known
+	warmupAnswers = 20    // answers until the sketch is trusted
+
+	// Copy bucket.
+	copyShare = 0.1  // copies for each own call
+	callSpan  = 10.0 // seconds over which the own call rate is counted
+	copyBurst = 2.0  // seconds of refill that the bucket holds, at least one copy
+
+	// Breakers.
+	breakerShare    = 0.5  // part of failures that opens
+	breakerOutcomes = 20.0 // outcomes needed before it may open
+	breakerSpan     = 10.0 // seconds over which outcomes are counted
+	cooldown        = 10.0 // seconds that it stays open
+	trials          = 5    // copies let through before it closes again
+
+	// Weights and pick.
+	weightMin, weightMax = 0.1, 3.0
+	weightGain           = 0.1
+	farAbove             = 1.0 // in-flight beyond this multiple of the mean, plus farSlack, is skipped
+	farSlack             = 0.5 // commands; lets a backend at the mean take its next command
+	asideFirst           = 0.5 // seconds without commands after a connection failed: twice a usual connect limit
+	asideLast            = 8.0 // seconds, longest such spell: a backend that is back is found within it
+
+	// Fleet.
+	askFirst, askLast = 1.0, 8.0 // seconds between calls for a list out of reach, doubling, with jitter
+	coldPart          = 0.4      // of the multiple at which a cold backend falls that all may send together
+
+	// Admission.
+	rateSpan    = 2.0  // seconds over which the rate of answers is counted: a few response times
+	target      = 0.6  // of the response goal that the mean command may take, by Little's law
+	spareFirst  = 0.6  // part of the bound open to commands of no utility; the rest goes by utility
+	boundMin    = 2.0  // commands for each backend that are always let out: enough to learn from
+	holdShare   = 0.1  // of the response goal that a command may be held
+	shareBurst  = 2.0  // seconds of its allowance that a customer may send at once
+	retryShare  = 0.2  // further relays after a failure for each own call, so refusals are no storm
+	retryBurst  = 3.0  // further relays that may go at once
+	expiryTicks = 1.0  // ticks before its time limit at which a command is terminated
+	recheck     = 0.05 // seconds between looks at held commands when nothing else happens
+	slowShare   = 0.35 // part of recent relays past the delay from which all is slow: 0.1 is usual
+	slowSpan    = 2.0  // seconds over which that part is counted
+	slowRelays  = 5.0  // relays needed before that part says anything
+	allOfIt     = 1e-9 // guards divisions
+)
+
+// decaying is a sum whose parts fade with the span given when it is read.
+type decaying struct{ sum, at float64 }
+
+func (d *decaying) read(now, span float64) float64 {
+	if now > d.at {
+		d.sum *= math.Exp((d.at - now) / span)
+		d.at = now
+	}
+	return d.sum
+}
+
+func (d *decaying) add(now, span, x float64) { d.sum = d.read(now, span) + x }
+
+// rate is the sum as so much a second, corrected for the time since the first start.
+func (d *decaying) rate(now, span, start float64) float64 {
+	return d.read(now, span) / (span * (1 - math.Exp(-max(now-start, span/10)/span)))
+}
+
+// bucket holds tokens that refill at a rate given when it is read.
+type bucket struct{ tokens, at float64 }
+
+func (t *bucket) read(now, rate, most float64) float64 {
+	t.tokens = min(most, t.tokens+rate*max(0, now-t.at))
+	t.at = now
+	return t.tokens
+}
+
+// ---- Delay: a rotating pair of latency sketches for each verb.
+
+type delay struct {
+	now, before *ddsketch.DDSketch
+	rotated     float64
+	answers     int
+	last        float64 // kept while the sketches are empty
+}
+
+func newSketch() *ddsketch.DDSketch {
+	s, err := ddsketch.NewDefaultDDSketch(accuracy)
+	if err != nil {
+		panic(err) // accuracy is a constant in range
+	}
+	return s
+}
+
+func (d *delay) rotate(now float64) {
+	if now-d.rotated < rotation {
+		return
+	}
+	d.now, d.before = d.before, d.now
+	d.now.Clear()
+	if now-d.rotated >= 2*rotation {
+		d.before.Clear()
+	}
+	d.rotated = now
+}
+
+func (d *delay) learn(now, latency float64) {
+	d.rotate(now)
+	if d.now.Add(latency) == nil {
+		d.answers++
+	}
+}
+
+func (d *delay) warm() bool { return d.answers >= warmupAnswers }
+
+func (d *delay) after(now float64) float64 {
+	if !d.warm() {
+		return warmupDelay
+	}
+	d.rotate(now)
+	both := d.now.Copy()
+	if both.MergeWith(d.before) == nil {
+		if q, err := both.GetValueAtQuantile(percentile); err == nil {
+			d.last = max(q, minDelay)
+		}
+	}
+	return d.last
+}
+
+// ---- Breaker: blocks copies, never first relays.
+
+type breaker struct {
+	all, failed decaying
+	openUntil   float64 // 0 while closed
+	tried       int
+	good, bad   int
+}
+
+func (k *breaker) allows(now float64) bool {
+	return k.openUntil == 0 || now >= k.openUntil && k.tried < trials
+}
+
+func (k *breaker) sent(now float64) {
+	if k.openUntil != 0 && now >= k.openUntil {
+		k.tried++
+	}
+}
+
+func (k *breaker) outcome(now float64, failed bool) {
+	k.all.add(now, breakerSpan, 1)
+	k.failed.add(now, breakerSpan, 0)
+	if failed {
+		k.failed.add(now, breakerSpan, 1)
+	}
+	switch {
+	case k.openUntil == 0:
+		if k.all.sum >= breakerOutcomes && k.failed.sum >= breakerShare*k.all.sum {
+			*k = breaker{openUntil: now + cooldown}
+		}
+	case now >= k.openUntil:
+		if failed {
+			k.bad++
+		} else {
+			k.good++
+		}
+		if k.good+k.bad >= trials {
+			reopen := k.bad > k.good
+			*k = breaker{}
+			if reopen {
+				k.openUntil = now + cooldown
+			}
+		}
+	}
+}
+
+// ---- Weights and pick.
+
+type backend struct {
+	Entry
+	weight   float64
+	inFlight int
+	aside    float64 // no commands before this time
+	spell    float64 // length of the last such spell
+	budget   bucket  // commands that may go to it while it is cold
+}
+
+func (k *backend) slowed() { k.weight = max(weightMin, k.weight/2) }
+
+func (k *backend) quick() {
+	k.weight = min(weightMax, k.weight+weightGain)
+	k.aside, k.spell = 0, 0
+}
+
+// chance is a number in [0, 1) from the instance's seed and a counter.
+func (b *Balancer) chance() float64 {
+	var text [16]byte
+	b.draws++
+	binary.LittleEndian.PutUint64(text[:], b.seed)
+	binary.LittleEndian.PutUint64(text[8:], b.draws)
+	h := fnv.New64a()
+	h.Write(text[:])
+	x := h.Sum64() // its high bits change little with the last bytes, so they are stirred once more
+	x = (x ^ x>>32) * 0x9e3779b97f4a7c15
+	return float64((x^x>>29)>>11) / (1 << 53)
+}
+
+// may tells whether the rules allow a relay of the command to the backend at all.
+func (b *Balancer) may(c *command, k *backend) bool {
+	if k.State != Ready {
+		return false
+	}
+	v := &b.verbs[c.verb]
+	if c.mayHaveRun == nil || v.Effect == Pure {
+		return true
+	}
+	if v.Effect == Effectful || b.now > c.ranFrom+v.Window-b.tick {
+		return false
+	}
+	switch v.Scope {
+	case ScopeZone:
+		return k.Zone == c.mayHaveRun.Zone
+	case ScopeCell:
+		return k.Cell == c.mayHaveRun.Cell
+	}
+	return true
+}
+
+// pick draws a backend by weight, skipping those with far more of our commands than the mean, or nil.
+func (b *Balancer) pick(c *command, copying bool) *backend {
+	usable := b.usable()
+	mean := float64(b.inFlight) / max(1, float64(usable))
+	for _, strict := range []bool{true, false} {
+		total := 0.0
+		b.picks = b.picks[:0]
+		for _, k := range b.fleet {
+			if !b.may(c, k) || !b.coldAllows(k) || copying && c.triedOn(k) {
+				continue
+			}
+			if strict && (float64(k.inFlight) > farAbove*mean+farSlack || k.aside > b.now || c.triedOn(k)) {
+				continue
+			}
+			b.picks = append(b.picks, k)
+			total += k.weight
+		}
+		at := b.chance() * total
+		for _, k := range b.picks {
+			if at -= k.weight; at < 0 {
+				return k
+			}
+		}
+		if copying { // a copy never goes where a first relay would not
+			return nil
+		}
+	}
+	return nil
+}
+
+// ---- Fleet: the list, drains and cold budgets.
+
+func (b *Balancer) usable() int {
+	n := 0
+	for _, k := range b.fleet {
+		if k.State == Ready {
+			n++
+		}
+	}
+	return n
+}
+
+func (b *Balancer) meanWeight() float64 {
+	sum, n := 0.0, 0.0
+	for _, k := range b.fleet {
+		if k.State == Ready {
+			sum, n = sum+k.weight, n+1
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / n
+}
+
+// Fleet is told the list, whole or as changes.
+func (b *Balancer) Fleet(now float64, whole bool, entries []Entry) {
+	b.now = now
+	b.asking, b.askWait = false, askFirst
+	mean := b.meanWeight()
+	if whole {
+		for _, k := range b.fleet {
+			if !slices.ContainsFunc(entries, func(e Entry) bool { return e.ID == k.ID }) {
+				k.State = Gone
+			}
+		}
+	}
+	for _, e := range entries {
+		at, known := slices.BinarySearchFunc(b.fleet, e.ID, func(k *backend, id BackendID) int {
+			return slices.Compare(k.ID[:], id[:])
+		})
+		if !known {
+			b.fleet = slices.Insert(b.fleet, at, &backend{weight: mean, Entry: Entry{Started: math.Inf(-1)}})
+		}
+		k := b.fleet[at]
+		if e.State == Ready && (k.State == Gone || k.Started != e.Started) {
+			// A new process: nothing learned of the old one holds. Its budget starts at chance, or all
+			// instances would send their first command at once and push it over together.
+			k.weight, k.aside, k.spell = mean, 0, 0
+			k.budget = bucket{b.chance(), now}
+		}
+		k.Entry = e
+	}
+	// Backends that are gone and hold none of our commands are forgotten.
+	b.fleet = slices.DeleteFunc(b.fleet, func(k *backend) bool { return k.State == Gone && k.inFlight == 0 })
+	b.dispatch()
+}
+
+// ListFailed says that a call for the list failed or the subscription ended: ask again, not all at once.
+func (b *Balancer) ListFailed(now float64) {
+	b.now = now
+	if !b.mustAsk || b.asking {
+		return
+	}
+	b.asking = true
+	b.after(b.askWait*(0.5+b.chance()), func() { b.asking = false; b.host.Watch() })
+	b.askWait = min(askLast, 2*b.askWait)
+}
+
+// coldRate is how many commands a second this instance may send to a backend that has just started: what it
+// sends to a backend in the mean, cut to the part that the backend can do for certain. Its own traffic stands
+// for its part of everybody's.
+func (b *Balancer) coldRate(k *backend) (rate float64, cold bool) {
+	age := b.now - k.Started
+	if k.Started <= 0 || age >= b.cold.Span {
+		return 0, false
+	}
+	part := b.cold.Share + (1-b.cold.Share)*max(0, age)/max(b.cold.Span, allOfIt)
+	own := b.sent.rate(b.now, callSpan, b.start)
+	if own == 0 || b.allCold() {
+		own = b.came.rate(b.now, callSpan, b.start)
+	}
+	return coldPart * b.cold.Multiple * part * own / max(1, float64(b.usable())), true
+}
+
+func (b *Balancer) allCold() bool {
+	for _, k := range b.fleet {
+		if k.State == Ready && (k.Started <= 0 || b.now-k.Started >= b.cold.Span) {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *Balancer) coldAllows(k *backend) bool {
+	rate, cold := b.coldRate(k)
+	return !cold || k.budget.read(b.now, rate, 1) >= 1
+}
+
+// ---- Admission: own commands out are bounded, held briefly, declined early.
+
+// bound is how many commands may be out by Little's law: as many as the recent rate of answers lets end, in
+// the mean, well within the response goal. Beyond it backends only queue, and choke.
+func (b *Balancer) bound(c *command) float64 {
+	v := &b.verbs[c.verb]
+	most := b.answers.rate(b.now, rateSpan, b.start) * target * v.Goal
+	most = max(most, boundMin*float64(b.usable()))
+	return most * (spareFirst + (1-spareFirst)*c.priority)
+}
+
+// over takes a token of the customer's share and tells whether there was none.
+func (b *Balancer) over(customer int) bool {
+	if b.place.Tier > 0 || customer >= len(b.customers) {
+		return false // lower tiers see calls, not the clients' commands
+	}
+	rate := b.customers[customer].Allowance / max(1, float64(b.place.Siblings))
+	t := &b.shares[customer]
+	if t.read(b.now, rate, max(1, rate*shareBurst)) < 1 {
+		return true
+	}
+	t.tokens--
+	return false
+}
+
+// try sends the command's first or next relay where there is room, and tells whether it did.
+func (b *Balancer) try(c *command) bool {
+	if float64(b.inFlight) >= b.bound(c) {
+		return false
+	}
+	k := b.pick(c, false)
+	if k == nil {
+		return false
+	}
+	b.relay(c, k, false)
+	return true
+}
+
+// hold keeps a command for a moment, highest utility first, and declines at once what can't be sent in time.
+func (b *Balancer) hold(c *command) {
+	c.held = true
+	at, _ := slices.BinarySearchFunc(b.held, c, func(x, y *command) int {
+		if x.priority != y.priority {
+			if x.priority > y.priority {
+				return -1
+			}
+			return 1
+		}
+		if x.seq < y.seq {
+			return -1
+		}
+		return 1
+	})
+	b.held = slices.Insert(b.held, at, c)
+	longest := holdShare * b.verbs[c.verb].Goal
+	room := int(b.answers.rate(b.now, rateSpan, b.start)*longest) + 1
+	for len(b.held) > room {
+		last := b.held[len(b.held)-1]
+		b.giveUp(last)
+	}
+	if c.held {
+		b.after(longest, func() {
+			if c.held && !c.done {
+				b.giveUp(c)
+			}
+		})
+		b.recheckLater()
+	}
+}
+
+func (b *Balancer) recheckLater() {
+	if b.rechecking {
+		return
+	}
+	b.rechecking = true
+	b.after(recheck, func() {
+		b.rechecking = false
+		b.dispatch()
+		if len(b.held) > 0 {
+			b.recheckLater()
+		}
+	})
+}
+
+func (b *Balancer) dispatch() {
+	for i := 0; i < len(b.held); {
+		c := b.held[i]
+		if !b.try(c) {
+			i++
+			if float64(b.inFlight) >= b.bound(c) {
+				return
+			}
+			continue
+		}
+		c.held = false
+		b.held = slices.Delete(b.held, i, i+1)
+	}
+}
+
+// ---- Life of a command.
+
+type relay struct {
+	to        *backend
+	sent      float64
+	out, late bool
+	copied    bool
+	loser     bool
+	neverRan  bool
+}
+
+type command struct {
+	id            uint64
+	seq           uint64
+	verb          int
+	came, expires float64
+	priority      float64 // its utility against the highest, 0 to 1
+	relays        []relay
+	out           int
+	mayHaveRun    *backend // of the first relay that may have run
+	ranFrom       float64  // when that was sent
+	held, done    bool
+	streaming     bool
+}
+
+func (c *command) triedOn(k *backend) bool {
+	return slices.ContainsFunc(c.relays, func(r relay) bool { return r.to == k })
+}
+
+type verb struct {
+	Verb
+	delay   delay
+	calls   decaying
+	copies  bucket
+	losers  int // losing relays that are still out
+	breaker breaker
+}
+
+// Balancer is one instance. Make it with New.
+type Balancer struct {
+	host        Host
+	now         float64
+	start, tick float64
+	seed, draws uint64
+	place       Place
+	limits      Limits
+	cold        Cold
+	overage     float64
+	mustAsk     bool
+
+	verbs     []verb
+	customers []Customer
+	shares    []bucket
+	service   breaker
+	fleet     []*backend // by id
+	picks     []*backend
+	commands  map[uint64]*command
+	held      []*command
+	wakes     map[uint64]func()
+	tokens    uint64
+	seq       uint64
+	inFlight  int
+	topUtil   float64
+
+	came, sent, answers decaying
+	relayed, late       decaying
+	retries             bucket
+	asking, rechecking  bool
+	askWait             float64
+}
+
+// New starts an instance that knows nothing yet.
+func New(host Host, seed uint64, now, tick float64, place Place, verbs []Verb, customers []Customer,
+	overage float64, limits Limits, cold Cold, mustAsk bool) *Balancer {
+	b := &Balancer{
+		host: host, seed: seed, now: now, start: now, tick: tick, place: place, customers: customers,
+		overage: overage, limits: limits, cold: cold, mustAsk: mustAsk, askWait: askFirst,
+		commands: map[uint64]*command{}, wakes: map[uint64]func(){},
+		retries: bucket{retryBurst, now},
+	}
+	for _, v := range verbs {
+		b.topUtil = max(b.topUtil, v.Utility)
+		b.verbs = append(b.verbs, verb{Verb: v, copies: bucket{1, now},
+			delay: delay{now: newSketch(), before: newSketch(), rotated: now}})
+	}
+	for _, c := range customers {
+		b.shares = append(b.shares, bucket{max(1, c.Allowance*shareBurst), now})
+	}
+	if mustAsk {
+		b.asking = true
+		b.after(askFirst*b.chance(), func() { b.asking = false; b.host.Watch() })
+	}
+	return b
+}
+
+// Verbs is the number of verbs it was started with.
+func (b *Balancer) Verbs() int { return len(b.verbs) }
+
+func (b *Balancer) after(seconds float64, what func()) {
+	b.tokens++
+	b.wakes[b.tokens] = what
+	b.host.WakeAfter(max(0, seconds), b.tokens)
+}
+
+// Wake is told that a time asked for has come.
+func (b *Balancer) Wake(now float64, token uint64) {
+	b.now = now
+	if what, ok := b.wakes[token]; ok {
+		delete(b.wakes, token)
+		what()
+	}
+}
+
+// Command is told of a command that is now owed exactly one final answer before it expires.
+func (b *Balancer) Command(now float64, id uint64, verb, customer int, expires float64) {
+	b.now = now
+	if _, ok := b.commands[id]; ok {
+		return
+	}
+	b.seq++
+	v := &b.verbs[verb]
+	c := &command{id: id, seq: b.seq, verb: verb, came: now, expires: expires}
+	c.priority = v.Utility / max(b.topUtil, allOfIt)
+	if b.over(customer) {
+		c.priority *= b.overage
+	}
+	b.commands[id] = c
+	b.came.add(now, callSpan, 1)
+	v.calls.add(now, callSpan, 1)
+	b.after(expires-now-expiryTicks*b.tick, func() { b.expire(c) })
+	if v.Late == 0 {
+		// What can earn nothing any more only takes capacity from what can.
+		b.after(min(v.Goal, expires-now), func() {
+			if !c.done && !c.streaming {
+				b.giveUp(c)
+			}
+		})
+	}
+	if len(b.held) > 0 && b.held[0].priority >= c.priority || !b.try(c) {
+		b.hold(c)
+	}
+}
+
+func (b *Balancer) relay(c *command, k *backend, copied bool) {
+	v := &b.verbs[c.verb]
+	n := len(c.relays)
+	c.relays = append(c.relays, relay{to: k, sent: b.now, out: true, copied: copied})
+	c.out++
+	k.inFlight++
+	b.inFlight++
+	if _, cold := b.coldRate(k); cold {
+		k.budget.tokens--
+	}
+	b.sent.add(b.now, callSpan, 1)
+	b.relayed.add(b.now, slowSpan, 1)
+	if c.mayHaveRun == nil {
+		c.mayHaveRun, c.ranFrom = k, b.now
+	}
+	b.host.Relay(c.id, k.ID)
+	if !v.Stream {
+		b.after(v.delay.after(b.now), func() { b.overdue(c, n) })
+	}
+}
+
+// overdue is called when the delay passes: an unanswered relay counts against its backend now, since a
+// hung one never answers, and a second copy goes out where that is allowed.
+func (b *Balancer) overdue(c *command, n int) {
+	r, v := &c.relays[n], &b.verbs[c.verb]
+	if !r.out || r.loser {
+		return
+	}
+	if v.delay.warm() {
+		r.late = true
+		r.to.slowed()
+		b.late.add(b.now, slowSpan, 1)
+	}
+	if c.done || c.streaming || c.out > 1 || !b.mayCopy(c, v) {
+		return
+	}
+	if k := b.pick(c, true); k != nil {
+		v.copies.tokens--
+		v.breaker.sent(b.now)
+		b.service.sent(b.now)
+		b.relay(c, k, true)
+	}
+}
+
+func (b *Balancer) mayCopy(c *command, v *verb) bool {
+	refill := copyShare * v.calls.rate(b.now, callSpan, b.start)
+	tokens := v.copies.read(b.now, refill, max(1, copyBurst*refill))
+	return v.Effect != Effectful && b.limits.SecondCopies && len(c.relays) < b.limits.Relays &&
+		tokens-float64(v.losers) >= 1 && v.breaker.allows(b.now) && b.service.allows(b.now) && !b.allSlow()
+}
+
+// allSlow tells that relays run late all over, so that the percentile is stale and copies would only add load.
+func (b *Balancer) allSlow() bool {
+	relayed := b.relayed.read(b.now, slowSpan)
+	return relayed >= slowRelays && b.late.read(b.now, slowSpan) > slowShare*relayed
+}
+
+// Started is told that a stream has begun: the command now belongs to that relay.
+func (b *Balancer) Started(now float64, id uint64, n int) {
+	b.now = now
+	if c, ok := b.commands[id]; ok && !c.done && n < len(c.relays) {
+		c.streaming = true
+		b.cancelOthers(c, n)
+	}
+}
+
+// Departed is told that the client is gone: nothing is owed, and what is out is called back.
+func (b *Balancer) Departed(now float64, id uint64) {
+	b.now = now
+	if c, ok := b.commands[id]; ok {
+		b.end(c)
+		b.dispatch()
+	}
+}
+
+// Outcome is told how a relay ended; final says that the command has had its answer.
+func (b *Balancer) Outcome(now float64, id uint64, n int, result Result, took float64, final bool, load Load) {
+	b.now = now
+	c, ok := b.commands[id]
+	if !ok || n >= len(c.relays) || !c.relays[n].out {
+		return
+	}
+	r, v := &c.relays[n], &b.verbs[c.verb]
+	r.out, r.neverRan = false, result.NeverRan()
+	c.out--
+	r.to.inFlight--
+	b.inFlight--
+	if r.loser {
+		v.losers--
+	}
+	b.judge(r, v, result, took)
+	winner := !c.done && result != Cancelled && result != Moot
+	if winner && (result == Answered || c.out == 0) {
+		v.breaker.outcome(now, result != Answered)
+		b.service.outcome(now, result != Answered)
+	}
+	switch {
+	case c.done:
+		b.forget(c)
+	case final || result == Answered:
+		if result == Answered {
+			// From the first relay on: a winning copy must not hide how slow the first one was.
+			v.delay.learn(now, now-c.relays[0].sent)
+			b.answers.add(now, rateSpan, 1)
+		}
+		b.end(c)
+	case c.out == 0:
+		b.again(c)
+	}
+	b.dispatch()
+}
+
+// judge applies the weight rule to the backend of a relay that ended.
+func (b *Balancer) judge(r *relay, v *verb, result Result, took float64) {
+	switch result {
+	case Answered:
+		if !v.delay.warm() {
+			return // every answer is slow against the warm-up's delay
+		}
+		if took <= v.delay.last {
+			r.to.quick()
+		} else if !r.late {
+			r.to.slowed()
+		}
+	case Errored, Full, TimedOut, Reset:
+		r.to.slowed()
+	case Unconnected:
+		// Down, or out of connections: each try costs the whole connect limit, so it is left alone a while.
+		r.to.slowed()
+		r.to.spell = min(asideLast, max(asideFirst, 2*r.to.spell))
+		r.to.aside = b.now + r.to.spell
+	}
+}
+
+// again sends a command whose relays have all failed elsewhere, or gives it up.
+func (b *Balancer) again(c *command) {
+	c.mayHaveRun = nil
+	for i := range c.relays {
+		if r := &c.relays[i]; !r.neverRan && c.mayHaveRun == nil {
+			c.mayHaveRun, c.ranFrom = r.to, r.sent
+		}
+	}
+	rate := retryShare * b.came.rate(b.now, callSpan, b.start)
+	if len(c.relays) < b.limits.Relays && c.expires > b.now+2*b.tick &&
+		b.retries.read(b.now, rate, max(retryBurst, rate)) >= 1 {
+		if k := b.pick(c, false); k != nil {
+			b.retries.tokens--
+			b.relay(c, k, false)
+			return
+		}
+	}
+	b.giveUp(c)
+}
+
+// mayDecline tells whether trying again is harmless.
+func (b *Balancer) mayDecline(c *command) bool {
+	v := &b.verbs[c.verb]
+	if v.Effect == Pure || v.Effect == Receipted && v.Scope == ScopeAll {
+		return true
+	}
+	return !slices.ContainsFunc(c.relays, func(r relay) bool { return r.out || !r.neverRan })
+}
+
+// giveUp ends a command at once, by declining it where that promise holds.
+func (b *Balancer) giveUp(c *command) {
+	if b.mayDecline(c) {
+		b.host.Decline(c.id, 0)
+	} else {
+		b.host.Terminate(c.id)
+	}
+	b.end(c)
+}
+
+// expire terminates a command that nothing ended before its time limit.
+func (b *Balancer) expire(c *command) {
+	if !c.done && !c.streaming {
+		b.host.Terminate(c.id)
+		b.end(c)
+		b.dispatch()
+	}
+}
+
+func (b *Balancer) cancelOthers(c *command, keep int) {
+	for i := range c.relays {
+		r := &c.relays[i]
+		if !r.out || r.loser || i == keep {
+			continue
+		}
+		r.loser = true
+		b.verbs[c.verb].losers++
+		if b.limits.Cancel {
+			b.host.Cancel(c.id, i)
+		}
+	}
+}
+
+// end settles a command that has had its final answer; it is kept until its last relay is in.
+func (b *Balancer) end(c *command) {
+	if c.done {
+		return
+	}
+	c.done = true
+	if c.held {
+		c.held = false
+		b.held = slices.DeleteFunc(b.held, func(x *command) bool { return x == c })
+	}
+	b.cancelOthers(c, -1)
+	b.forget(c)
+}
+
+func (b *Balancer) forget(c *command) {
+	if c.done && c.out == 0 {
+		delete(b.commands, c.id)
+	}
+}
+
+// Probed is told what a probe found.
+func (b *Balancer) Probed(now float64, id BackendID, result Result, took float64, load Load) {
+	b.now = now
+}
--- /dev/null
+++ b/balance/host.go
@@ -0,0 +1,120 @@
+package balance
+
+// BackendID is a backend's address and port as the front gives them.
+type BackendID [6]byte
+
+// Host carries out what the Balancer decides, at once and in the order of the calls.
+type Host interface {
+	// Relay sends a command to a backend. A command's relays are numbered from 0 in the order sent.
+	Relay(cmd uint64, to BackendID)
+	// Cancel gives up waiting for one relay.
+	Cancel(cmd uint64, relay int)
+	// Decline ends a command with the promise that trying again is harmless; comeBack, in seconds,
+	// says when, 0 says nothing.
+	Decline(cmd uint64, comeBack float64)
+	// Terminate ends a command without any promise.
+	Terminate(cmd uint64)
+	// WakeAfter asks for a Wake with this token in so many seconds.
+	WakeAfter(seconds float64, token uint64)
+	// Probe asks a backend for its load; Probed tells.
+	Probe(to BackendID)
+	// Watch subscribes to changes of the list; Fleet or ListFailed follows.
+	Watch()
+}
+
+// Effect says what a second run of a command would do.
+type Effect int
+
+const (
+	Pure      Effect = iota // may run again
+	Receipted               // a group of backends drops repeats for a while
+	Effectful               // must never run twice
+)
+
+// Scope is the group of backends that drops the repeats of a receipted command.
+type Scope int
+
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Verb is one kind of command; times are in seconds.
+type Verb struct {
+	Effect    Effect
+	Scope     Scope
+	Window    float64 // how long repeats are dropped, from the first relay that may have run
+	Goal      float64 // response goal
+	TimeLimit float64
+	Utility   float64
+	Late      float64 // part of the utility that an answer past the goal still earns
+	Stream    bool
+}
+
+// Customer is one of those who share the service.
+type Customer struct {
+	Allowance float64 // commands a second within its share, all proxies together
+}
+
+// Place is where an instance stands.
+type Place struct {
+	Siblings int // instances of this tier
+	Tier     int // the tier it sends to, 0 is the clients' own
+}
+
+// Limits is what an instance may do.
+type Limits struct {
+	Relays       int // for one command
+	SecondCopies bool
+	Cancel       bool
+	Probes       bool
+	ComeBack     float64 // longest wait that clients can be told, 0 where they are told nothing
+}
+
+// Cold is the rule on backends that have just started.
+type Cold struct {
+	Share    float64 // part of its capacity that a backend starts with, or more
+	Span     float64 // seconds until it is warm at the latest
+	Multiple float64 // of its present capacity, at which it falls over
+}
+
+// State is what the list says of a backend.
+type State int
+
+const (
+	Ready State = iota
+	Draining
+	Gone
+)
+
+// Entry is a line of the list.
+type Entry struct {
+	ID         BackendID
+	Zone, Cell int
+	State      State
+	Size       float64
+	Started    float64 // clock time, 0 is long ago
+}
+
+// Result is how a relay ended.
+type Result int
+
+const (
+	Answered Result = iota
+	Errored
+	Full
+	TimedOut
+	Unconnected
+	Reset
+	Cancelled
+	Moot
+)
+
+// NeverRan tells whether the result proves that the relay did nothing.
+func (r Result) NeverRan() bool { return r == Full || r == Unconnected || r == Moot }
+
+// Load is what a backend reports of itself; a figure below 0 was not reported.
+type Load struct {
+	Active, Waiting, CPU, Took float64
+}
