--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -49,20 +49,27 @@
 	coldPart          = 0.4      // of the multiple at which a cold backend falls that all may send together
 
 	// Admission.
-	rateSpan    = 2.0  // seconds over which the rate of answers is counted: a few response times
-	target      = 0.6  // of the response goal that the mean command may take, by Little's law
-	spareFirst  = 0.6  // part of the bound open to commands of no utility; the rest goes by utility
-	boundMin    = 2.0  // commands for each backend that are always let out: enough to learn from
-	holdShare   = 0.1  // of the response goal that a command may be held
-	shareBurst  = 2.0  // seconds of its allowance that a customer may send at once
-	retryShare  = 0.2  // further relays after a failure for each own call, so refusals are no storm
-	retryBurst  = 3.0  // further relays that may go at once
-	expiryTicks = 1.0  // ticks before its time limit at which a command is terminated
-	recheck     = 0.05 // seconds between looks at held commands when nothing else happens
-	slowShare   = 0.35 // part of recent relays past the delay from which all is slow: 0.1 is usual
-	slowSpan    = 2.0  // seconds over which that part is counted
-	slowRelays  = 5.0  // relays needed before that part says anything
-	allOfIt     = 1e-9 // guards divisions
+	rateSpan    = 2.0   // seconds over which the rate of answers is counted: a few response times
+	spareFirst  = 0.7   // part of the bound open to commands of no utility; the rest goes by utility
+	boundMin    = 4.0   // commands out for each backend, by all instances, that are always allowed
+	lateFrom    = 0.8   // of the response goal from which an answer counts as late: some room to react
+	lateShare   = 0.06  // part of late answers from which the bound is cut: few must miss the goal
+	lateSlack   = 1.0   // late answers that prove nothing
+	lateSpan    = 2.0   // seconds over which that part is counted
+	cut         = 0.85  // factor of a cut
+	cutEvery    = 0.5   // seconds between cuts: an answer shows what was let out a while ago
+	raise       = 1.005 // factor for each answer in time
+	inUse       = 0.8   // of the bound that must be out for it to be raised
+	holdShare   = 0.1   // of the response goal that a command may be held
+	shareBurst  = 2.0   // seconds of its allowance that a customer may send at once
+	retryShare  = 0.2   // further relays after a failure for each own call, so refusals are no storm
+	retryBurst  = 3.0   // further relays that may go at once
+	expiryTicks = 1.0   // ticks before its time limit at which a command is terminated
+	recheck     = 0.05  // seconds between looks at held commands when nothing else happens
+	slowShare   = 0.35  // part of recent relays past the delay from which all is slow: 0.1 is usual
+	slowSpan    = 2.0   // seconds over which that part is counted
+	slowRelays  = 5.0   // relays needed before that part says anything
+	allOfIt     = 1e-9  // guards divisions
 )
 
 // decaying is a sum whose parts fade with the span given when it is read.
@@ -373,13 +380,29 @@
 
 // ---- Admission: own commands out are bounded, held briefly, declined early.
 
-// bound is how many commands may be out by Little's law: as many as the recent rate of answers lets end, in
-// the mean, well within the response goal. Beyond it backends only queue, and choke.
+// bound is how many commands may be out. Beyond what backends answer in time they only queue, and choke. What
+// has little utility gets less of it, so that it is shed first.
 func (b *Balancer) bound(c *command) float64 {
-	v := &b.verbs[c.verb]
-	most := b.answers.rate(b.now, rateSpan, b.start) * target * v.Goal
-	most = max(most, boundMin*float64(b.usable()))
-	return most * (spareFirst + (1-spareFirst)*c.priority)
+	least := float64(b.usable()) * max(1, boundMin/max(1, float64(b.place.Siblings)))
+	b.allowed = max(b.allowed, least)
+	return b.allowed * (spareFirst + (1-spareFirst)*c.priority)
+}
+
+// settle moves the bound with the part of commands that end late: up slowly while it is in use, down at once.
+func (b *Balancer) settle(c *command) {
+	late := 0.0
+	if b.now-c.came > lateFrom*b.verbs[c.verb].Goal {
+		late = 1
+	}
+	b.ended.add(b.now, lateSpan, 1)
+	b.endedLate.add(b.now, lateSpan, late)
+	tooLate := b.endedLate.sum > lateShare*b.ended.sum+lateSlack
+	if late == 1 && tooLate && b.now >= b.cutAt+cutEvery {
+		b.allowed = cut * min(b.allowed, float64(b.inFlight+1))
+		b.cutAt = b.now
+	} else if late == 0 && !tooLate && float64(b.inFlight) >= inUse*b.allowed {
+		b.allowed *= raise
+	}
 }
 
 // over takes a token of the customer's share and tells whether there was none.
@@ -535,6 +558,8 @@
 	topUtil   float64
 
 	came, sent, answers decaying
+	ended, endedLate    decaying
+	allowed, cutAt      float64
 	relayed, late       decaying
 	retries             bucket
 	asking, rechecking  bool
@@ -604,6 +629,7 @@
 		// What can earn nothing any more only takes capacity from what can.
 		b.after(min(v.Goal, expires-now), func() {
 			if !c.done && !c.streaming {
+				b.settle(c)
 				b.giveUp(c)
 			}
 		})
@@ -718,6 +744,7 @@
 			v.delay.learn(now, now-c.relays[0].sent)
 			b.answers.add(now, rateSpan, 1)
 		}
+		b.settle(c)
 		b.end(c)
 	case c.out == 0:
 		b.again(c)
@@ -789,6 +816,7 @@
 // expire terminates a command that nothing ended before its time limit.
 func (b *Balancer) expire(c *command) {
 	if !c.done && !c.streaming {
+		b.settle(c)
 		b.host.Terminate(c.id)
 		b.end(c)
 		b.dispatch()
