--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -51,7 +51,7 @@
 	// Admission.
 	rateSpan    = 2.0   // seconds over which the rate of answers is counted: a few response times
 	spareFirst  = 0.7   // part of the bound open to commands of no utility; the rest goes by utility
-	boundMin    = 4.0   // commands out for each backend, by all instances, that are always allowed
+	boundMin    = 4000.0   // commands out for each backend, by all instances, that are always allowed
 	lateFrom    = 0.8   // of the response goal from which an answer counts as late: some room to react
 	lateShare   = 0.06  // part of late answers from which the bound is cut: few must miss the goal
 	lateSlack   = 1.0   // late answers that prove nothing
