--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -51,9 +51,10 @@
 	// Admission.
 	rateSpan    = 2.0   // seconds over which the rate of answers is counted: a few response times
 	spareFirst  = 0.7   // part of the bound open to commands of no utility; the rest goes by utility
-	boundMin    = 4000.0   // commands out for each backend, by all instances, that are always allowed
-	lateFrom    = 0.8   // of the response goal from which an answer counts as late: some room to react
-	lateShare   = 0.06  // part of late answers from which the bound is cut: few must miss the goal
+	boundMin    = 3.0   // commands out for each backend, by all instances, that are always allowed
+	boundFirst  = 8.0   // the same at the start: cut within seconds where it is too much
+	lateFrom    = 0.6   // of the response goal from which an answer counts as late: half may be, whatever the tail
+	lateShare   = 0.5   // part of late answers from which the bound is cut
 	lateSlack   = 1.0   // late answers that prove nothing
 	lateSpan    = 2.0   // seconds over which that part is counted
 	cut         = 0.85  // factor of a cut
@@ -349,15 +350,15 @@
 }
 
 // coldRate is how many commands a second this instance may send to a backend that has just started: what it
-// sends to a backend in the mean, cut to the part that the backend can do for certain. Its own traffic stands
-// for its part of everybody's.
+// has answered from a backend in the mean (what it sends may be a storm of refusals), cut to the part that the
+// backend can do for certain. Its own traffic stands for its part of everybody's.
 func (b *Balancer) coldRate(k *backend) (rate float64, cold bool) {
 	age := b.now - k.Started
 	if k.Started <= 0 || age >= b.cold.Span {
 		return 0, false
 	}
 	part := b.cold.Share + (1-b.cold.Share)*max(0, age)/max(b.cold.Span, allOfIt)
-	own := b.sent.rate(b.now, callSpan, b.start)
+	own := b.carried.rate(b.now, callSpan, b.start)
 	if own == 0 || b.allCold() {
 		own = b.came.rate(b.now, callSpan, b.start)
 	}
@@ -383,8 +384,11 @@
 // bound is how many commands may be out. Beyond what backends answer in time they only queue, and choke. What
 // has little utility gets less of it, so that it is shed first.
 func (b *Balancer) bound(c *command) float64 {
-	least := float64(b.usable()) * max(1, boundMin/max(1, float64(b.place.Siblings)))
-	b.allowed = max(b.allowed, least)
+	each := float64(b.usable()) / max(1, float64(b.place.Siblings))
+	if b.allowed == 0 {
+		b.allowed = boundFirst * each
+	}
+	b.allowed = max(b.allowed, boundMin*each, float64(b.usable()))
 	return b.allowed * (spareFirst + (1-spareFirst)*c.priority)
 }
 
@@ -557,13 +561,13 @@
 	inFlight  int
 	topUtil   float64
 
-	came, sent, answers decaying
-	ended, endedLate    decaying
-	allowed, cutAt      float64
-	relayed, late       decaying
-	retries             bucket
-	asking, rechecking  bool
-	askWait             float64
+	came, carried, answers decaying
+	ended, endedLate       decaying
+	allowed, cutAt         float64
+	relayed, late          decaying
+	retries                bucket
+	asking, rechecking     bool
+	askWait                float64
 }
 
 // New starts an instance that knows nothing yet.
@@ -649,7 +653,6 @@
 	if _, cold := b.coldRate(k); cold {
 		k.budget.tokens--
 	}
-	b.sent.add(b.now, callSpan, 1)
 	b.relayed.add(b.now, slowSpan, 1)
 	if c.mayHaveRun == nil {
 		c.mayHaveRun, c.ranFrom = k, b.now
@@ -743,6 +746,7 @@
 			// From the first relay on: a winning copy must not hide how slow the first one was.
 			v.delay.learn(now, now-c.relays[0].sent)
 			b.answers.add(now, rateSpan, 1)
+			b.carried.add(now, callSpan, 1)
 		}
 		b.settle(c)
 		b.end(c)
