Skip backends by the mean in-flight count of the last 2 s

A caller of a lower tier holds under one command for each backend, so the instant count told nothing.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -39,8 +39,9 @@
 	// Weights and pick.
 	weightMin, weightMax = 0.1, 3.0
 	weightGain           = 0.1
-	farAbove             = 1.0 // in-flight beyond this multiple of the mean, plus farSlack, is skipped
-	farSlack             = 0.5 // commands; lets a backend at the mean take its next command
+	busySpan             = 2.0 // seconds over which in-flight counts are averaged: a few response times
+	farAbove             = 1.2 // times the mean beyond which a backend is skipped; weights work within that
+	farSlack             = 0.5 // commands in flight beyond the mean; lets a backend at the mean take the next
 	asideFirst           = 0.5 // seconds without commands after a connection failed: twice a usual connect limit
 	asideLast            = 8.0 // seconds, longest such spell: a backend that is back is found within it
 
@@ -204,11 +205,19 @@
 	Entry
 	weight   float64
 	inFlight int
+	busy, at float64 // in-flight count in the mean of the last while, and when that was read
 	aside    float64 // no commands before this time
 	spell    float64 // length of the last such spell
 	budget   bucket  // commands that may go to it while it is cold
 }
 
+// held brings the mean in-flight count up to date; it is called before the count changes.
+func (k *backend) held(now float64) float64 {
+	fade := math.Exp((k.at - now) / busySpan)
+	k.busy, k.at = k.busy*fade+float64(k.inFlight)*(1-fade), now
+	return k.busy
+}
+
 func (k *backend) slowed() { k.weight = max(weightMin, k.weight/2) }
 
 func (k *backend) quick() {
@@ -252,8 +261,13 @@
 
 // pick draws a backend by weight, skipping those with far more of our commands than the mean, or nil.
 func (b *Balancer) pick(c *command, copying bool) *backend {
-	usable := b.usable()
-	mean := float64(b.inFlight) / max(1, float64(usable))
+	busy, count := 0.0, 0.0
+	for _, k := range b.fleet {
+		if k.State == Ready {
+			busy, count = busy+k.held(b.now), count+1
+		}
+	}
+	busy, count = busy/max(1, count), float64(b.inFlight)/max(1, count)
 	for _, strict := range []bool{true, false} {
 		total := 0.0
 		b.picks = b.picks[:0]
@@ -261,7 +275,7 @@
 			if !b.may(c, k) || !b.coldAllows(k) || copying && c.triedOn(k) {
 				continue
 			}
-			if strict && (float64(k.inFlight) > farAbove*mean+farSlack || k.aside > b.now || c.triedOn(k)) {
+			if strict && (k.busy > farAbove*busy || float64(k.inFlight) > count+farSlack || k.aside > b.now || c.triedOn(k)) {
 				continue
 			}
 			b.picks = append(b.picks, k)
@@ -648,6 +662,7 @@
 	n := len(c.relays)
 	c.relays = append(c.relays, relay{to: k, sent: b.now, out: true, copied: copied})
 	c.out++
+	k.held(b.now)
 	k.inFlight++
 	b.inFlight++
 	if _, cold := b.coldRate(k); cold {
@@ -727,6 +742,7 @@
 	r, v := &c.relays[n], &b.verbs[c.verb]
 	r.out, r.neverRan = false, result.NeverRan()
 	c.out--
+	r.to.held(now)
 	r.to.inFlight--
 	b.inFlight--
 	if r.loser {
