--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -17,7 +17,7 @@
 
 const (
 	// Delay of second copies (the mechanism's own figures).
-	percentile    = 0.9   // quantile of latency after which a copy goes out
+	percentile    = 0.98  // quantile after which a copy goes out; tiers repeat whole subtrees, so few may
 	accuracy      = 0.02  // relative error of the sketches: far below the spread of latencies
 	rotation      = 10.0  // seconds between sketch rotations
 	minDelay      = 0.001 // seconds, floor of the delay
