--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -50,28 +50,33 @@
 	coldPart          = 0.4      // of the multiple at which a cold backend falls that all may send together
 
 	// Admission.
-	rateSpan    = 2.0   // seconds over which the rate of answers is counted: a few response times
-	spareFirst  = 0.7   // part of the bound open to commands of no utility; the rest goes by utility
-	boundMin    = 3.0   // commands out for each backend, by all instances, that are always allowed
-	boundFirst  = 8.0   // the same at the start: cut within seconds where it is too much
-	lateFrom    = 0.6   // of the response goal from which an answer counts as late: half may be, whatever the tail
-	lateShare   = 0.5   // part of late answers from which the bound is cut
-	lateSlack   = 1.0   // late answers that prove nothing
-	lateSpan    = 2.0   // seconds over which that part is counted
-	cut         = 0.85  // factor of a cut
-	cutEvery    = 0.5   // seconds between cuts: an answer shows what was let out a while ago
-	raise       = 1.005 // factor for each answer in time
-	inUse       = 0.8   // of the bound that must be out for it to be raised
-	holdShare   = 0.1   // of the response goal that a command may be held
-	shareBurst  = 2.0   // seconds of its allowance that a customer may send at once
-	retryShare  = 0.2   // further relays after a failure for each own call, so refusals are no storm
-	retryBurst  = 3.0   // further relays that may go at once
-	expiryTicks = 1.0   // ticks before its time limit at which a command is terminated
-	recheck     = 0.05  // seconds between looks at held commands when nothing else happens
-	slowShare   = 0.35  // part of recent relays past the delay from which all is slow: 0.1 is usual
-	slowSpan    = 2.0   // seconds over which that part is counted
-	slowRelays  = 5.0   // relays needed before that part says anything
-	allOfIt     = 1e-9  // guards divisions
+	rateSpan     = 2.0  // seconds over which the rate of answers is counted: a few response times
+	spareFirst   = 0.7  // part of the bound open to commands of no utility; the rest goes by utility
+	boundMin     = 3.0  // commands out for each backend, by all instances, that are always allowed
+	boundFirst   = 8.0  // the same at the start: cut within seconds where it is too much
+	lateFrom     = 0.6  // of the response goal from which an answer counts as late: half may be, whatever the tail
+	lateShare    = 0.5  // part of late answers from which the bound is cut
+	stretch      = 1.7  // times the usual latency from which an answer counts as late as well: queues build
+	usualAt      = 0.5  // quantile that is the usual latency: it widens with the spread of a verb's work
+	earlyTo      = 0.35 // of the response goal up to which no answer is late: so early it does no harm
+	usualStep    = 0.01 // step at which the usual latency is followed, for each answer
+	usualAnswers = 60   // answers until the usual latency is known: the first to come are the light ones
+	lateSlack    = 1.0  // late answers that prove nothing
+	lateSpan     = 2.0  // seconds over which that part is counted
+	cut          = 0.85 // factor of a cut
+	cutEvery     = 0.5  // seconds between cuts: an answer shows what was let out a while ago
+	raise        = 0.1  // growth of the bound in a second: what is let out too fast chokes backends for long
+	inUse        = 0.8  // of the bound that must be out for it to be raised: what has no utility reaches no further
+	holdShare    = 0.1  // of the response goal that a command may be held
+	shareBurst   = 2.0  // seconds of its allowance that a customer may send at once
+	retryShare   = 0.2  // further relays after a failure for each own call, so refusals are no storm
+	retryBurst   = 3.0  // further relays that may go at once
+	expiryTicks  = 1.0  // ticks before its time limit at which a command is terminated
+	recheck      = 0.05 // seconds between looks at held commands when nothing else happens
+	slowShare    = 0.35 // part of recent relays past the delay from which all is slow: 0.1 is usual
+	slowSpan     = 2.0  // seconds over which that part is counted
+	slowRelays   = 5.0  // relays needed before that part says anything
+	allOfIt      = 1e-9 // guards divisions
 )
 
 // decaying is a sum whose parts fade with the span given when it is read.
@@ -139,16 +144,21 @@
 
 func (d *delay) warm() bool { return d.answers >= warmupAnswers }
 
+func (d *delay) quantile(q float64) (float64, error) {
+	both := d.now.Copy()
+	if err := both.MergeWith(d.before); err != nil {
+		return 0, err
+	}
+	return both.GetValueAtQuantile(q)
+}
+
 func (d *delay) after(now float64) float64 {
 	if !d.warm() {
 		return warmupDelay
 	}
 	d.rotate(now)
-	both := d.now.Copy()
-	if both.MergeWith(d.before) == nil {
-		if q, err := both.GetValueAtQuantile(percentile); err == nil {
-			d.last = max(q, minDelay)
-		}
+	if q, err := d.quantile(percentile); err == nil {
+		d.last = max(q, minDelay)
 	}
 	return d.last
 }
@@ -408,8 +418,12 @@
 
 // settle moves the bound with the part of commands that end late: up slowly while it is in use, down at once.
 func (b *Balancer) settle(c *command) {
-	late := 0.0
-	if b.now-c.came > lateFrom*b.verbs[c.verb].Goal {
+	v, late, took := &b.verbs[c.verb], 0.0, b.now-c.came
+	slow := lateFrom * v.Goal
+	if v.usual > 0 {
+		slow = min(slow, max(stretch*v.usual, earlyTo*v.Goal))
+	}
+	if took > slow {
 		late = 1
 	}
 	b.ended.add(b.now, lateSpan, 1)
@@ -418,8 +432,22 @@
 	if late == 1 && tooLate && b.now >= b.cutAt+cutEvery {
 		b.allowed = cut * min(b.allowed, float64(b.inFlight+1))
 		b.cutAt = b.now
-	} else if late == 0 && !tooLate && float64(b.inFlight) >= inUse*b.allowed {
-		b.allowed *= raise
+	} else if !tooLate && float64(b.inFlight) >= inUse*b.allowed {
+		b.allowed *= 1 + raise*min(cutEvery, b.now-b.settled)
+	}
+	b.settled = b.now
+	// The median of a fleet at ease: it hardly follows what comes with our own crowding.
+	switch {
+	case v.usual == 0:
+		if v.delay.answers >= usualAnswers {
+			v.usual, _ = v.delay.quantile(usualAt)
+		}
+	case took < v.usual:
+		v.usual *= 1 - usualStep*(1-usualAt)
+	case tooLate || float64(b.inFlight) >= inUse*b.allowed:
+		v.usual *= 1 + usualStep*usualAt/4
+	default:
+		v.usual *= 1 + usualStep*usualAt
 	}
 }
 
@@ -547,6 +575,7 @@
 	copies  bucket
 	losers  int // losing relays that are still out
 	breaker breaker
+	usual   float64 // usual latency in seconds, 0 while not known
 }
 
 // Balancer is one instance. Make it with New.
@@ -577,7 +606,8 @@
 
 	came, carried, answers decaying
 	ended, endedLate       decaying
-	allowed, cutAt         float64
+	allowed                float64
+	cutAt, settled         float64
 	relayed, late          decaying
 	retries                bucket
 	asking, rechecking     bool
