--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -39,11 +39,11 @@
 	// Weights and pick.
 	weightMin, weightMax = 0.1, 3.0
 	weightGain           = 0.1
-	busySpan             = 2.0 // seconds over which in-flight counts are averaged: a few response times
-	farAbove             = 1.2 // times the mean beyond which a backend is skipped; weights work within that
-	farSlack             = 0.5 // commands in flight beyond the mean; lets a backend at the mean take the next
-	asideFirst           = 0.5 // seconds without commands after a connection failed: twice a usual connect limit
-	asideLast            = 8.0 // seconds, longest such spell: a backend that is back is found within it
+	busySpan             = 2.0  // seconds over which in-flight counts are averaged: a few response times
+	farAbove             = 1.2  // times the mean beyond which a backend is skipped; weights work within that
+	farSlack             = 0.5  // commands in flight beyond the mean; lets a backend at the mean take the next
+	asideFirst           = 2.0  // seconds without commands after a connection failed: it is down or full for a while
+	asideLast            = 30.0 // seconds, longest such spell: as long as idle connections commonly hold their place
 
 	// Fleet.
 	askFirst, askLast = 1.0, 8.0 // seconds between calls for a list out of reach, doubling, with jitter
@@ -70,6 +70,7 @@
 	holdShare    = 0.1  // of the response goal that a command may be held
 	shareBurst   = 2.0  // seconds of its allowance that a customer may send at once
 	retryShare   = 0.2  // further relays after a failure for each own call, so refusals are no storm
+	neverRanCost = 0.2  // of a further relay, for one after relays that cost their backends next to nothing
 	retryBurst   = 3.0  // further relays that may go at once
 	expiryTicks  = 1.0  // ticks before its time limit at which a command is terminated
 	recheck      = 0.05 // seconds between looks at held commands when nothing else happens
@@ -278,14 +279,14 @@
 		}
 	}
 	busy, count = busy/max(1, count), float64(b.inFlight)/max(1, count)
-	for _, strict := range []bool{true, false} {
+	// First those that the weight rule and the skip leave, then any that is not set aside, then any at all.
+	for pass := range 3 {
 		total := 0.0
 		b.picks = b.picks[:0]
 		for _, k := range b.fleet {
-			if !b.may(c, k) || !b.coldAllows(k) || copying && c.triedOn(k) {
-				continue
-			}
-			if strict && (k.busy > farAbove*busy || float64(k.inFlight) > count+farSlack || k.aside > b.now || c.triedOn(k)) {
+			tried := c.triedOn(k)
+			if !b.may(c, k) || !b.coldAllows(k) || copying && tried || pass < 2 && (tried || k.aside > b.now) ||
+				pass < 1 && (k.busy > farAbove*busy || float64(k.inFlight) > count+farSlack) {
 				continue
 			}
 			b.picks = append(b.picks, k)
@@ -832,11 +833,14 @@
 			c.mayHaveRun, c.ranFrom = r.to, r.sent
 		}
 	}
-	rate := retryShare * b.came.rate(b.now, callSpan, b.start)
+	rate, cost := retryShare*b.came.rate(b.now, callSpan, b.start), 1.0
+	if c.mayHaveRun == nil {
+		cost = neverRanCost
+	}
 	if len(c.relays) < b.limits.Relays && c.expires > b.now+2*b.tick &&
-		b.retries.read(b.now, rate, max(retryBurst, rate)) >= 1 {
+		b.retries.read(b.now, rate, max(retryBurst, rate)) >= cost {
 		if k := b.pick(c, false); k != nil {
-			b.retries.tokens--
+			b.retries.tokens -= cost
 			b.relay(c, k, false)
 			return
 		}
