--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -249,6 +249,17 @@
 	return float64((x^x>>29)>>11) / (1 << 53)
 }
 
+// asidePart is the part of the usable fleet that is set aside.
+func (b *Balancer) asidePart() float64 {
+	n := 0.0
+	for _, k := range b.fleet {
+		if k.State == Ready && k.aside > b.now {
+			n++
+		}
+	}
+	return n / max(1, float64(b.usable()))
+}
+
 // may tells whether the rules allow a relay of the command to the backend at all.
 func (b *Balancer) may(c *command, k *backend) bool {
 	if k.State != Ready {
@@ -820,7 +831,8 @@
 	case Unconnected:
 		// Down, or out of connections: each try costs the whole connect limit, so it is left alone a while.
 		r.to.slowed()
-		r.to.spell = min(asideLast, max(asideFirst, 2*r.to.spell))
+		// Where many are set aside their tables are full, and trying them again soon is in vain.
+		r.to.spell = min(asideLast, max(asideFirst, 2*r.to.spell, asideLast*b.asidePart()))
 		r.to.aside = b.now + r.to.spell
 	}
 }
