--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -217,11 +217,16 @@
 	weight   float64
 	inFlight int
 	busy, at float64 // in-flight count in the mean of the last while, and when that was read
+	met      float64 // when it last took a command of ours
 	aside    float64 // no commands before this time
 	spell    float64 // length of the last such spell
 	budget   bucket  // commands that may go to it while it is cold
 }
 
+func (k *backend) connected(now, idle float64) bool {
+	return k.inFlight > 0 || k.met > 0 && now-k.met < idle
+}
+
 // held brings the mean in-flight count up to date; it is called before the count changes.
 func (k *backend) held(now float64) float64 {
 	fade := math.Exp((k.at - now) / busySpan)
@@ -283,10 +288,11 @@
 
 // pick draws a backend by weight, skipping those with far more of our commands than the mean, or nil.
 func (b *Balancer) pick(c *command, copying bool) *backend {
-	busy, count := 0.0, 0.0
+	busy, count, free := 0.0, 0.0, false
 	for _, k := range b.fleet {
 		if k.State == Ready {
 			busy, count = busy+k.held(b.now), count+1
+			free = free || k.inFlight == 0 && k.connected(b.now, b.connIdle) && !c.triedOn(k) && k.aside <= b.now && b.may(c, k)
 		}
 	}
 	busy, count = busy/max(1, count), float64(b.inFlight)/max(1, count)
@@ -296,6 +302,9 @@
 		b.picks = b.picks[:0]
 		for _, k := range b.fleet {
 			tried := c.triedOn(k)
+			if pass == 0 && b.connDear && !k.connected(b.now, b.connIdle) && free {
+				continue
+			}
 			if !b.may(c, k) || !b.coldAllows(k) || copying && tried || pass < 2 && (tried || k.aside > b.now) ||
 				pass < 1 && (k.busy > farAbove*busy || float64(k.inFlight) > count+farSlack) {
 				continue
@@ -601,6 +610,8 @@
 	cold        Cold
 	overage     float64
 	mustAsk     bool
+	connDear    bool
+	connIdle    float64
 
 	verbs     []verb
 	customers []Customer
@@ -628,10 +639,10 @@
 
 // New starts an instance that knows nothing yet.
 func New(host Host, seed uint64, now, tick float64, place Place, verbs []Verb, customers []Customer,
-	overage float64, limits Limits, cold Cold, mustAsk bool) *Balancer {
+	overage float64, limits Limits, conns Connections, cold Cold, mustAsk bool) *Balancer {
 	b := &Balancer{
 		host: host, seed: seed, now: now, start: now, tick: tick, place: place, customers: customers,
-		overage: overage, limits: limits, cold: cold, mustAsk: mustAsk, askWait: askFirst,
+		overage: overage, limits: limits, cold: cold, mustAsk: mustAsk, connDear: conns.Price > 0 && conns.Streams > 1, connIdle: conns.Idle, askWait: askFirst,
 		commands: map[uint64]*command{}, wakes: map[uint64]func(){},
 		retries: bucket{retryBurst, now},
 	}
@@ -784,6 +795,9 @@
 	r, v := &c.relays[n], &b.verbs[c.verb]
 	r.out, r.neverRan = false, result.NeverRan()
 	c.out--
+	if result != Unconnected && result != Moot {
+		r.to.met = now
+	}
 	r.to.held(now)
 	r.to.inFlight--
 	b.inFlight--
