--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -54,7 +54,7 @@
 	spareFirst   = 0.7  // part of the bound open to commands of no utility; the rest goes by utility
 	boundMin     = 3.0  // commands out for each backend, by all instances, that are always allowed
 	boundFirst   = 8.0  // the same at the start: cut within seconds where it is too much
-	lateFrom     = 0.6  // of the response goal from which an answer counts as late: half may be, whatever the tail
+	lateFrom     = 0.5  // of the response goal from which an answer counts as late: half may be, whatever the tail
 	lateShare    = 0.5  // part of late answers from which the bound is cut
 	stretch      = 1.7  // times the usual latency from which an answer counts as late as well: queues build
 	usualAt      = 0.5  // quantile that is the usual latency: it widens with the spread of a verb's work
