--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -7,6 +7,7 @@
 package balance
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/fnv"
 	"math"
@@ -42,8 +43,8 @@
 	busySpan             = 2.0  // seconds over which in-flight counts are averaged: a few response times
 	farAbove             = 1.2  // times the mean beyond which a backend is skipped; weights work within that
 	farSlack             = 0.5  // commands in flight beyond the mean; lets a backend at the mean take the next
-	asideFirst           = 2.0  // seconds without commands after a connection failed: it is down or full for a while
-	asideLast            = 30.0 // seconds, longest such spell: as long as idle connections commonly hold their place
+	asideFirst           = 2.0  // seconds left alone after a connection failed: it is down or full for a while
+	asideLast            = 30.0 // seconds, longest such spell: as long as idle connections hold their place
 
 	// Fleet.
 	askFirst, askLast = 1.0, 8.0 // seconds between calls for a list out of reach, doubling, with jitter
@@ -52,9 +53,9 @@
 	// Admission.
 	rateSpan     = 2.0  // seconds over which the rate of answers is counted: a few response times
 	spareFirst   = 0.7  // part of the bound open to commands of no utility; the rest goes by utility
-	boundMin     = 3.0  // commands out for each backend, by all instances, that are always allowed
+	boundMin     = 4.0  // commands out for each backend, by all instances, that are always allowed
 	boundFirst   = 8.0  // the same at the start: cut within seconds where it is too much
-	lateFrom     = 0.5  // of the response goal from which an answer counts as late: half may be, whatever the tail
+	lateFrom     = 0.5  // of the response goal from which an answer counts as late: half may be, with any tail
 	lateShare    = 0.5  // part of late answers from which the bound is cut
 	stretch      = 1.7  // times the usual latency from which an answer counts as late as well: queues build
 	usualAt      = 0.5  // quantile that is the usual latency: it widens with the spread of a verb's work
@@ -66,7 +67,7 @@
 	cut          = 0.85 // factor of a cut
 	cutEvery     = 0.5  // seconds between cuts: an answer shows what was let out a while ago
 	raise        = 0.1  // growth of the bound in a second: what is let out too fast chokes backends for long
-	inUse        = 0.8  // of the bound that must be out for it to be raised: what has no utility reaches no further
+	inUse        = 0.8  // of the bound that must be out for it to be raised
 	holdShare    = 0.1  // of the response goal that a command may be held
 	shareBurst   = 2.0  // seconds of its allowance that a customer may send at once
 	retryShare   = 0.2  // further relays after a failure for each own call, so refusals are no storm
@@ -77,36 +78,9 @@
 	slowShare    = 0.35 // part of recent relays past the delay from which all is slow: 0.1 is usual
 	slowSpan     = 2.0  // seconds over which that part is counted
 	slowRelays   = 5.0  // relays needed before that part says anything
-	allOfIt      = 1e-9 // guards divisions
+	tiny         = 1e-9 // guards divisions
 )
 
-// decaying is a sum whose parts fade with the span given when it is read.
-type decaying struct{ sum, at float64 }
-
-func (d *decaying) read(now, span float64) float64 {
-	if now > d.at {
-		d.sum *= math.Exp((d.at - now) / span)
-		d.at = now
-	}
-	return d.sum
-}
-
-func (d *decaying) add(now, span, x float64) { d.sum = d.read(now, span) + x }
-
-// rate is the sum as so much a second, corrected for the time since the first start.
-func (d *decaying) rate(now, span, start float64) float64 {
-	return d.read(now, span) / (span * (1 - math.Exp(-max(now-start, span/10)/span)))
-}
-
-// bucket holds tokens that refill at a rate given when it is read.
-type bucket struct{ tokens, at float64 }
-
-func (t *bucket) read(now, rate, most float64) float64 {
-	t.tokens = min(most, t.tokens+rate*max(0, now-t.at))
-	t.at = now
-	return t.tokens
-}
-
 // ---- Delay: a rotating pair of latency sketches for each verb.
 
 type delay struct {
@@ -254,17 +228,6 @@
 	return float64((x^x>>29)>>11) / (1 << 53)
 }
 
-// asidePart is the part of the usable fleet that is set aside.
-func (b *Balancer) asidePart() float64 {
-	n := 0.0
-	for _, k := range b.fleet {
-		if k.State == Ready && k.aside > b.now {
-			n++
-		}
-	}
-	return n / max(1, float64(b.usable()))
-}
-
 // may tells whether the rules allow a relay of the command to the backend at all.
 func (b *Balancer) may(c *command, k *backend) bool {
 	if k.State != Ready {
@@ -288,11 +251,14 @@
 
 // pick draws a backend by weight, skipping those with far more of our commands than the mean, or nil.
 func (b *Balancer) pick(c *command, copying bool) *backend {
+	// Where connections have a price none is opened while a connected backend has nothing of ours: handshakes
+	// alone choked a fleet whose every caller met every backend at once.
 	busy, count, free := 0.0, 0.0, false
 	for _, k := range b.fleet {
 		if k.State == Ready {
 			busy, count = busy+k.held(b.now), count+1
-			free = free || k.inFlight == 0 && k.connected(b.now, b.connIdle) && !c.triedOn(k) && k.aside <= b.now && b.may(c, k)
+			free = free || k.inFlight == 0 && k.connected(b.now, b.connIdle) && k.aside <= b.now &&
+				!c.triedOn(k) && b.may(c, k)
 		}
 	}
 	busy, count = busy/max(1, count), float64(b.inFlight)/max(1, count)
@@ -327,16 +293,19 @@
 
 // ---- Fleet: the list, drains and cold budgets.
 
-func (b *Balancer) usable() int {
-	n := 0
+// count is how many usable backends there are of which is holds.
+func (b *Balancer) count(is func(*backend) bool) float64 {
+	n := 0.0
 	for _, k := range b.fleet {
-		if k.State == Ready {
+		if k.State == Ready && is(k) {
 			n++
 		}
 	}
 	return n
 }
 
+func (b *Balancer) usable() float64 { return max(1, b.count(func(*backend) bool { return true })) }
+
 func (b *Balancer) meanWeight() float64 {
 	sum, n := 0.0, 0.0
 	for _, k := range b.fleet {
@@ -394,29 +363,21 @@
 	b.askWait = min(askLast, 2*b.askWait)
 }
 
+func (b *Balancer) isWarm(k *backend) bool { return k.Started <= 0 || b.now-k.Started >= b.cold.Span }
+
 // coldRate is how many commands a second this instance may send to a backend that has just started: what it
 // has answered from a backend in the mean (what it sends may be a storm of refusals), cut to the part that the
 // backend can do for certain. Its own traffic stands for its part of everybody's.
 func (b *Balancer) coldRate(k *backend) (rate float64, cold bool) {
-	age := b.now - k.Started
-	if k.Started <= 0 || age >= b.cold.Span {
+	if b.isWarm(k) {
 		return 0, false
 	}
-	part := b.cold.Share + (1-b.cold.Share)*max(0, age)/max(b.cold.Span, allOfIt)
+	part := b.cold.Share + (1-b.cold.Share)*max(0, b.now-k.Started)/max(b.cold.Span, tiny)
 	own := b.carried.rate(b.now, callSpan, b.start)
-	if own == 0 || b.allCold() {
-		own = b.came.rate(b.now, callSpan, b.start)
+	if b.count(b.isWarm) == 0 {
+		own = b.came.rate(b.now, callSpan, b.start) // nothing else to go by
 	}
-	return coldPart * b.cold.Multiple * part * own / max(1, float64(b.usable())), true
-}
-
-func (b *Balancer) allCold() bool {
-	for _, k := range b.fleet {
-		if k.State == Ready && (k.Started <= 0 || b.now-k.Started >= b.cold.Span) {
-			return false
-		}
-	}
-	return true
+	return coldPart * b.cold.Multiple * part * own / b.usable(), true
 }
 
 func (b *Balancer) coldAllows(k *backend) bool {
@@ -429,11 +390,11 @@
 // bound is how many commands may be out. Beyond what backends answer in time they only queue, and choke. What
 // has little utility gets less of it, so that it is shed first.
 func (b *Balancer) bound(c *command) float64 {
-	each := float64(b.usable()) / max(1, float64(b.place.Siblings))
+	each := b.usable() / max(1, float64(b.place.Siblings))
 	if b.allowed == 0 {
 		b.allowed = boundFirst * each
 	}
-	b.allowed = max(b.allowed, boundMin*each, float64(b.usable()))
+	b.allowed = max(b.allowed, boundMin*each, b.usable())
 	return b.allowed * (spareFirst + (1-spareFirst)*c.priority)
 }
 
@@ -503,16 +464,7 @@
 func (b *Balancer) hold(c *command) {
 	c.held = true
 	at, _ := slices.BinarySearchFunc(b.held, c, func(x, y *command) int {
-		if x.priority != y.priority {
-			if x.priority > y.priority {
-				return -1
-			}
-			return 1
-		}
-		if x.seq < y.seq {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(y.priority, x.priority), cmp.Compare(x.seq, y.seq))
 	})
 	b.held = slices.Insert(b.held, at, c)
 	longest := holdShare * b.verbs[c.verb].Goal
@@ -642,7 +594,8 @@
 	overage float64, limits Limits, conns Connections, cold Cold, mustAsk bool) *Balancer {
 	b := &Balancer{
 		host: host, seed: seed, now: now, start: now, tick: tick, place: place, customers: customers,
-		overage: overage, limits: limits, cold: cold, mustAsk: mustAsk, connDear: conns.Price > 0 && conns.Streams > 1, connIdle: conns.Idle, askWait: askFirst,
+		overage: overage, limits: limits, cold: cold, mustAsk: mustAsk, askWait: askFirst,
+		connDear: conns.Price > 0 && conns.Streams > 1, connIdle: conns.Idle,
 		commands: map[uint64]*command{}, wakes: map[uint64]func(){},
 		retries: bucket{retryBurst, now},
 	}
@@ -688,7 +641,7 @@
 	b.seq++
 	v := &b.verbs[verb]
 	c := &command{id: id, seq: b.seq, verb: verb, came: now, expires: expires}
-	c.priority = v.Utility / max(b.topUtil, allOfIt)
+	c.priority = v.Utility / max(b.topUtil, tiny)
 	if b.over(customer) {
 		c.priority *= b.overage
 	}
@@ -786,7 +739,7 @@
 }
 
 // Outcome is told how a relay ended; final says that the command has had its answer.
-func (b *Balancer) Outcome(now float64, id uint64, n int, result Result, took float64, final bool, load Load) {
+func (b *Balancer) Outcome(now float64, id uint64, n int, result Result, took float64, final bool, _ Load) {
 	b.now = now
 	c, ok := b.commands[id]
 	if !ok || n >= len(c.relays) || !c.relays[n].out {
@@ -846,7 +799,8 @@
 		// Down, or out of connections: each try costs the whole connect limit, so it is left alone a while.
 		r.to.slowed()
 		// Where many are set aside their tables are full, and trying them again soon is in vain.
-		r.to.spell = min(asideLast, max(asideFirst, 2*r.to.spell, asideLast*b.asidePart()))
+		aside := b.count(func(k *backend) bool { return k.aside > b.now }) / b.usable()
+		r.to.spell = min(asideLast, max(asideFirst, 2*r.to.spell, asideLast*aside))
 		r.to.aside = b.now + r.to.spell
 	}
 }
