--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -253,22 +253,26 @@
 func (b *Balancer) pick(c *command, copying bool) *backend {
 	// Where connections have a price none is opened while a connected backend has nothing of ours: handshakes
 	// alone choked a fleet whose every caller met every backend at once.
-	busy, count, free := 0.0, 0.0, false
+	near := func(k *backend) bool {
+		return k.State == Ready && k.connected(b.now, b.connIdle) && k.aside <= b.now
+	}
+	keep := b.connDear && slices.ContainsFunc(b.fleet, func(k *backend) bool {
+		return near(k) && k.inFlight == 0 && !c.triedOn(k) && b.may(c, k)
+	})
+	busy, count, all := 0.0, 0.0, 0.0
 	for _, k := range b.fleet {
-		if k.State == Ready {
-			busy, count = busy+k.held(b.now), count+1
-			free = free || k.inFlight == 0 && k.connected(b.now, b.connIdle) && k.aside <= b.now &&
-				!c.triedOn(k) && b.may(c, k)
+		if k.held(b.now); k.State == Ready && (!keep || near(k)) {
+			busy, count, all = busy+k.busy, count+float64(k.inFlight), all+1
 		}
 	}
-	busy, count = busy/max(1, count), float64(b.inFlight)/max(1, count)
+	busy, count = busy/max(1, all), count/max(1, all)
 	// First those that the weight rule and the skip leave, then any that is not set aside, then any at all.
 	for pass := range 3 {
 		total := 0.0
 		b.picks = b.picks[:0]
 		for _, k := range b.fleet {
 			tried := c.triedOn(k)
-			if pass == 0 && b.connDear && !k.connected(b.now, b.connIdle) && free {
+			if pass == 0 && keep && !near(k) {
 				continue
 			}
 			if !b.may(c, k) || !b.coldAllows(k) || copying && tried || pass < 2 && (tried || k.aside > b.now) ||
--- /dev/null
+++ b/balance/mechanism_test.go
@@ -0,0 +1,286 @@
+package balance
+
+import (
+	"slices"
+	"testing"
+)
+
+func TestCopies(t *testing.T) {
+	warm := func(s setup) *fakeHost {
+		h := start(t, s)
+		h.serve(1, 100, 0.2)
+		h.relays = nil
+		return h
+	}
+	t.Run("a copy goes elsewhere after the learned delay, the loser is cancelled", func(t *testing.T) {
+		h := warm(setup{})
+		h.b.Command(h.now, 1000, 0, 0, h.now+6)
+		h.until(h.now + 0.18)
+		if len(h.relays) != 1 {
+			t.Fatal("copied before the delay")
+		}
+		h.until(h.now + 0.1)
+		if to := h.toOf(1000); len(to) != 2 || to[0] == to[1] {
+			t.Fatalf("sent to %v", to)
+		}
+		h.outcome(1000, 1, Answered)
+		if !slices.Contains(h.cancels, 1000) {
+			t.Error("the loser still runs")
+		}
+	})
+	t.Run("copies stay near a tenth of own calls, and losers that run count", func(t *testing.T) {
+		h := warm(setup{limits: Limits{Relays: 4, SecondCopies: true}})
+		for i := uint64(1000); i < 1100; i++ {
+			h.b.Command(h.now, i, 0, 0, h.now+6)
+			h.until(h.now + 0.25)
+			h.outcome(i, 0, Answered) // where nothing can be cancelled the loser never ends
+		}
+		if n := len(h.relays) - 100; n > 3 {
+			t.Errorf("%d copies with every loser still out", n)
+		}
+	})
+	t.Run("none where second copies are not allowed", func(t *testing.T) {
+		h := warm(setup{limits: Limits{Relays: 4}})
+		h.b.Command(h.now, 1000, 0, 0, h.now+6)
+		h.until(h.now + 2)
+		if len(h.relays) != 1 {
+			t.Errorf("%d relays", len(h.relays))
+		}
+	})
+	t.Run("none while all run late: the percentile is stale", func(t *testing.T) {
+		h := warm(setup{})
+		for i := uint64(1000); i < 1012; i++ {
+			h.b.Command(h.now, i, 0, 0, h.now+6)
+		}
+		h.until(h.now + 0.3)
+		before := len(h.relays)
+		h.b.Command(h.now, 2000, 0, 0, h.now+6)
+		h.until(h.now + 0.5)
+		if len(h.relays) != before+1 {
+			t.Error("a copy went into a fleet that is slow as a whole")
+		}
+	})
+	t.Run("an open breaker blocks copies, not first relays, and closes after its trials", func(t *testing.T) {
+		var k breaker
+		for range 20 {
+			k.outcome(100, true)
+		}
+		if k.allows(100) || k.allows(109) {
+			t.Error("not open")
+		}
+		for range trials {
+			if !k.allows(110.5) {
+				t.Fatal("no trial after the cooldown")
+			}
+			k.sent(110.5)
+		}
+		if k.allows(110.5) {
+			t.Error("more than its trials")
+		}
+		for range trials {
+			k.outcome(111, false)
+		}
+		if !k.allows(111) {
+			t.Error("not closed")
+		}
+	})
+}
+
+func TestDelay(t *testing.T) {
+	d := delay{now: newSketch(), before: newSketch()}
+	if d.after(0) != warmupDelay {
+		t.Error("the warm-up has its own delay")
+	}
+	for i := range 1000 {
+		d.learn(float64(i)/100, float64(i%100+1)/100)
+	}
+	if q := d.after(9.99); !near(q/percentile, 1) {
+		t.Errorf("delay %v", q)
+	}
+	t.Run("it forgets by rotation and keeps the last when nothing is left", func(t *testing.T) {
+		for i := range 100 {
+			d.learn(11+float64(i)/100, 0.1)
+		}
+		d.rotate(22)
+		if q := d.after(22); q > 0.11 {
+			t.Errorf("delay %v", q)
+		}
+		d.rotate(50)
+		if d.after(50) > 0.11 || d.after(50) < 0.09 {
+			t.Errorf("delay %v with empty sketches", d.after(50))
+		}
+	})
+}
+
+func TestWeights(t *testing.T) {
+	share := func(h *fakeHost, to BackendID) float64 {
+		n := 0.0
+		for _, s := range h.relays {
+			if s.to == to {
+				n++
+			}
+		}
+		return n / float64(len(h.relays))
+	}
+	t.Run("fast errors do not attract work, and a backend that mends comes back", func(t *testing.T) {
+		h := start(t, setup{})
+		next := uint64(1)
+		round := func(count int, bad bool) {
+			for range count {
+				next++
+				h.b.Command(h.now, next, 0, 0, h.now+6)
+				h.until(h.now + 0.1)
+				for n := 0; !h.ended[next]; n++ {
+					if bad && h.toOf(next)[n] == id(0) {
+						h.outcome(next, n, Errored)
+					} else {
+						h.outcome(next, n, Answered)
+					}
+				}
+			}
+		}
+		round(50, false)
+		round(150, true)
+		h.relays = nil
+		round(100, true)
+		if s := share(h, id(0)); s > 0.08 {
+			t.Errorf("share %.2f of a backend that fails", s)
+		}
+		round(600, false)
+		h.relays = nil
+		round(200, false)
+		if s := share(h, id(0)); s < 0.08 {
+			t.Errorf("share %.2f long after it mended", s)
+		}
+	})
+	t.Run("a hung backend is passed over", func(t *testing.T) {
+		h := start(t, setup{verb: Verb{Effect: Effectful, Goal: 2.5, TimeLimit: 6, Utility: 1, Late: 0.5}})
+		for i := range uint64(200) {
+			h.b.Command(h.now, i, 0, 0, h.now+6)
+			h.until(h.now + 0.1)
+			if h.toOf(i)[0] != id(0) {
+				h.outcome(i, 0, Answered)
+			}
+		}
+		if s := share(h, id(0)); s > 0.08 {
+			t.Errorf("share %.2f", s)
+		}
+	})
+	t.Run("one that takes no connection is left alone for a while", func(t *testing.T) {
+		h := start(t, setup{})
+		refused := 0
+		for i := range uint64(100) {
+			h.b.Command(h.now, i, 0, 0, h.now+6)
+			h.until(h.now + 0.1)
+			for n := 0; !h.ended[i]; n++ {
+				if h.toOf(i)[n] == id(0) {
+					refused++
+					h.outcome(i, n, Unconnected)
+				} else {
+					h.outcome(i, n, Answered)
+				}
+			}
+		}
+		if refused > 4 || len(h.declined) > 0 {
+			t.Errorf("%d tries in 10 s, %d declined", refused, len(h.declined))
+		}
+	})
+	t.Run("where connections are dear, few backends are met", func(t *testing.T) {
+		h := start(t, setup{conns: Connections{Streams: 100, Idle: 60, Price: 0.03}, limits: Limits{Relays: 2}})
+		h.serve(1, 50, 0.1)
+		met := map[BackendID]bool{}
+		for _, s := range h.relays {
+			met[s.to] = true
+		}
+		if len(met) > 2 {
+			t.Errorf("%d backends met by one command at a time", len(met))
+		}
+	})
+}
+
+func TestAdmission(t *testing.T) {
+	t.Run("refusals are no storm", func(t *testing.T) {
+		h := start(t, setup{})
+		for i := range uint64(100) {
+			h.b.Command(h.now, i, 0, 0, h.now+6)
+			for n := 0; !h.ended[i] && n < len(h.toOf(i)); n++ {
+				h.outcome(i, n, Errored)
+			}
+			h.until(h.now + 0.05)
+		}
+		if len(h.relays) > 140 {
+			t.Errorf("%d relays for 100 commands", len(h.relays))
+		}
+	})
+	t.Run("a flood is bounded, low utility goes first, and early", func(t *testing.T) {
+		h := start(t, setup{})
+		for i := range uint64(300) {
+			h.b.Command(h.now, i, int(i%2), 0, h.now+6)
+		}
+		h.until(h.now + 0.3)
+		if len(h.relays) > 60 || len(h.declined) < 240 {
+			t.Errorf("%d relayed, %d declined", len(h.relays), len(h.declined))
+		}
+		high := 0
+		for _, s := range h.relays {
+			high += int(s.cmd % 2)
+		}
+		if high < len(h.relays)*6/10 {
+			t.Errorf("%d of %d relays were of high utility", high, len(h.relays))
+		}
+	})
+	t.Run("the bound comes back after all was slow", func(t *testing.T) {
+		h := start(t, setup{})
+		h.serve(1, 30, 0.1)
+		for i := uint64(100); i < 140; i++ {
+			h.b.Command(h.now, i, 0, 0, h.now+6)
+		}
+		h.until(h.now + 2.4)
+		for i := uint64(100); i < 140; i++ {
+			for n := range h.toOf(i) {
+				h.outcome(i, n, Answered)
+			}
+		}
+		cut := h.b.allowed
+		for i := range 40 {
+			for j := range uint64(30) {
+				h.b.Command(h.now, 1000+uint64(i)*30+j, 1, 0, h.now+6)
+			}
+			h.until(h.now + 0.3)
+			for j := range uint64(30) {
+				for n := range h.toOf(1000 + uint64(i)*30 + j) {
+					h.outcome(1000+uint64(i)*30+j, n, Answered)
+				}
+			}
+		}
+		if cut >= 8*6 || h.b.allowed < cut*1.2 {
+			t.Errorf("bound %v after the trouble, %v after 12 s", cut, h.b.allowed)
+		}
+	})
+	t.Run("what is past a customer's share counts for less", func(t *testing.T) {
+		h := start(t, setup{customers: []Customer{{Allowance: 1}, {Allowance: 0}}})
+		for i := range uint64(3) {
+			h.b.Command(h.now, i, 0, 0, h.now+6)
+		}
+		if h.b.commands[0].priority <= h.b.commands[2].priority {
+			t.Error("the third command at once of a customer with 1 a second is within its share")
+		}
+		h.b.Command(h.now, 9, 0, 1, h.now+6) // an allowance of nothing divides nothing by zero
+		h.b.Command(h.now, 10, 0, 7, h.now+6)
+	})
+}
+
+func TestChance(t *testing.T) {
+	a, b := &Balancer{seed: 1}, &Balancer{seed: 2}
+	sum := 0.0
+	for range 1000 {
+		x := a.chance()
+		if x < 0 || x >= 1 || x == b.chance() {
+			t.Fatal("out of range, or seeds alike")
+		}
+		sum += x
+	}
+	if sum < 450 || sum > 550 {
+		t.Errorf("mean %v", sum/1000)
+	}
+}
--- /dev/null
+++ b/balance/rules_test.go
@@ -0,0 +1,189 @@
+package balance
+
+import (
+	"slices"
+	"testing"
+)
+
+func TestNoCommandLost(t *testing.T) {
+	for _, effect := range []Effect{Pure, Receipted, Effectful} {
+		h := start(t, setup{verb: Verb{Effect: effect, Goal: 2.5, TimeLimit: 6, Utility: 1, Late: 0.5, Window: 5}})
+		t.Run("ends by its limit when nothing replies", func(t *testing.T) {
+			h.b.Command(h.now, 1, 0, 0, h.now+6)
+			h.until(h.now + 6)
+			if !h.ended[1] {
+				t.Error("no final answer")
+			}
+		})
+		t.Run("late outcomes are absorbed", func(t *testing.T) {
+			for n := range h.toOf(1) {
+				h.b.Outcome(h.now, 1, n, Answered, 6, false, Load{})
+				h.b.Outcome(h.now, 1, n, Errored, 6, false, Load{})
+			}
+			h.b.Outcome(h.now, 99, 3, Full, 0, false, Load{})
+			h.b.Departed(h.now, 99)
+			h.b.Wake(h.now, 1<<40)
+			if len(h.b.commands) != 0 || h.b.inFlight != 0 {
+				t.Errorf("%d commands and %d relays are still held", len(h.b.commands), h.b.inFlight)
+			}
+		})
+	}
+	t.Run("an empty list declines soon", func(t *testing.T) {
+		h := start(t, setup{backends: []Entry{}})
+		h.b.Command(h.now, 1, 0, 0, h.now+6)
+		h.until(h.now + 1)
+		if !slices.Contains(h.declined, 1) {
+			t.Error("not declined")
+		}
+	})
+	t.Run("a client that leaves is owed nothing", func(t *testing.T) {
+		h := start(t, setup{})
+		h.b.Command(h.now, 1, 0, 0, h.now+6)
+		h.b.Departed(h.now, 1)
+		h.outcome(1, 0, Cancelled)
+		h.until(h.now + 7)
+		if len(h.declined)+len(h.terminated) != 0 || !slices.Contains(h.cancels, 1) {
+			t.Error("its relay should be cancelled and nothing be said")
+		}
+	})
+	t.Run("a stream has no limit once begun", func(t *testing.T) {
+		h := start(t, setup{verb: Verb{Goal: 2.5, TimeLimit: 6, Utility: 1, Stream: true}})
+		h.b.Command(h.now, 1, 0, 0, h.now+6)
+		h.b.Started(h.now, 1, 0)
+		h.until(h.now + 20)
+		if len(h.declined)+len(h.terminated)+len(h.cancels) != 0 {
+			t.Error("a begun stream was ended")
+		}
+	})
+}
+
+func TestNoEffectTwice(t *testing.T) {
+	verb := func(e Effect, s Scope) setup {
+		return setup{verb: Verb{Effect: e, Scope: s, Goal: 2.5, TimeLimit: 6, Utility: 1, Late: 0.5, Window: 5}}
+	}
+	t.Run("an effectful command that may have run is terminated", func(t *testing.T) {
+		h := start(t, verb(Effectful, ScopeAll))
+		h.b.Command(h.now, 1, 0, 0, h.now+6)
+		h.outcome(1, 0, Errored)
+		if len(h.relays) != 1 || !slices.Contains(h.terminated, 1) {
+			t.Errorf("%d relays, terminated %v", len(h.relays), h.terminated)
+		}
+	})
+	t.Run("one that never ran goes elsewhere", func(t *testing.T) {
+		h := start(t, verb(Effectful, ScopeAll))
+		h.b.Command(h.now, 1, 0, 0, h.now+6)
+		h.outcome(1, 0, Full)
+		if to := h.toOf(1); len(to) != 2 || to[0] == to[1] {
+			t.Errorf("sent to %v", to)
+		}
+	})
+	t.Run("an effectful command gets no copy", func(t *testing.T) {
+		h := start(t, verb(Effectful, ScopeAll))
+		h.b.Command(h.now, 1, 0, 0, h.now+6)
+		h.until(h.now + 5)
+		if len(h.relays) != 1 {
+			t.Errorf("%d relays", len(h.relays))
+		}
+	})
+	t.Run("a receipted command stays in its cell and window", func(t *testing.T) {
+		h := start(t, verb(Receipted, ScopeCell))
+		cell := func(b BackendID) byte { return b[3] / 3 }
+		for cmd := uint64(1); cmd <= 3; cmd++ {
+			h.b.Command(h.now, cmd, 0, 0, h.now+6)
+			h.outcome(cmd, 0, Errored)
+			if to := h.toOf(cmd); len(to) != 2 || cell(to[0]) != cell(to[1]) {
+				t.Errorf("sent to %v", to)
+			}
+		}
+		h.b.Command(h.now, 9, 0, 0, h.now+6)
+		h.until(h.now + 5.5)
+		h.outcome(9, 0, Errored)
+		for n := range h.toOf(9)[1:] { // a copy may have gone out within the window
+			h.outcome(9, n+1, Errored)
+		}
+		if slices.Contains(h.declined, 9) || !slices.Contains(h.terminated, 9) {
+			t.Error("past its window it must be terminated, not sent again or declined")
+		}
+	})
+}
+
+func TestDrainsKept(t *testing.T) {
+	for _, state := range []State{Draining, Gone} {
+		h := start(t, setup{})
+		var rest []Entry
+		for i := 1; i < 6; i++ {
+			rest = append(rest, Entry{ID: id(i), State: state})
+		}
+		h.b.Fleet(h.now, false, rest)
+		h.serve(1, 20, 0.05)
+		for _, s := range h.relays {
+			if s.to != id(0) {
+				t.Fatalf("sent to %v, which is leaving", s.to)
+			}
+		}
+	}
+	t.Run("missing from a whole list is gone", func(t *testing.T) {
+		h := start(t, setup{})
+		h.b.Fleet(h.now, true, ready(1))
+		h.serve(1, 10, 0.05)
+		for _, s := range h.relays {
+			if s.to != id(0) {
+				t.Fatalf("sent to %v", s.to)
+			}
+		}
+	})
+	t.Run("a list out of reach is asked for again", func(t *testing.T) {
+		h := start(t, setup{mustAsk: true})
+		h.until(h.now + 1.5)
+		h.b.ListFailed(h.now)
+		h.until(h.now + 2)
+		if h.watches != 2 {
+			t.Errorf("asked %d times", h.watches)
+		}
+		for range 30 { // and not in a storm
+			h.b.ListFailed(h.now)
+			h.until(h.now + 1)
+		}
+		if h.watches < 4 || h.watches > 16 {
+			t.Errorf("asked %d times in 33 s", h.watches)
+		}
+	})
+}
+
+func TestColdNotPushedOver(t *testing.T) {
+	h := start(t, setup{backends: ready(4)})
+	h.serve(1, 100, 0.1)
+	h.b.Fleet(h.now, false, []Entry{{ID: id(9), Started: h.now}})
+	from := len(h.relays)
+	count := func() (n int) {
+		for _, s := range h.relays[from:] {
+			if s.to == id(9) {
+				n++
+			}
+		}
+		return n
+	}
+	h.serve(200, 20, 0.1)
+	t.Run("it gets little at first", func(t *testing.T) {
+		// 10 commands a second on 5 backends: 2 a second each, a fifth of that by 1.2 for 2 s.
+		if n := count(); n > 3 {
+			t.Errorf("%d commands in its first 2 s", n)
+		}
+	})
+	t.Run("and takes part once warm", func(t *testing.T) {
+		h.until(h.now + 9)
+		from = len(h.relays)
+		h.serve(300, 50, 0.1)
+		if count() < 5 {
+			t.Errorf("%d of 50 commands once warm", count())
+		}
+	})
+	t.Run("a restart makes it cold again", func(t *testing.T) {
+		h.b.Fleet(h.now, false, []Entry{{ID: id(9), Started: h.now}})
+		from = len(h.relays)
+		h.serve(400, 20, 0.1)
+		if n := count(); n > 3 {
+			t.Errorf("%d commands", n)
+		}
+	})
+}
