--- a/balance/mechanism_test.go
+++ b/balance/mechanism_test.go
@@ -9,6 +9,7 @@
 	warm := func(s setup) *fakeHost {
 		h := start(t, s)
 		h.serve(1, 100, 0.2)
+		h.until(h.now + 3) // the bucket fills again
 		h.relays = nil
 		return h
 	}
