--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -64,7 +64,7 @@
 	usualAnswers = 60   // answers until the usual latency is known: the first to come are the light ones
 	lateSlack    = 1.0  // late answers that prove nothing
 	lateSpan     = 2.0  // seconds over which that part is counted
-	cut          = 0.85 // factor of a cut
+	cut          = 0.5  // part of the bound taken off in a cut, for each whole of late answers beyond that share
 	cutEvery     = 0.5  // seconds between cuts: an answer shows what was let out a while ago
 	raise        = 0.1  // growth of the bound in a second: what is let out too fast chokes backends for long
 	inUse        = 0.8  // of the bound that must be out for it to be raised
@@ -414,9 +414,10 @@
 	}
 	b.ended.add(b.now, lateSpan, 1)
 	b.endedLate.add(b.now, lateSpan, late)
-	tooLate := b.endedLate.sum > lateShare*b.ended.sum+lateSlack
+	excess := (b.endedLate.sum-lateSlack)/b.ended.sum - lateShare
+	tooLate := excess > 0
 	if late == 1 && tooLate && b.now >= b.cutAt+cutEvery {
-		b.allowed = cut * min(b.allowed, float64(b.inFlight+1))
+		b.allowed = (1 - cut*excess) * min(b.allowed, float64(b.inFlight+1))
 		b.cutAt = b.now
 	} else if !tooLate && float64(b.inFlight) >= inUse*b.allowed {
 		b.allowed *= 1 + raise*min(cutEvery, b.now-b.settled)
