--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -51,34 +51,33 @@
 	coldPart          = 0.4      // of the multiple at which a cold backend falls that all may send together
 
 	// Admission.
-	rateSpan     = 2.0  // seconds over which the rate of answers is counted: a few response times
-	spareFirst   = 0.7  // part of the bound open to commands of no utility; the rest goes by utility
-	boundMin     = 4.0  // commands out for each backend, by all instances, that are always allowed
-	boundFirst   = 8.0  // the same at the start: cut within seconds where it is too much
-	lateFrom     = 0.5  // of the response goal from which an answer counts as late: half may be, with any tail
-	lateShare    = 0.5  // part of late answers from which the bound is cut
-	stretch      = 1.7  // times the usual latency from which an answer counts as late as well: queues build
-	usualAt      = 0.5  // quantile that is the usual latency: it widens with the spread of a verb's work
-	earlyTo      = 0.35 // of the response goal up to which no answer is late: so early it does no harm
-	usualStep    = 0.01 // step at which the usual latency is followed, for each answer
-	usualAnswers = 60   // answers until the usual latency is known: the first to come are the light ones
-	lateSlack    = 1.0  // late answers that prove nothing
-	lateSpan     = 2.0  // seconds over which that part is counted
-	cut          = 0.5  // part of the bound taken off in a cut, for each whole of late answers beyond that share
-	cutEvery     = 0.5  // seconds between cuts: an answer shows what was let out a while ago
-	raise        = 0.1  // growth of the bound in a second: what is let out too fast chokes backends for long
-	inUse        = 0.8  // of the bound that must be out for it to be raised
-	holdShare    = 0.1  // of the response goal that a command may be held
-	shareBurst   = 2.0  // seconds of its allowance that a customer may send at once
-	retryShare   = 0.2  // further relays after a failure for each own call, so refusals are no storm
-	neverRanCost = 0.2  // of a further relay, for one after relays that cost their backends next to nothing
-	retryBurst   = 3.0  // further relays that may go at once
-	expiryTicks  = 1.0  // ticks before its time limit at which a command is terminated
-	recheck      = 0.05 // seconds between looks at held commands when nothing else happens
-	slowShare    = 0.35 // part of recent relays past the delay from which all is slow: 0.1 is usual
-	slowSpan     = 2.0  // seconds over which that part is counted
-	slowRelays   = 5.0  // relays needed before that part says anything
-	tiny         = 1e-9 // guards divisions
+	rateSpan     = 2.0   // seconds over which the rate of answers is counted: a few response times
+	spareFirst   = 0.7   // part of the bound open to commands of no utility; the rest goes by utility
+	boundMin     = 4.0   // commands out for each backend, by all instances, that are always allowed
+	boundFirst   = 8.0   // the same at the start: cut within seconds where it is too much
+	lateFrom     = 0.5   // of the response goal from which an answer counts as late: half may be, with any tail
+	lateShare    = 0.5   // part of late answers from which the bound is cut
+	stretch      = 1.7   // times the usual latency from which an answer counts as late as well: queues build
+	earlyTo      = 0.35  // of the response goal up to which no answer is late: so early it does no harm
+	usualStep    = 0.005 // step at which the usual latency is followed, for each answer
+	usualAnswers = 60    // answers until the usual latency is known: the first to come are the light ones
+	lateSlack    = 1.0   // late answers that prove nothing
+	lateSpan     = 2.0   // seconds over which that part is counted
+	cut          = 0.5   // part of the bound taken off in a cut, for each whole of late answers beyond that share
+	cutEvery     = 0.5   // seconds between cuts: an answer shows what was let out a while ago
+	raise        = 0.1   // growth of the bound in a second: what is let out too fast chokes backends for long
+	inUse        = 0.8   // of the bound that must be out for it to be raised
+	holdShare    = 0.1   // of the response goal that a command may be held
+	shareBurst   = 2.0   // seconds of its allowance that a customer may send at once
+	retryShare   = 0.2   // further relays after a failure for each own call, so refusals are no storm
+	neverRanCost = 0.2   // of a further relay, for one after relays that cost their backends next to nothing
+	retryBurst   = 3.0   // further relays that may go at once
+	expiryTicks  = 1.0   // ticks before its time limit at which a command is terminated
+	recheck      = 0.05  // seconds after which a held command is looked at when nothing else happens
+	slowShare    = 0.35  // part of recent relays past the delay from which all is slow: 0.1 is usual
+	slowSpan     = 2.0   // seconds over which that part is counted
+	slowRelays   = 5.0   // relays needed before that part says anything
+	tiny         = 1e-9  // guards divisions
 )
 
 // ---- Delay: a rotating pair of latency sketches for each verb.
@@ -271,16 +270,12 @@
 		total := 0.0
 		b.picks = b.picks[:0]
 		for _, k := range b.fleet {
-			tried := c.triedOn(k)
-			if pass == 0 && keep && !near(k) {
-				continue
+			far := keep && !near(k) || k.busy > farAbove*busy || float64(k.inFlight) > count+farSlack
+			if b.may(c, k) && b.coldAllows(k) && (pass > 0 || !far) &&
+				(pass > 1 || !c.triedOn(k) && k.aside <= b.now) {
+				b.picks = append(b.picks, k)
+				total += k.weight
 			}
-			if !b.may(c, k) || !b.coldAllows(k) || copying && tried || pass < 2 && (tried || k.aside > b.now) ||
-				pass < 1 && (k.busy > farAbove*busy || float64(k.inFlight) > count+farSlack) {
-				continue
-			}
-			b.picks = append(b.picks, k)
-			total += k.weight
 		}
 		at := b.chance() * total
 		for _, k := range b.picks {
@@ -288,8 +283,8 @@
 				return k
 			}
 		}
-		if copying { // a copy never goes where a first relay would not
-			return nil
+		if copying {
+			break // a copy never goes where a first relay would not
 		}
 	}
 	return nil
@@ -317,16 +312,16 @@
 			sum, n = sum+k.weight, n+1
 		}
 	}
-	if n == 0 {
-		return 1
+	if n > 0 {
+		return sum / n
 	}
-	return sum / n
+	return 1
 }
 
 // Fleet is told the list, whole or as changes.
 func (b *Balancer) Fleet(now float64, whole bool, entries []Entry) {
 	b.now = now
-	b.asking, b.askWait = false, askFirst
+	b.askWait = askFirst
 	mean := b.meanWeight()
 	if whole {
 		for _, k := range b.fleet {
@@ -359,12 +354,11 @@
 // ListFailed says that a call for the list failed or the subscription ended: ask again, not all at once.
 func (b *Balancer) ListFailed(now float64) {
 	b.now = now
-	if !b.mustAsk || b.asking {
-		return
+	if b.mustAsk && !b.asking {
+		b.asking = true
+		b.after(b.askWait*b.chance(), func() { b.asking = false; b.host.Watch() })
+		b.askWait = min(askLast, 2*b.askWait)
 	}
-	b.asking = true
-	b.after(b.askWait*(0.5+b.chance()), func() { b.asking = false; b.host.Watch() })
-	b.askWait = min(askLast, 2*b.askWait)
 }
 
 func (b *Balancer) isWarm(k *backend) bool { return k.Started <= 0 || b.now-k.Started >= b.cold.Span }
@@ -427,14 +421,14 @@
 	switch {
 	case v.usual == 0:
 		if v.delay.answers >= usualAnswers {
-			v.usual, _ = v.delay.quantile(usualAt)
+			v.usual, _ = v.delay.quantile(0.5)
 		}
 	case took < v.usual:
-		v.usual *= 1 - usualStep*(1-usualAt)
+		v.usual *= 1 - usualStep
 	case tooLate || float64(b.inFlight) >= inUse*b.allowed:
-		v.usual *= 1 + usualStep*usualAt/4
+		v.usual *= 1 + usualStep/4
 	default:
-		v.usual *= 1 + usualStep*usualAt
+		v.usual *= 1 + usualStep
 	}
 }
 
@@ -458,11 +452,10 @@
 		return false
 	}
 	k := b.pick(c, false)
-	if k == nil {
-		return false
+	if k != nil {
+		b.relay(c, k)
 	}
-	b.relay(c, k, false)
-	return true
+	return k != nil
 }
 
 // hold keeps a command for a moment, highest utility first, and declines at once what can't be sent in time.
@@ -475,31 +468,14 @@
 	longest := holdShare * b.verbs[c.verb].Goal
 	room := int(b.answers.rate(b.now, rateSpan, b.start)*longest) + 1
 	for len(b.held) > room {
-		last := b.held[len(b.held)-1]
-		b.giveUp(last)
+		b.giveUp(b.held[len(b.held)-1])
 	}
-	if c.held {
-		b.after(longest, func() {
-			if c.held && !c.done {
-				b.giveUp(c)
-			}
-		})
-		b.recheckLater()
-	}
-}
-
-func (b *Balancer) recheckLater() {
-	if b.rechecking {
-		return
-	}
-	b.rechecking = true
-	b.after(recheck, func() {
-		b.rechecking = false
-		b.dispatch()
-		if len(b.held) > 0 {
-			b.recheckLater()
+	b.after(longest, func() {
+		if c.held {
+			b.giveUp(c)
 		}
 	})
+	b.after(recheck, b.dispatch) // cold budgets fill without anything happening
 }
 
 func (b *Balancer) dispatch() {
@@ -523,8 +499,7 @@
 	to        *backend
 	sent      float64
 	out, late bool
-	copied    bool
-	loser     bool
+	loser     bool // its command has had its answer
 	neverRan  bool
 }
 
@@ -590,7 +565,7 @@
 	cutAt, settled         float64
 	relayed, late          decaying
 	retries                bucket
-	asking, rechecking     bool
+	asking                 bool
 	askWait                float64
 }
 
@@ -612,10 +587,7 @@
 	for _, c := range customers {
 		b.shares = append(b.shares, bucket{max(1, c.Allowance*shareBurst), now})
 	}
-	if mustAsk {
-		b.asking = true
-		b.after(askFirst*b.chance(), func() { b.asking = false; b.host.Watch() })
-	}
+	b.ListFailed(now)
 	return b
 }
 
@@ -668,10 +640,10 @@
 	}
 }
 
-func (b *Balancer) relay(c *command, k *backend, copied bool) {
+func (b *Balancer) relay(c *command, k *backend) {
 	v := &b.verbs[c.verb]
 	n := len(c.relays)
-	c.relays = append(c.relays, relay{to: k, sent: b.now, out: true, copied: copied})
+	c.relays = append(c.relays, relay{to: k, sent: b.now, out: true})
 	c.out++
 	k.held(b.now)
 	k.inFlight++
@@ -708,7 +680,7 @@
 		v.copies.tokens--
 		v.breaker.sent(b.now)
 		b.service.sent(b.now)
-		b.relay(c, k, true)
+		b.relay(c, k)
 	}
 }
 
@@ -826,7 +798,7 @@
 		b.retries.read(b.now, rate, max(retryBurst, rate)) >= cost {
 		if k := b.pick(c, false); k != nil {
 			b.retries.tokens -= cost
-			b.relay(c, k, false)
+			b.relay(c, k)
 			return
 		}
 	}
