--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -68,6 +68,7 @@
 	raise        = 0.1   // growth of the bound in a second: what is let out too fast chokes backends for long
 	inUse        = 0.8   // of the bound that must be out for it to be raised
 	holdShare    = 0.1   // of the response goal that a command may be held
+	comeBack     = 0.8   // of the response goal after which a declined client is told to come back: in time to count
 	shareBurst   = 2.0   // seconds of its allowance that a customer may send at once
 	retryShare   = 0.2   // further relays after a failure for each own call, so refusals are no storm
 	neverRanCost = 0.2   // of a further relay, for one after relays that cost their backends next to nothing
@@ -817,7 +818,7 @@
 // giveUp ends a command at once, by declining it where that promise holds.
 func (b *Balancer) giveUp(c *command) {
 	if b.mayDecline(c) {
-		b.host.Decline(c.id, 0)
+		b.host.Decline(c.id, min(b.limits.ComeBack, comeBack*b.verbs[c.verb].Goal))
 	} else {
 		b.host.Terminate(c.id)
 	}
