--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -65,7 +65,7 @@
 	lateSpan     = 2.0   // seconds over which that part is counted
 	cut          = 0.5   // part of the bound taken off in a cut, for each whole of late answers beyond that share
 	cutEvery     = 0.5   // seconds between cuts: an answer shows what was let out a while ago
-	raise        = 0.1   // growth of the bound in a second: what is let out too fast chokes backends for long
+	raise        = 0.05  // growth of the bound in a second: what is let out too fast chokes backends for long
 	inUse        = 0.8   // of the bound that must be out for it to be raised
 	holdShare    = 0.1   // of the response goal that a command may be held
 	comeBack     = 0.8   // of the response goal after which a declined client is told to come back: in time to count
