--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -53,7 +53,7 @@
 	// Admission.
 	rateSpan     = 2.0   // seconds over which the rate of answers is counted: a few response times
 	spareFirst   = 0.7   // part of the bound open to commands of no utility; the rest goes by utility
-	boundMin     = 4.0   // commands out for each backend, by all instances, that are always allowed
+	boundMin     = 5.0   // commands out for each backend, by all instances, that are always allowed
 	boundFirst   = 8.0   // the same at the start: cut within seconds where it is too much
 	lateFrom     = 0.5   // of the response goal from which an answer counts as late: half may be, with any tail
 	lateShare    = 0.5   // part of late answers from which the bound is cut
