--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -271,7 +271,7 @@
 		total := 0.0
 		b.picks = b.picks[:0]
 		for _, k := range b.fleet {
-			far := keep && !near(k) || k.busy > farAbove*busy || float64(k.inFlight) > count+farSlack
+			far := keep && !near(k) || count < 1 && k.busy > farAbove*busy || float64(k.inFlight) > max(count-farSlack, 0.5)
 			if b.may(c, k) && b.coldAllows(k) && (pass > 0 || !far) &&
 				(pass > 1 || !c.triedOn(k) && k.aside <= b.now) {
 				b.picks = append(b.picks, k)
