--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -75,9 +75,9 @@
 	retryBurst   = 3.0   // further relays that may go at once
 	expiryTicks  = 1.0   // ticks before its time limit at which a command is terminated
 	recheck      = 0.05  // seconds after which a held command is looked at when nothing else happens
-	slowShare    = 0.35  // part of recent relays past the delay from which all is slow: 0.1 is usual
+	slowShare    = 0.05  // part of recent relays past the delay from which all is slow: 0.02 is usual
 	slowSpan     = 2.0   // seconds over which that part is counted
-	slowRelays   = 5.0   // relays needed before that part says anything
+	slowSlack    = 0.5   // late relays that prove nothing: the one to be copied is among them
 	tiny         = 1e-9  // guards divisions
 )
 
@@ -694,8 +694,7 @@
 
 // allSlow tells that relays run late all over, so that the percentile is stale and copies would only add load.
 func (b *Balancer) allSlow() bool {
-	relayed := b.relayed.read(b.now, slowSpan)
-	return relayed >= slowRelays && b.late.read(b.now, slowSpan) > slowShare*relayed
+	return b.late.read(b.now, slowSpan)-slowSlack > slowShare*b.relayed.read(b.now, slowSpan)
 }
 
 // Started is told that a stream has begun: the command now belongs to that relay.
