--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -91,10 +91,7 @@
 }
 
 func newSketch() *ddsketch.DDSketch {
-	s, err := ddsketch.NewDefaultDDSketch(accuracy)
-	if err != nil {
-		panic(err) // accuracy is a constant in range
-	}
+	s, _ := ddsketch.NewDefaultDDSketch(accuracy) // fails only for an accuracy out of range
 	return s
 }
 
@@ -364,24 +361,39 @@
 
 func (b *Balancer) isWarm(k *backend) bool { return k.Started <= 0 || b.now-k.Started >= b.cold.Span }
 
+// part is how much of its work a backend can do for certain.
+func (b *Balancer) part(k *backend) float64 {
+	if b.isWarm(k) {
+		return 1
+	}
+	return b.cold.Share + (1-b.cold.Share)*max(0, b.now-k.Started)/max(b.cold.Span, tiny)
+}
+
+// warmth is how many warm backends the usable ones are worth: in a rolling deploy the rest must not be
+// crowded with what the whole fleet could hold.
+func (b *Balancer) warmth() float64 {
+	sum := 0.0
+	for _, k := range b.fleet {
+		if k.State == Ready {
+			sum += b.part(k)
+		}
+	}
+	return max(1, sum)
+}
+
 // coldRate is how many commands a second this instance may send to a backend that has just started: what it
 // has answered from a backend in the mean (what it sends may be a storm of refusals), cut to the part that the
 // backend can do for certain. Its own traffic stands for its part of everybody's.
-func (b *Balancer) coldRate(k *backend) (rate float64, cold bool) {
-	if b.isWarm(k) {
-		return 0, false
-	}
-	part := b.cold.Share + (1-b.cold.Share)*max(0, b.now-k.Started)/max(b.cold.Span, tiny)
+func (b *Balancer) coldRate(k *backend) float64 {
 	own := b.carried.rate(b.now, callSpan, b.start)
 	if b.count(b.isWarm) == 0 {
 		own = b.came.rate(b.now, callSpan, b.start) // nothing else to go by
 	}
-	return coldPart * b.cold.Multiple * part * own / b.usable(), true
+	return coldPart * b.cold.Multiple * b.part(k) * own / b.usable()
 }
 
 func (b *Balancer) coldAllows(k *backend) bool {
-	rate, cold := b.coldRate(k)
-	return !cold || k.budget.read(b.now, rate, 1) >= 1
+	return b.isWarm(k) || k.budget.read(b.now, b.coldRate(k), 1) >= 1
 }
 
 // ---- Admission: own commands out are bounded, held briefly, declined early.
@@ -389,12 +401,12 @@
 // bound is how many commands may be out. Beyond what backends answer in time they only queue, and choke. What
 // has little utility gets less of it, so that it is shed first.
 func (b *Balancer) bound(c *command) float64 {
-	each := b.usable() / max(1, float64(b.place.Siblings))
+	each := 1 / max(1, float64(b.place.Siblings))
 	if b.allowed == 0 {
 		b.allowed = boundFirst * each
 	}
-	b.allowed = max(b.allowed, boundMin*each, b.usable())
-	return b.allowed * (spareFirst + (1-spareFirst)*c.priority)
+	b.allowed = max(b.allowed, boundMin*each, 1)
+	return b.allowed * b.warmth() * (spareFirst + (1-spareFirst)*c.priority)
 }
 
 // settle moves the bound with the part of commands that end late: up slowly while it is in use, down at once.
@@ -410,11 +422,11 @@
 	b.ended.add(b.now, lateSpan, 1)
 	b.endedLate.add(b.now, lateSpan, late)
 	excess := (b.endedLate.sum-lateSlack)/b.ended.sum - lateShare
-	tooLate := excess > 0
+	tooLate, inUsed := excess > 0, float64(b.inFlight) >= inUse*b.allowed*b.warmth()
 	if late == 1 && tooLate && b.now >= b.cutAt+cutEvery {
-		b.allowed = (1 - cut*excess) * min(b.allowed, float64(b.inFlight+1))
+		b.allowed = (1 - cut*excess) * min(b.allowed, float64(b.inFlight+1)/b.warmth())
 		b.cutAt = b.now
-	} else if !tooLate && float64(b.inFlight) >= inUse*b.allowed {
+	} else if !tooLate && inUsed {
 		b.allowed *= 1 + raise*min(cutEvery, b.now-b.settled)
 	}
 	b.settled = b.now
@@ -426,7 +438,7 @@
 		}
 	case took < v.usual:
 		v.usual *= 1 - usualStep
-	case tooLate || float64(b.inFlight) >= inUse*b.allowed:
+	case tooLate || inUsed:
 		v.usual *= 1 + usualStep/4
 	default:
 		v.usual *= 1 + usualStep
@@ -562,7 +574,7 @@
 
 	came, carried, answers decaying
 	ended, endedLate       decaying
-	allowed                float64
+	allowed                float64 // commands out for each warm backend
 	cutAt, settled         float64
 	relayed, late          decaying
 	retries                bucket
@@ -649,9 +661,7 @@
 	k.held(b.now)
 	k.inFlight++
 	b.inFlight++
-	if _, cold := b.coldRate(k); cold {
-		k.budget.tokens--
-	}
+	k.budget.tokens-- // counts only while it is cold
 	b.relayed.add(b.now, slowSpan, 1)
 	if c.mayHaveRun == nil {
 		c.mayHaveRun, c.ranFrom = k, b.now
--- a/balance/mechanism_test.go
+++ b/balance/mechanism_test.go
@@ -260,6 +260,17 @@
 			t.Errorf("bound %v after the trouble, %v after 12 s", cut, h.b.allowed)
 		}
 	})
+	t.Run("a rolling deploy does not crowd the backends that stay", func(t *testing.T) {
+		h := start(t, setup{})
+		h.serve(1, 100, 0.1)
+		c := &command{priority: 1}
+		before := h.b.bound(c)
+		h.b.Fleet(h.now, false, []Entry{{ID: id(0), State: Draining}, {ID: id(1), State: Gone},
+			{ID: id(8), Started: h.now}, {ID: id(9), Started: h.now}})
+		if after := h.b.bound(c); !near(after/before, 4.4/6) {
+			t.Errorf("bound %v with six warm backends, %v with four and two at a fifth", before, after)
+		}
+	})
 	t.Run("what is past a customer's share counts for less", func(t *testing.T) {
 		h := start(t, setup{customers: []Customer{{Allowance: 1}, {Allowance: 0}}})
 		for i := range uint64(3) {
