--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -58,7 +58,8 @@
 	lateFrom     = 0.5   // of the response goal from which an answer counts as late: half may be, with any tail
 	lateShare    = 0.5   // part of late answers from which the bound is cut
 	stretch      = 1.7   // times the usual latency from which an answer counts as late as well: queues build
-	earlyTo      = 0.35  // of the response goal up to which no answer is late: so early it does no harm
+	leeway       = 1.25  // times the usual latency up to which no answer is late
+	lateTo       = 0.75  // of the response goal from which every answer is late
 	usualStep    = 0.005 // step at which the usual latency is followed, for each answer
 	usualAnswers = 60    // answers until the usual latency is known: the first to come are the light ones
 	lateSlack    = 1.0   // late answers that prove nothing
@@ -414,7 +415,8 @@
 	v, late, took := &b.verbs[c.verb], 0.0, b.now-c.came
 	slow := lateFrom * v.Goal
 	if v.usual > 0 {
-		slow = min(slow, max(stretch*v.usual, earlyTo*v.Goal))
+		// What is usual is not late, also where a verb needs half of its goal with no queue at all.
+		slow = max(min(slow, stretch*v.usual), min(leeway*v.usual, lateTo*v.Goal))
 	}
 	if took > slow {
 		late = 1
--- a/balance/mechanism_test.go
+++ b/balance/mechanism_test.go
@@ -260,6 +260,24 @@
 			t.Errorf("bound %v after the trouble, %v after 12 s", cut, h.b.allowed)
 		}
 	})
+	t.Run("a verb that always takes half its goal does not cut the bound, a crowded one does", func(t *testing.T) {
+		h := start(t, setup{})
+		h.b.bound(&command{})
+		first := h.b.allowed
+		settle := func(took float64) {
+			for range 100 {
+				h.b.now += 0.02
+				h.b.verbs[0].usual = 1.3
+				h.b.settle(&command{came: h.b.now - took})
+			}
+		}
+		if settle(1.5); h.b.allowed < first {
+			t.Errorf("cut from %v to %v", first, h.b.allowed)
+		}
+		if settle(2.0); h.b.allowed >= first {
+			t.Errorf("not cut from %v", first)
+		}
+	})
 	t.Run("a rolling deploy does not crowd the backends that stay", func(t *testing.T) {
 		h := start(t, setup{})
 		h.serve(1, 100, 0.1)
