--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -38,13 +38,13 @@
 	trials          = 5    // copies let through before it closes again
 
 	// Weights and pick.
-	weightMin, weightMax = 0.1, 3.0
-	weightGain           = 0.1
-	busySpan             = 2.0  // seconds over which in-flight counts are averaged: a few response times
-	farAbove             = 1.2  // times the mean beyond which a backend is skipped; weights work within that
-	farSlack             = 0.5  // commands in flight beyond the mean; lets a backend at the mean take the next
-	asideFirst           = 2.0  // seconds left alone after a connection failed: it is down or full for a while
-	asideLast            = 30.0 // seconds, longest such spell: as long as idle connections hold their place
+	weightMin, weightMax = 0.1, 3.0 // no unit; a thirtieth of the best still learns when a backend mends
+	weightGain           = 0.1      // for each quick answer: ten make up for one halving at the mean
+	busySpan             = 2.0      // seconds over which in-flight counts are averaged: a few response times
+	farAbove             = 1.2      // times the mean of busySpan beyond which a backend is skipped
+	farSlack             = 0.5      // commands under the mean count from which it is skipped: queues stay even
+	asideFirst           = 2.0      // seconds left alone after a connection failed: it is down or full
+	asideLast            = 30.0     // seconds, longest such spell: as long as idle connections hold their place
 
 	// Fleet.
 	askFirst, askLast = 1.0, 8.0 // seconds between calls for a list out of reach, doubling, with jitter
@@ -64,15 +64,14 @@
 	usualAnswers = 60    // answers until the usual latency is known: the first to come are the light ones
 	lateSlack    = 1.0   // late answers that prove nothing
 	lateSpan     = 2.0   // seconds over which that part is counted
-	cut          = 0.5   // part of the bound taken off in a cut, for each whole of late answers beyond that share
+	cut          = 0.5   // part of the bound taken off in a cut, for each whole of late answers too many
 	cutEvery     = 0.5   // seconds between cuts: an answer shows what was let out a while ago
 	raise        = 0.05  // growth of the bound in a second: what is let out too fast chokes backends for long
 	inUse        = 0.8   // of the bound that must be out for it to be raised
 	holdShare    = 0.1   // of the response goal that a command may be held
-	comeBack     = 0.8   // of the response goal after which a declined client is told to come back: in time to count
+	comeBack     = 0.8   // of the response goal after which a declined client is to come back: in time to count
 	shareBurst   = 2.0   // seconds of its allowance that a customer may send at once
 	retryShare   = 0.2   // further relays after a failure for each own call, so refusals are no storm
-	neverRanCost = 0.2   // of a further relay, for one after relays that cost their backends next to nothing
 	retryBurst   = 3.0   // further relays that may go at once
 	expiryTicks  = 1.0   // ticks before its time limit at which a command is terminated
 	recheck      = 0.05  // seconds after which a held command is looked at when nothing else happens
@@ -269,7 +268,8 @@
 		total := 0.0
 		b.picks = b.picks[:0]
 		for _, k := range b.fleet {
-			far := keep && !near(k) || count < 1 && k.busy > farAbove*busy || float64(k.inFlight) > max(count-farSlack, 0.5)
+			far := keep && !near(k) || count < 1 && k.busy > farAbove*busy ||
+				float64(k.inFlight) > max(count-farSlack, farSlack)
 			if b.may(c, k) && b.coldAllows(k) && (pass > 0 || !far) &&
 				(pass > 1 || !c.triedOn(k) && k.aside <= b.now) {
 				b.picks = append(b.picks, k)
@@ -291,37 +291,27 @@
 
 // ---- Fleet: the list, drains and cold budgets.
 
-// count is how many usable backends there are of which is holds.
-func (b *Balancer) count(is func(*backend) bool) float64 {
-	n := 0.0
-	for _, k := range b.fleet {
-		if k.State == Ready && is(k) {
-			n++
-		}
-	}
-	return n
-}
-
-func (b *Balancer) usable() float64 { return max(1, b.count(func(*backend) bool { return true })) }
-
-func (b *Balancer) meanWeight() float64 {
-	sum, n := 0.0, 0.0
+// sum adds up a figure over the usable backends.
+func (b *Balancer) sum(of func(*backend) float64) float64 {
+	total := 0.0
 	for _, k := range b.fleet {
 		if k.State == Ready {
-			sum, n = sum+k.weight, n+1
+			total += of(k)
 		}
 	}
-	if n > 0 {
-		return sum / n
-	}
-	return 1
+	return total
 }
 
+func (b *Balancer) usable() float64 { return b.sum(func(*backend) float64 { return 1 }) }
+
 // Fleet is told the list, whole or as changes.
 func (b *Balancer) Fleet(now float64, whole bool, entries []Entry) {
 	b.now = now
 	b.askWait = askFirst
-	mean := b.meanWeight()
+	mean := 1.0
+	if n := b.usable(); n > 0 {
+		mean = b.sum(func(k *backend) float64 { return k.weight }) / n
+	}
 	if whole {
 		for _, k := range b.fleet {
 			if !slices.ContainsFunc(entries, func(e Entry) bool { return e.ID == k.ID }) {
@@ -372,25 +362,17 @@
 
 // warmth is how many warm backends the usable ones are worth: in a rolling deploy the rest must not be
 // crowded with what the whole fleet could hold.
-func (b *Balancer) warmth() float64 {
-	sum := 0.0
-	for _, k := range b.fleet {
-		if k.State == Ready {
-			sum += b.part(k)
-		}
-	}
-	return max(1, sum)
-}
+func (b *Balancer) warmth() float64 { return max(1, b.sum(b.part)) }
 
-// coldRate is how many commands a second this instance may send to a backend that has just started: what it
-// has answered from a backend in the mean (what it sends may be a storm of refusals), cut to the part that the
+// coldRate is how many commands a second this instance may send to a backend that has just started: its
+// answers from a backend in the mean (what it sends may be a storm of refusals), cut to the part that the
 // backend can do for certain. Its own traffic stands for its part of everybody's.
 func (b *Balancer) coldRate(k *backend) float64 {
 	own := b.carried.rate(b.now, callSpan, b.start)
-	if b.count(b.isWarm) == 0 {
+	if !slices.ContainsFunc(b.fleet, func(k *backend) bool { return k.State == Ready && b.isWarm(k) }) {
 		own = b.came.rate(b.now, callSpan, b.start) // nothing else to go by
 	}
-	return coldPart * b.cold.Multiple * b.part(k) * own / b.usable()
+	return coldPart * b.cold.Multiple * b.part(k) * own / max(1, b.usable())
 }
 
 func (b *Balancer) coldAllows(k *backend) bool {
@@ -704,7 +686,7 @@
 		tokens-float64(v.losers) >= 1 && v.breaker.allows(b.now) && b.service.allows(b.now) && !b.allSlow()
 }
 
-// allSlow tells that relays run late all over, so that the percentile is stale and copies would only add load.
+// allSlow tells that relays run late all over: the percentile is stale, and copies would only add load.
 func (b *Balancer) allSlow() bool {
 	return b.late.read(b.now, slowSpan)-slowSlack > slowShare*b.relayed.read(b.now, slowSpan)
 }
@@ -787,9 +769,7 @@
 	case Unconnected:
 		// Down, or out of connections: each try costs the whole connect limit, so it is left alone a while.
 		r.to.slowed()
-		// Where many are set aside their tables are full, and trying them again soon is in vain.
-		aside := b.count(func(k *backend) bool { return k.aside > b.now }) / b.usable()
-		r.to.spell = min(asideLast, max(asideFirst, 2*r.to.spell, asideLast*aside))
+		r.to.spell = min(asideLast, max(asideFirst, 2*r.to.spell))
 		r.to.aside = b.now + r.to.spell
 	}
 }
@@ -802,14 +782,11 @@
 			c.mayHaveRun, c.ranFrom = r.to, r.sent
 		}
 	}
-	rate, cost := retryShare*b.came.rate(b.now, callSpan, b.start), 1.0
-	if c.mayHaveRun == nil {
-		cost = neverRanCost
-	}
+	rate := retryShare * b.came.rate(b.now, callSpan, b.start)
 	if len(c.relays) < b.limits.Relays && c.expires > b.now+2*b.tick &&
-		b.retries.read(b.now, rate, max(retryBurst, rate)) >= cost {
+		b.retries.read(b.now, rate, max(retryBurst, rate)) >= 1 {
 		if k := b.pick(c, false); k != nil {
-			b.retries.tokens -= cost
+			b.retries.tokens--
 			b.relay(c, k)
 			return
 		}
--- a/internal/benchwire/wire_test.go
+++ b/internal/benchwire/wire_test.go
@@ -107,7 +107,8 @@
 		to := sent[0][12:18]
 		load := []any{uint8(2), float32(0.25), float32(120)}
 		reply := func(final uint8, l ...any) []byte {
-			return record(inReply, append([]any{uint32(3), uint64(0x4289b5d3a91c4), uint16(0), to, uint16(100), 18.5, final}, l...)...)
+			fields := []any{uint32(3), uint64(0x4289b5d3a91c4), uint16(0), to, uint16(100), 18.5, final}
+			return record(inReply, append(fields, l...)...)
 		}
 		_, err := serve(
 			batch(1005, launchOf(3, settings), raw(t, list), topology(3, 2, 0)),
@@ -157,6 +158,7 @@
 }
 
 func TestBadInput(t *testing.T) {
+	verb4 := record(inAccept, uint32(3), uint64(1), 9.0, uint16(4), uint64(0), 0.0, uint32(0))
 	good := batch(1010, launchOf(3, settings))
 	without := func(name string) string { return strings.Replace(settings, `"`+name+`"`, `"x_`+name+`"`, 1) }
 	for name, c := range map[string]struct {
@@ -175,7 +177,7 @@
 		"a figure missing":         {batch(1, launchOf(3, without("max_relays"))), "limits.max_relays is missing"},
 		"a verb's figure missing":  {batch(1, launchOf(3, without("utility"))), "verbs[0].utility is missing"},
 		"a list never given":       {batch(1, launchOf(3, settings), topology(3, 2, 4)), "list number 4"},
-		"an unknown verb":          {batch(1, launchOf(3, settings), record(inAccept, uint32(3), uint64(1), 9.0, uint16(4), uint64(0), 0.0, uint32(0))), "verb 4"},
+		"an unknown verb":          {batch(1, launchOf(3, settings), verb4), "verb 4"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			replies, err := serve(c.in)
