--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -771,6 +771,9 @@
 		r.to.slowed()
 		r.to.spell = min(asideLast, max(asideFirst, 2*r.to.spell))
 		r.to.aside = b.now + r.to.spell
+		if k := r.to; b.limits.Probes && !b.connDear {
+			b.after(asideFirst, func() { b.look(k) })
+		}
 	}
 }
 
@@ -857,7 +860,22 @@
 	}
 }
 
+// look probes a backend that is set aside until it answers, so that one that is back need not wait out a long
+// spell. Where connections are dear a table may be full, and a probe would not tell.
+func (b *Balancer) look(k *backend) {
+	if k.State == Ready && k.aside > b.now {
+		b.host.Probe(k.ID)
+		b.after(asideFirst, func() { b.look(k) })
+	}
+}
+
 // Probed is told what a probe found.
-func (b *Balancer) Probed(now float64, id BackendID, result Result, took float64, load Load) {
+func (b *Balancer) Probed(now float64, id BackendID, result Result, _ float64, _ Load) {
 	b.now = now
+	for _, k := range b.fleet {
+		if k.ID == id && result == Answered && k.aside > now {
+			k.aside = now
+			b.dispatch()
+		}
+	}
 }
--- a/balance/helper_test.go
+++ b/balance/helper_test.go
@@ -32,6 +32,7 @@
 	declined   []uint64
 	terminated []uint64
 	watches    int
+	probes     []BackendID
 	wakes      []wake
 	ended      map[uint64]bool
 }
@@ -48,7 +49,7 @@
 func (h *fakeHost) Decline(cmd uint64, _ float64)   { h.end(cmd); h.declined = append(h.declined, cmd) }
 func (h *fakeHost) Terminate(cmd uint64)            { h.end(cmd); h.terminated = append(h.terminated, cmd) }
 func (h *fakeHost) WakeAfter(s float64, tok uint64) { h.wakes = append(h.wakes, wake{h.now + s, tok}) }
-func (h *fakeHost) Probe(BackendID)                 {}
+func (h *fakeHost) Probe(to BackendID)              { h.probes = append(h.probes, to) }
 func (h *fakeHost) Watch()                          { h.watches++ }
 
 func (h *fakeHost) end(cmd uint64) {
--- a/balance/mechanism_test.go
+++ b/balance/mechanism_test.go
@@ -188,6 +188,28 @@
 			t.Errorf("%d tries in 10 s, %d declined", refused, len(h.declined))
 		}
 	})
+	t.Run("one that is set aside is probed, and back once it answers", func(t *testing.T) {
+		h := start(t, setup{limits: Limits{Relays: 4, Probes: true}, backends: ready(1)})
+		for i := range uint64(3) { // the only backend takes no connection, in spells of 2, 4 and 8 s
+			h.b.Command(h.now, i, 0, 0, h.now+6)
+			h.outcome(i, 0, Unconnected)
+		}
+		k := h.b.fleet[0]
+		h.until(h.now + 3)
+		if len(h.probes) == 0 || k.aside <= h.now {
+			t.Fatalf("%d probes", len(h.probes))
+		}
+		if h.b.Probed(h.now, id(0), TimedOut, 0.5, Load{}); k.aside <= h.now {
+			t.Error("back without an answer")
+		}
+		if h.b.Probed(h.now, id(0), Answered, 0.01, Load{}); k.aside > h.now {
+			t.Error("still set aside")
+		}
+		before := len(h.probes)
+		if h.until(h.now + 20); len(h.probes) != before {
+			t.Error("probed on")
+		}
+	})
 	t.Run("where connections are dear, few backends are met", func(t *testing.T) {
 		h := start(t, setup{conns: Connections{Streams: 100, Idle: 60, Price: 0.03}, limits: Limits{Relays: 2}})
 		h.serve(1, 50, 0.1)
