Keep each instance to a window on a ring of the fleet, and pick by size in it

Cause: hundreds of instances each with two commands a second met every backend once in tens of seconds, so weights, counts and connections told them nothing. Each now keeps to 6 backends and 10 for each instance's part of the fleet; with few instances that is the whole fleet. Arcs go by the nominal size, so large backends get more.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -1,7 +1,7 @@
 // Package balance decides where a command goes, when it gets a second copy, and when it is given up.
 //
 // A front makes one Balancer for each instance with New, calls one method for each thing that happens
-// (Command, Outcome, Started, Departed, Fleet, ListFailed, Probed, Wake), always with the clock in seconds,
+// (Command, Outcome, Started, Departed, Fleet, ListFailed, Wake), always with the clock in seconds,
 // and carries out what the Balancer asks of its Host. Interface and plain types are in host.go; what the
 // mechanism is and where it is departed from is told in docs/design.md. Not safe for concurrent calls.
 package balance
@@ -40,13 +40,13 @@
 	// Weights and pick.
 	weightMin, weightMax = 0.1, 3.0 // no unit; a thirtieth of the best still learns when a backend mends
 	weightGain           = 0.1      // for each quick answer: ten make up for one halving at the mean
-	busySpan             = 2.0      // seconds over which in-flight counts are averaged: a few response times
-	farAbove             = 1.2      // times the mean of busySpan beyond which a backend is skipped
 	farSlack             = 0.5      // commands under the mean count from which it is skipped: queues stay even
 	asideFirst           = 2.0      // seconds left alone after a connection failed: it is down or full
 	asideLast            = 30.0     // seconds, longest such spell: as long as idle connections hold their place
 
 	// Fleet.
+	nearLeast         = 6.0      // backends in an instance's window: room for copies and for some that fail
+	nearShared        = 10.0     // windows that each backend lies in at least, where there are as many
 	askFirst, askLast = 1.0, 8.0 // seconds between calls for a list out of reach, doubling, with jitter
 	coldPart          = 0.4      // of the multiple at which a cold backend falls that all may send together
 
@@ -185,9 +185,10 @@
 
 type backend struct {
 	Entry
+	spot     uint64  // place on the ring, the same at every instance
+	near     float64 // part of its arc that lies in this instance's window
 	weight   float64
 	inFlight int
-	busy, at float64 // in-flight count in the mean of the last while, and when that was read
 	met      float64 // when it last took a command of ours
 	aside    float64 // no commands before this time
 	spell    float64 // length of the last such spell
@@ -198,13 +199,6 @@
 	return k.inFlight > 0 || k.met > 0 && now-k.met < idle
 }
 
-// held brings the mean in-flight count up to date; it is called before the count changes.
-func (k *backend) held(now float64) float64 {
-	fade := math.Exp((k.at - now) / busySpan)
-	k.busy, k.at = k.busy*fade+float64(k.inFlight)*(1-fade), now
-	return k.busy
-}
-
 func (k *backend) slowed() { k.weight = max(weightMin, k.weight/2) }
 
 func (k *backend) quick() {
@@ -212,17 +206,23 @@
 	k.aside, k.spell = 0, 0
 }
 
+// hash spreads a few bytes over all bits: the high ones of FNV change little with the last bytes, so they are
+// stirred once more.
+func hash(text []byte) uint64 {
+	h := fnv.New64a()
+	h.Write(text)
+	x := h.Sum64()
+	x = (x ^ x>>32) * 0x9e3779b97f4a7c15
+	return x ^ x>>29
+}
+
 // chance is a number in [0, 1) from the instance's seed and a counter.
 func (b *Balancer) chance() float64 {
 	var text [16]byte
 	b.draws++
 	binary.LittleEndian.PutUint64(text[:], b.seed)
 	binary.LittleEndian.PutUint64(text[8:], b.draws)
-	h := fnv.New64a()
-	h.Write(text[:])
-	x := h.Sum64() // its high bits change little with the last bytes, so they are stirred once more
-	x = (x ^ x>>32) * 0x9e3779b97f4a7c15
-	return float64((x^x>>29)>>11) / (1 << 53)
+	return float64(hash(text[:])>>11) / (1 << 53)
 }
 
 // may tells whether the rules allow a relay of the command to the backend at all.
@@ -250,35 +250,38 @@
 func (b *Balancer) pick(c *command, copying bool) *backend {
 	// Where connections have a price none is opened while a connected backend has nothing of ours: handshakes
 	// alone choked a fleet whose every caller met every backend at once.
-	near := func(k *backend) bool {
+	linked := func(k *backend) bool {
 		return k.State == Ready && k.connected(b.now, b.connIdle) && k.aside <= b.now
 	}
-	keep := b.connDear && slices.ContainsFunc(b.fleet, func(k *backend) bool {
-		return near(k) && k.inFlight == 0 && !c.triedOn(k) && b.may(c, k)
+	keep := b.connDear && slices.ContainsFunc(b.window, func(k *backend) bool {
+		return linked(k) && k.inFlight == 0 && !c.triedOn(k) && b.may(c, k)
 	})
-	busy, count, all := 0.0, 0.0, 0.0
-	for _, k := range b.fleet {
-		if k.held(b.now); k.State == Ready && (!keep || near(k)) {
-			busy, count, all = busy+k.busy, count+float64(k.inFlight), all+1
+	count, all := 0, 0
+	for _, k := range b.window {
+		if !keep || linked(k) {
+			count, all = count+k.inFlight, all+1
 		}
 	}
-	busy, count = busy/max(1, all), count/max(1, all)
-	// First those that the weight rule and the skip leave, then any that is not set aside, then any at all.
-	for pass := range 3 {
+	far := max(float64(count)/max(1, float64(all))-farSlack, farSlack)
+	// First those of the window that the weight rule and the skip leave, then any of the window, then any of the
+	// fleet that is not set aside, then any at all.
+	from, share := b.window, func(k *backend) float64 { return k.weight * k.near }
+	for pass := range 4 {
+		if pass == 2 {
+			from, share = b.fleet, func(k *backend) float64 { return k.weight * k.Size }
+		}
 		total := 0.0
 		b.picks = b.picks[:0]
-		for _, k := range b.fleet {
-			far := keep && !near(k) || count < 1 && k.busy > farAbove*busy ||
-				float64(k.inFlight) > max(count-farSlack, farSlack)
-			if b.may(c, k) && b.coldAllows(k) && (pass > 0 || !far) &&
-				(pass > 1 || !c.triedOn(k) && k.aside <= b.now) {
+		for _, k := range from {
+			if b.may(c, k) && b.coldAllows(k) && (pass > 2 || !c.triedOn(k) && k.aside <= b.now) &&
+				(pass > 0 || (!keep || linked(k)) && float64(k.inFlight) <= far) {
 				b.picks = append(b.picks, k)
-				total += k.weight
+				total += share(k)
 			}
 		}
 		at := b.chance() * total
 		for _, k := range b.picks {
-			if at -= k.weight; at < 0 {
+			if at -= share(k); at < 0 {
 				return k
 			}
 		}
@@ -320,11 +323,13 @@
 		}
 	}
 	for _, e := range entries {
+		spot := hash(e.ID[:])
 		at, known := slices.BinarySearchFunc(b.fleet, e.ID, func(k *backend, id BackendID) int {
-			return slices.Compare(k.ID[:], id[:])
+			return cmp.Or(cmp.Compare(k.spot, spot), slices.Compare(k.ID[:], id[:]))
 		})
 		if !known {
-			b.fleet = slices.Insert(b.fleet, at, &backend{weight: mean, Entry: Entry{Started: math.Inf(-1)}})
+			b.fleet = slices.Insert(b.fleet, at,
+				&backend{spot: spot, weight: mean, Entry: Entry{Started: math.Inf(-1)}})
 		}
 		k := b.fleet[at]
 		if e.State == Ready && (k.State == Gone || k.Started != e.Started) {
@@ -337,9 +342,34 @@
 	}
 	// Backends that are gone and hold none of our commands are forgotten.
 	b.fleet = slices.DeleteFunc(b.fleet, func(k *backend) bool { return k.State == Gone && k.inFlight == 0 })
+	b.arrange()
 	b.dispatch()
 }
 
+// arrange lays this instance's window on the ring of usable backends. Of hundreds of instances each then
+// knows a few backends well, uses connections again, and each backend lies in its share of windows.
+func (b *Balancer) arrange() {
+	total, count := b.sum(func(k *backend) float64 { return k.Size }), b.usable()
+	siblings := max(1, float64(b.place.Siblings))
+	width := min(1, (nearLeast+nearShared*count/siblings)/max(1, count)) * total
+	from := (float64(b.place.Me)+0.5)/siblings*total - width/2
+	from -= math.Floor(from/max(total, tiny)) * total // the window may reach over the end of the ring
+	at := 0.0
+	b.window = b.window[:0]
+	for _, k := range b.fleet {
+		k.near = 0
+		if k.State == Ready {
+			for _, turn := range [2]float64{0, total} {
+				k.near += max(0, min(at+k.Size+turn, from+width)-max(at+turn, from))
+			}
+			at += k.Size
+		}
+		if k.near > 0 {
+			b.window = append(b.window, k)
+		}
+	}
+}
+
 // ListFailed says that a call for the list failed or the subscription ended: ask again, not all at once.
 func (b *Balancer) ListFailed(now float64) {
 	b.now = now
@@ -542,19 +572,19 @@
 	connDear    bool
 	connIdle    float64
 
-	verbs     []verb
-	customers []Customer
-	shares    []bucket
-	service   breaker
-	fleet     []*backend // by id
-	picks     []*backend
-	commands  map[uint64]*command
-	held      []*command
-	wakes     map[uint64]func()
-	tokens    uint64
-	seq       uint64
-	inFlight  int
-	topUtil   float64
+	verbs         []verb
+	customers     []Customer
+	shares        []bucket
+	service       breaker
+	fleet         []*backend // by id
+	picks, window []*backend // window: those this instance keeps to
+	commands      map[uint64]*command
+	held          []*command
+	wakes         map[uint64]func()
+	tokens        uint64
+	seq           uint64
+	inFlight      int
+	topUtil       float64
 
 	came, carried, answers decaying
 	ended, endedLate       decaying
@@ -642,7 +672,6 @@
 	n := len(c.relays)
 	c.relays = append(c.relays, relay{to: k, sent: b.now, out: true})
 	c.out++
-	k.held(b.now)
 	k.inFlight++
 	b.inFlight++
 	k.budget.tokens-- // counts only while it is cold
@@ -722,7 +751,6 @@
 	if result != Unconnected && result != Moot {
 		r.to.met = now
 	}
-	r.to.held(now)
 	r.to.inFlight--
 	b.inFlight--
 	if r.loser {
@@ -771,9 +799,6 @@
 		r.to.slowed()
 		r.to.spell = min(asideLast, max(asideFirst, 2*r.to.spell))
 		r.to.aside = b.now + r.to.spell
-		if k := r.to; b.limits.Probes && !b.connDear {
-			b.after(asideFirst, func() { b.look(k) })
-		}
 	}
 }
 
@@ -859,23 +884,3 @@
 		delete(b.commands, c.id)
 	}
 }
-
-// look probes a backend that is set aside until it answers, so that one that is back need not wait out a long
-// spell. Where connections are dear a table may be full, and a probe would not tell.
-func (b *Balancer) look(k *backend) {
-	if k.State == Ready && k.aside > b.now {
-		b.host.Probe(k.ID)
-		b.after(asideFirst, func() { b.look(k) })
-	}
-}
-
-// Probed is told what a probe found.
-func (b *Balancer) Probed(now float64, id BackendID, result Result, _ float64, _ Load) {
-	b.now = now
-	for _, k := range b.fleet {
-		if k.ID == id && result == Answered && k.aside > now {
-			k.aside = now
-			b.dispatch()
-		}
-	}
-}
--- a/balance/host.go
+++ b/balance/host.go
@@ -16,8 +16,6 @@
 	Terminate(cmd uint64)
 	// WakeAfter asks for a Wake with this token in so many seconds.
 	WakeAfter(seconds float64, token uint64)
-	// Probe asks a backend for its load; Probed tells.
-	Probe(to BackendID)
 	// Watch subscribes to changes of the list; Fleet or ListFailed follows.
 	Watch()
 }
@@ -59,6 +57,7 @@
 
 // Place is where an instance stands.
 type Place struct {
+	Me       int // its number among its siblings
 	Siblings int // instances of this tier
 	Tier     int // the tier it sends to, 0 is the clients' own
 }
@@ -68,7 +67,6 @@
 	Relays       int // for one command
 	SecondCopies bool
 	Cancel       bool
-	Probes       bool
 	ComeBack     float64 // longest wait that clients can be told, 0 where they are told nothing
 }
 
--- /dev/null
+++ b/balance/size_test.go
@@ -0,0 +1,72 @@
+package balance
+
+import (
+	"slices"
+	"testing"
+)
+
+// fleetOf starts so many instances of one tier over one list.
+func fleetOf(t *testing.T, instances int, list []Entry, s setup) (hosts []*fakeHost) {
+	s.backends, s.place.Siblings = list, instances
+	for s.place.Me = range instances {
+		s.seed = uint64(s.place.Me)
+		hosts = append(hosts, start(t, s))
+	}
+	return hosts
+}
+
+func TestWindows(t *testing.T) {
+	const instances, backends = 500, 80
+	list := ready(backends)
+	for i := range list[:backends/2] {
+		list[i].Size = 2
+	}
+	hosts := fleetOf(t, instances, list, setup{})
+	share, widest := map[BackendID]float64{}, 0
+	for _, h := range hosts {
+		widest = max(widest, len(h.b.window))
+		total := 0.0
+		for _, k := range h.b.window {
+			total += k.near
+		}
+		for _, k := range h.b.window {
+			share[k.ID] += k.near / total
+		}
+	}
+	t.Run("each instance keeps to a few, each backend gets its share by size", func(t *testing.T) {
+		if widest > 20 {
+			t.Errorf("%d backends in a window", widest)
+		}
+		for _, e := range list {
+			if want := e.Size * instances / 120; share[e.ID] < 0.9*want || share[e.ID] > 1.1*want {
+				t.Errorf("size %v is worth %.1f instances, not %.1f", e.Size, share[e.ID], want)
+			}
+		}
+	})
+	t.Run("a backend that leaves is replaced, and little else shifts", func(t *testing.T) {
+		h := hosts[77]
+		before := slices.Clone(h.b.window)
+		h.b.Fleet(h.now, false, []Entry{{ID: before[2].ID, State: Gone}})
+		kept := 0
+		for _, k := range before {
+			if slices.Contains(h.b.window, k) {
+				kept++
+			}
+		}
+		if len(h.b.window) < len(before)-1 || kept < len(before)-3 {
+			t.Errorf("%d of %d kept, %d now", kept, len(before), len(h.b.window))
+		}
+	})
+	t.Run("more siblings than backends, none told, or a list of nothing are absorbed", func(t *testing.T) {
+		for _, p := range []Place{{Me: 900, Siblings: 500}, {Me: 3}, {Me: 0, Siblings: 1}} {
+			h := start(t, setup{place: p, backends: ready(2)})
+			h.serve(1, 10, 0.05)
+			if len(h.relays) < 10 || len(h.b.window) != 2 {
+				t.Errorf("%+v: %d relays, %d in the window", p, len(h.relays), len(h.b.window))
+			}
+			h.b.Fleet(h.now, true, nil)
+			h.b.Command(h.now, 99, 0, 0, h.now+6)
+			h.until(h.now + 7)
+		}
+	})
+}
