--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -608,7 +608,7 @@
 	}
 	for _, v := range verbs {
 		b.topUtil = max(b.topUtil, v.Utility)
-		b.verbs = append(b.verbs, verb{Verb: v, copies: bucket{1, now},
+		b.verbs = append(b.verbs, verb{Verb: v, copies: bucket{0, now},
 			delay: delay{now: newSketch(), before: newSketch(), rotated: now}})
 	}
 	for _, c := range customers {
