Windows of 4 backends and 2 for each part of the fleet; a new verb goes by all verbs

(2) wide windows of which a caller uses three are no windows: the load lay unevenly. Four, for those that fail.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -22,7 +22,7 @@
 	accuracy      = 0.02  // relative error of the sketches: far below the spread of latencies
 	rotation      = 10.0  // seconds between sketch rotations
 	minDelay      = 0.001 // seconds, floor of the delay
-	warmupDelay   = 0.01  // seconds, delay while a verb is not yet known
+	warmupPart    = 0.5   // of the response goal, delay while nothing is known: a copy may still be in time
 	warmupAnswers = 20    // answers until the sketch is trusted
 
 	// Copy bucket.
@@ -45,8 +45,8 @@
 	asideLast            = 30.0     // seconds, longest such spell: as long as idle connections hold their place
 
 	// Fleet.
-	nearLeast         = 6.0      // backends in an instance's window: room for copies and for some that fail
-	nearShared        = 10.0     // windows that each backend lies in at least, where there are as many
+	nearLeast         = 4.0      // backends in an instance's window: room for copies and for some that fail
+	nearShared        = 2.0      // windows that each backend lies in at least, where there are as many
 	askFirst, askLast = 1.0, 8.0 // seconds between calls for a list out of reach, doubling, with jitter
 	coldPart          = 0.4      // of the multiple at which a cold backend falls that all may send together
 
@@ -90,9 +90,9 @@
 	last        float64 // kept while the sketches are empty
 }
 
-func newSketch() *ddsketch.DDSketch {
-	s, _ := ddsketch.NewDefaultDDSketch(accuracy) // fails only for an accuracy out of range
-	return s
+func newDelay(now float64) delay {
+	a, _ := ddsketch.NewDefaultDDSketch(accuracy) // fails only for an accuracy out of range
+	return delay{now: a, before: a.Copy(), rotated: now}
 }
 
 func (d *delay) rotate(now float64) {
@@ -114,8 +114,6 @@
 	}
 }
 
-func (d *delay) warm() bool { return d.answers >= warmupAnswers }
-
 func (d *delay) quantile(q float64) (float64, error) {
 	both := d.now.Copy()
 	if err := both.MergeWith(d.before); err != nil {
@@ -125,9 +123,6 @@
 }
 
 func (d *delay) after(now float64) float64 {
-	if !d.warm() {
-		return warmupDelay
-	}
 	d.rotate(now)
 	if q, err := d.quantile(percentile); err == nil {
 		d.last = max(q, minDelay)
@@ -135,6 +130,18 @@
 	return d.last
 }
 
+// delay is how long a relay of the verb may be out before it is late, and whether that was learned. While the
+// verb has few answers those of all verbs count, and while these are few, a part of the response goal: with
+// two commands a second it is new for half a day, and hundreds of instances would copy a tenth of all at once.
+func (b *Balancer) delay(v *verb) (float64, bool) {
+	for _, d := range []*delay{&v.delay, &b.anyDelay} {
+		if d.answers >= warmupAnswers {
+			return d.after(b.now), true
+		}
+	}
+	return max(minDelay, warmupPart*v.Goal), false
+}
+
 // ---- Breaker: blocks copies, never first relays.
 
 type breaker struct {
@@ -189,16 +196,11 @@
 	near     float64 // part of its arc that lies in this instance's window
 	weight   float64
 	inFlight int
-	met      float64 // when it last took a command of ours
 	aside    float64 // no commands before this time
 	spell    float64 // length of the last such spell
 	budget   bucket  // commands that may go to it while it is cold
 }
 
-func (k *backend) connected(now, idle float64) bool {
-	return k.inFlight > 0 || k.met > 0 && now-k.met < idle
-}
-
 func (k *backend) slowed() { k.weight = max(weightMin, k.weight/2) }
 
 func (k *backend) quick() {
@@ -248,21 +250,11 @@
 
 // pick draws a backend by weight, skipping those with far more of our commands than the mean, or nil.
 func (b *Balancer) pick(c *command, copying bool) *backend {
-	// Where connections have a price none is opened while a connected backend has nothing of ours: handshakes
-	// alone choked a fleet whose every caller met every backend at once.
-	linked := func(k *backend) bool {
-		return k.State == Ready && k.connected(b.now, b.connIdle) && k.aside <= b.now
-	}
-	keep := b.connDear && slices.ContainsFunc(b.window, func(k *backend) bool {
-		return linked(k) && k.inFlight == 0 && !c.triedOn(k) && b.may(c, k)
-	})
-	count, all := 0, 0
+	count := 0
 	for _, k := range b.window {
-		if !keep || linked(k) {
-			count, all = count+k.inFlight, all+1
-		}
+		count += k.inFlight
 	}
-	far := max(float64(count)/max(1, float64(all))-farSlack, farSlack)
+	far := max(float64(count)/max(1, float64(len(b.window)))-farSlack, farSlack)
 	// First those of the window that the weight rule and the skip leave, then any of the window, then any of the
 	// fleet that is not set aside, then any at all.
 	from, share := b.window, func(k *backend) float64 { return k.weight * k.near }
@@ -274,7 +266,7 @@
 		b.picks = b.picks[:0]
 		for _, k := range from {
 			if b.may(c, k) && b.coldAllows(k) && (pass > 2 || !c.triedOn(k) && k.aside <= b.now) &&
-				(pass > 0 || (!keep || linked(k)) && float64(k.inFlight) <= far) {
+				(pass > 0 || float64(k.inFlight) <= far) {
 				b.picks = append(b.picks, k)
 				total += share(k)
 			}
@@ -525,6 +517,8 @@
 type relay struct {
 	to        *backend
 	sent      float64
+	delay     float64 // after which it is late
+	learned   bool    // that was learned
 	out, late bool
 	loser     bool // its command has had its answer
 	neverRan  bool
@@ -569,13 +563,12 @@
 	cold        Cold
 	overage     float64
 	mustAsk     bool
-	connDear    bool
-	connIdle    float64
 
 	verbs         []verb
 	customers     []Customer
 	shares        []bucket
 	service       breaker
+	anyDelay      delay      // of all verbs together
 	fleet         []*backend // by id
 	picks, window []*backend // window: those this instance keeps to
 	commands      map[uint64]*command
@@ -598,18 +591,16 @@
 
 // New starts an instance that knows nothing yet.
 func New(host Host, seed uint64, now, tick float64, place Place, verbs []Verb, customers []Customer,
-	overage float64, limits Limits, conns Connections, cold Cold, mustAsk bool) *Balancer {
+	overage float64, limits Limits, cold Cold, mustAsk bool) *Balancer {
 	b := &Balancer{
 		host: host, seed: seed, now: now, start: now, tick: tick, place: place, customers: customers,
 		overage: overage, limits: limits, cold: cold, mustAsk: mustAsk, askWait: askFirst,
-		connDear: conns.Price > 0 && conns.Streams > 1, connIdle: conns.Idle,
 		commands: map[uint64]*command{}, wakes: map[uint64]func(){},
-		retries: bucket{retryBurst, now},
+		retries: bucket{retryBurst, now}, anyDelay: newDelay(now),
 	}
 	for _, v := range verbs {
 		b.topUtil = max(b.topUtil, v.Utility)
-		b.verbs = append(b.verbs, verb{Verb: v, copies: bucket{0, now},
-			delay: delay{now: newSketch(), before: newSketch(), rotated: now}})
+		b.verbs = append(b.verbs, verb{Verb: v, copies: bucket{0, now}, delay: newDelay(now)})
 	}
 	for _, c := range customers {
 		b.shares = append(b.shares, bucket{max(1, c.Allowance*shareBurst), now})
@@ -670,7 +661,9 @@
 func (b *Balancer) relay(c *command, k *backend) {
 	v := &b.verbs[c.verb]
 	n := len(c.relays)
-	c.relays = append(c.relays, relay{to: k, sent: b.now, out: true})
+	r := relay{to: k, sent: b.now, out: true}
+	r.delay, r.learned = b.delay(v)
+	c.relays = append(c.relays, r)
 	c.out++
 	k.inFlight++
 	b.inFlight++
@@ -681,7 +674,7 @@
 	}
 	b.host.Relay(c.id, k.ID)
 	if !v.Stream {
-		b.after(v.delay.after(b.now), func() { b.overdue(c, n) })
+		b.after(r.delay, func() { b.overdue(c, n) })
 	}
 }
 
@@ -692,7 +685,7 @@
 	if !r.out || r.loser {
 		return
 	}
-	if v.delay.warm() {
+	if r.learned {
 		r.late = true
 		r.to.slowed()
 		b.late.add(b.now, slowSpan, 1)
@@ -748,15 +741,12 @@
 	r, v := &c.relays[n], &b.verbs[c.verb]
 	r.out, r.neverRan = false, result.NeverRan()
 	c.out--
-	if result != Unconnected && result != Moot {
-		r.to.met = now
-	}
 	r.to.inFlight--
 	b.inFlight--
 	if r.loser {
 		v.losers--
 	}
-	b.judge(r, v, result, took)
+	b.judge(r, result, took)
 	winner := !c.done && result != Cancelled && result != Moot
 	if winner && (result == Answered || c.out == 0) {
 		v.breaker.outcome(now, result != Answered)
@@ -769,6 +759,7 @@
 		if result == Answered {
 			// From the first relay on: a winning copy must not hide how slow the first one was.
 			v.delay.learn(now, now-c.relays[0].sent)
+			b.anyDelay.learn(now, now-c.relays[0].sent)
 			b.answers.add(now, rateSpan, 1)
 			b.carried.add(now, callSpan, 1)
 		}
@@ -781,15 +772,12 @@
 }
 
 // judge applies the weight rule to the backend of a relay that ended.
-func (b *Balancer) judge(r *relay, v *verb, result Result, took float64) {
+func (b *Balancer) judge(r *relay, result Result, took float64) {
 	switch result {
 	case Answered:
-		if !v.delay.warm() {
-			return // every answer is slow against the warm-up's delay
-		}
-		if took <= v.delay.last {
+		if took <= r.delay {
 			r.to.quick()
-		} else if !r.late {
+		} else if r.learned && !r.late {
 			r.to.slowed()
 		}
 	case Errored, Full, TimedOut, Reset:
--- a/balance/host.go
+++ b/balance/host.go
@@ -70,13 +70,6 @@
 	ComeBack     float64 // longest wait that clients can be told, 0 where they are told nothing
 }
 
-// Connections is what the site says of connections to backends.
-type Connections struct {
-	Streams int     // relays that one carries at once
-	Idle    float64 // seconds after which an idle one is closed
-	Price   float64 // points off for open connections, 0 where they are cheap
-}
-
 // Cold is the rule on backends that have just started.
 type Cold struct {
 	Share    float64 // part of its capacity that a backend starts with, or more
--- a/balance/size_test.go
+++ b/balance/size_test.go
@@ -70,3 +70,27 @@
 		}
 	})
 }
+
+func TestFewAnswers(t *testing.T) {
+	t.Run("hundreds of instances that know nothing yet do not copy at once", func(t *testing.T) {
+		copies := 0
+		for _, h := range fleetOf(t, 300, ready(40), setup{}) {
+			h.b.Command(h.now, 1, 0, 0, h.now+6)
+			h.until(h.now + 1)
+			copies += len(h.relays) - 1
+		}
+		if copies > 0 {
+			t.Errorf("%d copies of 300 first commands", copies)
+		}
+	})
+	t.Run("a rare verb goes by the answers of all", func(t *testing.T) {
+		h := start(t, setup{})
+		if d, learned := h.b.delay(&h.b.verbs[1]); learned || d < 1 {
+			t.Errorf("%v s before any answer", d)
+		}
+		h.serve(1, 100, 0.1)
+		if d, learned := h.b.delay(&h.b.verbs[1]); !learned || d > 0.11 {
+			t.Errorf("%v s once another verb is known", d)
+		}
+	})
+}
