--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -77,7 +77,7 @@
 	retryBurst   = 3.0   // further relays that may go at once
 	expiryTicks  = 1.0   // ticks before its time limit at which a command is terminated
 	recheck      = 0.05  // seconds after which a held command is looked at when nothing else happens
-	slowShare    = 0.05  // part of recent relays past the delay from which all is slow, and copies stop: as many as usual
+	slowShare    = 0.05  // part of recent relays past the delay from which all is slow and copies stop: the usual
 	slowSpan     = 2.0   // seconds over which that part is counted
 	slowSlack    = 0.5   // late relays that prove nothing: the one to be copied is among them
 	tiny         = 1e-9  // guards divisions
@@ -438,7 +438,8 @@
 	if late == 1 && tooLate && b.now >= b.cutAt+cutEvery {
 		b.level *= (1 - cut*excess) * min(1, float64(b.inFlight+1)/b.share())
 		b.cutAt = b.now
-	} else if !tooLate && inUsed {
+	} else if b.endedLate.sum+math.Sqrt(b.ended.sum) <= lateShare*b.ended.sum && inUsed {
+		// Only where the part is surely under: few answers prove little, and a bound raised in error chokes.
 		b.level *= 1 + raise*min(cutEvery, b.now-b.settled)
 	}
 	b.settled = b.now
--- a/balance/size_test.go
+++ b/balance/size_test.go
@@ -113,3 +113,25 @@
 		}
 	}
 }
+
+func TestFewAnswersRaiseNothing(t *testing.T) {
+	h := start(t, setup{place: Place{Siblings: 100}})
+	settle := func(count int, every float64) float64 { // a third of the answers late, with the bound in use
+		first := h.b.level
+		for i := range count {
+			h.b.now, h.b.inFlight = h.b.now+every, 100
+			took := 0.2
+			if i%3 == 0 {
+				took = 2
+			}
+			h.b.settle(&command{came: h.b.now - took})
+		}
+		return h.b.level / first
+	}
+	if grown := settle(20, 1); grown > 1 {
+		t.Errorf("raised by %v on one answer a second", grown)
+	}
+	if grown := settle(2000, 0.01); grown < 1.5 {
+		t.Errorf("raised by %v on a hundred a second", grown)
+	}
+}
