--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -77,7 +77,7 @@
 	retryBurst   = 3.0   // further relays that may go at once
 	expiryTicks  = 1.0   // ticks before its time limit at which a command is terminated
 	recheck      = 0.05  // seconds after which a held command is looked at when nothing else happens
-	slowShare    = 0.05  // part of recent relays past the delay from which all is slow and copies stop: the usual
+	slowShare    = 0.05  // part of recent relays past the delay from which copies stop: the usual one
 	slowSpan     = 2.0   // seconds over which that part is counted
 	slowSlack    = 0.5   // late relays that prove nothing: the one to be copied is among them
 	tiny         = 1e-9  // guards divisions
