Bound that works with a thousand instances: evidence kept, luck, failures below

One usual latency of all verbs, known after 40 answers, in place of one for each. Newcomers get their part by their place in the window (they got a twentieth of it); a whole list is read in one pass.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -55,17 +55,18 @@
 	spareFirst   = 0.7   // part of the bound open to commands of no utility; the rest goes by utility
 	boundMin     = 5.0   // commands out for each backend, by all instances, that are always allowed
 	boundFirst   = 8.0   // the same at the start: cut within seconds where it is too much
-	boundRoot    = 1.5   // times the root of its share that an instance may have out beyond it: chance
+	boundRoot    = 1.7   // roots of its share, or shares, that an instance may have out beyond it
 	fewInstances = 4.0   // instances up to which one sees enough of the whole to keep to its share
 	lateFrom     = 0.4   // of the response goal from which an answer counts as late: half may be, with any tail
 	lateShare    = 0.5   // part of late answers from which the bound is cut
 	stretch      = 1.7   // times the usual latency from which an answer counts as late as well: queues build
-	leeway       = 1.25  // times the usual latency up to which no answer is late
+	leeway       = 1.5   // times the usual latency up to which no answer is late
 	lateTo       = 0.75  // of the response goal from which every answer is late
 	usualStep    = 0.005 // step at which the usual latency is followed, for each answer
-	usualAnswers = 60    // answers until the usual latency is known: the first to come are the light ones
+	usualAnswers = 40    // answers until the usual latency is known: the first to come are the light ones
 	lateSlack    = 1.0   // late answers that prove nothing
 	lateSpan     = 2.0   // seconds over which that part is counted
+	lateAnswers  = 6.0   // answers that it keeps at least, however long ago
 	cut          = 0.5   // part of the bound taken off in a cut, for each whole of late answers too many
 	cutEvery     = 0.5   // seconds between cuts: an answer shows what was let out a while ago
 	raise        = 0.05  // growth of the bound in a second: what is let out too fast chokes backends for long
@@ -149,8 +150,8 @@
 type breaker struct {
 	all, failed decaying
 	openUntil   float64 // 0 while closed
-	tried       int
-	good, bad   int
+	tried       int     // copies let through since it opened
+	ended, bad  int     // and their outcomes
 }
 
 func (k *breaker) allows(now float64) bool {
@@ -175,17 +176,14 @@
 			*k = breaker{openUntil: now + cooldown}
 		}
 	case now >= k.openUntil:
+		k.ended++
 		if failed {
 			k.bad++
-		} else {
-			k.good++
 		}
-		if k.good+k.bad >= trials {
-			reopen := k.bad > k.good
+		if k.bad > trials/2 {
+			*k = breaker{openUntil: now + cooldown}
+		} else if k.ended >= trials {
 			*k = breaker{}
-			if reopen {
-				k.openUntil = now + cooldown
-			}
 		}
 	}
 }
@@ -195,6 +193,7 @@
 type backend struct {
 	Entry
 	spot     uint64  // place on the ring, the same at every instance
+	listed   int     // number of the last list that named it
 	near     float64 // part of its arc that lies in this instance's window
 	weight   float64
 	inFlight int
@@ -311,13 +310,7 @@
 	if n := b.usable(); n > 0 {
 		mean = b.sum(func(k *backend) float64 { return k.weight }) / n
 	}
-	if whole {
-		for _, k := range b.fleet {
-			if !slices.ContainsFunc(entries, func(e Entry) bool { return e.ID == k.ID }) {
-				k.State = Gone
-			}
-		}
-	}
+	b.lists++
 	for _, e := range entries {
 		spot := hash(e.ID[:])
 		at, known := slices.BinarySearchFunc(b.fleet, e.ID, func(k *backend, id BackendID) int {
@@ -334,10 +327,18 @@
 			k.weight, k.aside, k.spell = mean, 0, 0
 			k.budget = bucket{b.chance(), now}
 		}
-		k.Entry = e
+		k.Entry, k.listed = e, b.lists
+		if k.Size <= 0 {
+			k.Size = 1 // nothing said
+		}
 	}
-	// Backends that are gone and hold none of our commands are forgotten.
-	b.fleet = slices.DeleteFunc(b.fleet, func(k *backend) bool { return k.State == Gone && k.inFlight == 0 })
+	// What a whole list leaves out is gone; what is gone and holds none of our commands is forgotten.
+	b.fleet = slices.DeleteFunc(b.fleet, func(k *backend) bool {
+		if whole && k.listed != b.lists {
+			k.State = Gone
+		}
+		return k.State == Gone && k.inFlight == 0
+	})
 	b.arrange()
 	b.dispatch()
 }
@@ -350,7 +351,7 @@
 	from := (float64(b.place.Me)+0.5)/b.siblings()*total - width/2
 	from -= math.Floor(from/max(total, tiny)) * total // the window may reach over the end of the ring
 	at := 0.0
-	b.window = b.window[:0]
+	b.window, b.reach = b.window[:0], max(width, tiny)
 	for _, k := range b.fleet {
 		k.near = 0
 		if k.State == Ready {
@@ -389,15 +390,15 @@
 // crowded with what the whole fleet could hold.
 func (b *Balancer) warmth() float64 { return max(1, b.sum(b.part)) }
 
-// coldRate is how many commands a second this instance may send to a backend that has just started: its
-// answers from a backend in the mean (what it sends may be a storm of refusals), cut to the part that the
-// backend can do for certain. Its own traffic stands for its part of everybody's.
+// coldRate is how many commands a second this instance may send to a backend that has just started: the part
+// of its answers that the backend's place in the window is worth (what it sends may be a storm of refusals),
+// cut to what the backend can do for certain. Its own traffic stands for its part of everybody's.
 func (b *Balancer) coldRate(k *backend) float64 {
-	own := b.carried.rate(b.now, callSpan, b.start)
-	if !slices.ContainsFunc(b.fleet, func(k *backend) bool { return k.State == Ready && b.isWarm(k) }) {
-		own = b.came.rate(b.now, callSpan, b.start) // nothing else to go by
+	own := &b.carried
+	if !slices.ContainsFunc(b.window, b.isWarm) {
+		own = &b.came // nothing else to go by
 	}
-	return coldPart * b.cold.Multiple * b.part(k) * own / max(1, b.usable())
+	return coldPart * b.cold.Multiple * b.part(k) * own.rate(b.now, callSpan, b.start) * k.near / b.reach
 }
 
 func (b *Balancer) coldAllows(k *backend) bool {
@@ -410,51 +411,57 @@
 // only queue, and choke.
 func (b *Balancer) share() float64 { return b.level * b.warmth() / b.siblings() }
 
-// bound is how many commands may be out here. One of many instances has few, which come by chance: its bound
-// lies above its share by a part of the root, or all would decline while the fleet has room. What has little
-// utility gets less, so that it is shed first.
-func (b *Balancer) bound(c *command) float64 {
+// crowded tells that the command finds too many out here. One of many instances has few, which come by
+// chance: its bound lies above its share by roots of it, or all would decline while the fleet has room, but
+// by no more than a multiple, or a thousand instances with one each would be a flood. Its last part is given
+// by luck. What has little utility gets less, so that it is shed first.
+func (b *Balancer) crowded(c *command) bool {
 	b.level = max(b.level, boundMin)
 	share := b.share()
-	return (share + boundRoot*math.Sqrt(share*max(0, 1-fewInstances/b.siblings()))) *
-		(spareFirst + (1-spareFirst)*c.priority)
+	chance := boundRoot * min(share, math.Sqrt(share*max(0, 1-fewInstances/b.siblings())))
+	limit := (share + chance) * (spareFirst + (1-spareFirst)*c.priority)
+	if b.level >= boundFirst {
+		limit = max(1, limit) // nothing speaks against one
+	}
+	return float64(b.inFlight)+c.luck >= limit
 }
 
-// settle moves the bound with the part of commands that end late: up slowly while it is in use, down at once.
-func (b *Balancer) settle(c *command) {
-	v, late, took := &b.verbs[c.verb], 0.0, b.now-c.came
-	slow := lateFrom * v.Goal
-	if v.usual > 0 {
-		// What is usual is not late, also where a verb needs half of its goal with no queue at all.
-		slow = max(min(slow, stretch*v.usual), min(leeway*v.usual, lateTo*v.Goal))
+// settle moves the bound with the part of commands that end late or fail, since a lower tier that is crowded
+// declines: up slowly while it is in use, down at once.
+func (b *Balancer) settle(c *command, failed bool) {
+	goal, took, late := b.verbs[c.verb].Goal, b.now-c.came, 0.0
+	slow := lateFrom * goal
+	if b.usual > 0 {
+		// What is usual is not late, also where half of the goal is needed with no queue at all.
+		slow = max(min(slow, stretch*b.usual), min(leeway*b.usual, lateTo*goal))
 	}
-	if took > slow {
+	if failed || took > slow {
 		late = 1
 	}
-	b.ended.add(b.now, lateSpan, 1)
-	b.endedLate.add(b.now, lateSpan, late)
-	excess := (b.endedLate.sum-lateSlack)/b.ended.sum - lateShare
+	// An instance with an answer a second would forget each before the next came.
+	fade := max(math.Exp((b.settled-b.now)/lateSpan), 1-1/lateAnswers)
+	b.ended, b.endedLate = b.ended*fade+1, b.endedLate*fade+late
+	excess := (b.endedLate-lateSlack)/b.ended - lateShare
 	tooLate, inUsed := excess > 0, float64(b.inFlight) >= inUse*b.share()
 	if late == 1 && tooLate && b.now >= b.cutAt+cutEvery {
 		b.level *= (1 - cut*excess) * min(1, float64(b.inFlight+1)/b.share())
 		b.cutAt = b.now
-	} else if b.endedLate.sum+math.Sqrt(b.ended.sum) <= lateShare*b.ended.sum && inUsed {
+	} else if b.endedLate+math.Sqrt(b.ended) <= lateShare*b.ended && inUsed {
 		// Only where the part is surely under: few answers prove little, and a bound raised in error chokes.
 		b.level *= 1 + raise*min(cutEvery, b.now-b.settled)
 	}
 	b.settled = b.now
 	// The median of a fleet at ease: it hardly follows what comes with our own crowding.
 	switch {
-	case v.usual == 0:
-		if v.delay.answers >= usualAnswers {
-			v.usual, _ = v.delay.quantile(0.5)
-		}
-	case took < v.usual:
-		v.usual *= 1 - usualStep
+	case b.usual == 0 && b.anyDelay.answers >= usualAnswers:
+		b.usual, _ = b.anyDelay.quantile(0.5)
+	case failed:
+	case took < b.usual:
+		b.usual *= 1 - usualStep
 	case tooLate || inUsed:
-		v.usual *= 1 + usualStep/4
+		b.usual *= 1 + usualStep/4
 	default:
-		v.usual *= 1 + usualStep
+		b.usual *= 1 + usualStep
 	}
 }
 
@@ -474,7 +481,7 @@
 
 // try sends the command's first or next relay where there is room, and tells whether it did.
 func (b *Balancer) try(c *command) bool {
-	if float64(b.inFlight) >= b.bound(c) {
+	if b.crowded(c) {
 		return false
 	}
 	k := b.pick(c, false)
@@ -509,7 +516,7 @@
 		c := b.held[i]
 		if !b.try(c) {
 			i++
-			if float64(b.inFlight) >= b.bound(c) {
+			if b.crowded(c) {
 				return
 			}
 			continue
@@ -522,27 +529,26 @@
 // ---- Life of a command.
 
 type relay struct {
-	to        *backend
-	sent      float64
-	delay     float64 // after which it is late
-	learned   bool    // that was learned
-	out, late bool
-	loser     bool // its command has had its answer
-	neverRan  bool
+	to                  *backend
+	sent                float64
+	delay               float64 // after which it is late
+	learned             bool    // that was learned
+	out, late, neverRan bool
+	loser               bool // its command has had its answer
 }
 
 type command struct {
-	id            uint64
-	seq           uint64
-	verb          int
-	came, expires float64
-	priority      float64 // its utility against the highest, 0 to 1
-	relays        []relay
-	out           int
-	mayHaveRun    *backend // of the first relay that may have run
-	ranFrom       float64  // when that was sent
-	held, done    bool
-	streaming     bool
+	id                    uint64
+	seq                   uint64
+	verb                  int
+	came, expires         float64
+	priority              float64 // its utility against the highest, 0 to 1
+	luck                  float64 // 0 to 1, of the bound's last part
+	relays                []relay
+	out                   int
+	mayHaveRun            *backend // of the first relay that may have run
+	ranFrom               float64  // when that was sent
+	held, done, streaming bool
 }
 
 func (c *command) triedOn(k *backend) bool {
@@ -556,20 +562,18 @@
 	copies  bucket
 	losers  int // losing relays that are still out
 	breaker breaker
-	usual   float64 // usual latency in seconds, 0 while not known
 }
 
 // Balancer is one instance. Make it with New.
 type Balancer struct {
-	host        Host
-	now         float64
-	start, tick float64
-	seed, draws uint64
-	place       Place
-	limits      Limits
-	cold        Cold
-	overage     float64
-	mustAsk     bool
+	host             Host
+	now, start, tick float64
+	seed, draws      uint64
+	place            Place
+	limits           Limits
+	cold             Cold
+	overage          float64
+	mustAsk          bool
 
 	verbs         []verb
 	customers     []Customer
@@ -578,16 +582,18 @@
 	anyDelay      delay      // of all verbs together
 	fleet         []*backend // by id
 	picks, window []*backend // window: those this instance keeps to
+	reach         float64    // width of the window
 	commands      map[uint64]*command
 	held          []*command
 	wakes         map[uint64]func()
 	tokens        uint64
-	seq           uint64
+	lists         int // lists seen
 	inFlight      int
 	topUtil       float64
 
 	came, carried, answers decaying
-	ended, endedLate       decaying
+	ended, endedLate       float64 // commands that ended, and late ones of them, fading
+	usual                  float64 // median latency in seconds of a fleet at ease, 0 while not known
 	level                  float64 // commands out for each warm backend, by all instances
 	cutAt, settled         float64
 	relayed, late          decaying
@@ -640,9 +646,8 @@
 	if _, ok := b.commands[id]; ok {
 		return
 	}
-	b.seq++
 	v := &b.verbs[verb]
-	c := &command{id: id, seq: b.seq, verb: verb, came: now, expires: expires}
+	c := &command{id: id, luck: b.chance(), seq: b.draws, verb: verb, came: now, expires: expires}
 	c.priority = v.Utility / max(b.topUtil, tiny)
 	if b.over(customer) {
 		c.priority *= b.overage
@@ -655,7 +660,7 @@
 		// What can earn nothing any more only takes capacity from what can.
 		b.after(min(v.Goal, expires-now), func() {
 			if !c.done && !c.streaming {
-				b.settle(c)
+				b.settle(c, false)
 				b.giveUp(c)
 			}
 		})
@@ -770,7 +775,7 @@
 			b.answers.add(now, rateSpan, 1)
 			b.carried.add(now, callSpan, 1)
 		}
-		b.settle(c)
+		b.settle(c, false)
 		b.end(c)
 	case c.out == 0:
 		b.again(c)
@@ -814,6 +819,7 @@
 			return
 		}
 	}
+	b.settle(c, true)
 	b.giveUp(c)
 }
 
@@ -839,7 +845,7 @@
 // expire terminates a command that nothing ended before its time limit.
 func (b *Balancer) expire(c *command) {
 	if !c.done && !c.streaming {
-		b.settle(c)
+		b.settle(c, false)
 		b.host.Terminate(c.id)
 		b.end(c)
 		b.dispatch()
--- a/balance/mechanism_test.go
+++ b/balance/mechanism_test.go
@@ -229,7 +229,7 @@
 				took = 2.4
 			}
 			h.b.inFlight = int(h.b.level * 6)
-			h.b.settle(&command{came: h.b.now - took})
+			h.b.settle(&command{came: h.b.now - took}, false)
 			lowest = min(lowest, h.b.level)
 		}
 		if lowest > 0.8*first || h.b.level < 1.2*lowest {
@@ -242,8 +242,8 @@
 		settle := func(took float64) {
 			for range 100 {
 				h.b.now += 0.02
-				h.b.verbs[0].usual = 1.3
-				h.b.settle(&command{came: h.b.now - took})
+				h.b.usual = 1.1
+				h.b.settle(&command{came: h.b.now - took}, false)
 			}
 		}
 		if settle(1.5); h.b.level < first {
@@ -256,11 +256,10 @@
 	t.Run("a rolling deploy does not crowd the backends that stay", func(t *testing.T) {
 		h := start(t, setup{})
 		h.serve(1, 100, 0.1)
-		c := &command{priority: 1}
-		before := h.b.bound(c)
+		before := h.b.share()
 		h.b.Fleet(h.now, false, []Entry{{ID: id(0), State: Draining}, {ID: id(1), State: Gone},
 			{ID: id(8), Started: h.now, Size: 1}, {ID: id(9), Started: h.now, Size: 1}})
-		if after := h.b.bound(c); !near(after/before, 4.4/6) {
+		if after := h.b.share(); !near(after/before, 4.4/6) {
 			t.Errorf("bound %v with six warm backends, %v with four and two at a fifth", before, after)
 		}
 	})
--- a/balance/size_test.go
+++ b/balance/size_test.go
@@ -99,7 +99,8 @@
 	flood := func(instances int) float64 {
 		out := 0
 		for _, h := range fleetOf(t, instances, ready(60), setup{}) {
-			for i := range uint64(4000 / instances) {
+			h.b.level *= 0.99 // not at ease any more
+			for i := range uint64(8000 / instances) {
 				h.b.Command(h.now, i, 1, 0, h.now+6)
 			}
 			out += len(h.relays)
@@ -107,7 +108,7 @@
 		return float64(out) / 60
 	}
 	alone := flood(1)
-	for _, instances := range []int{4, 40, 400} {
+	for _, instances := range []int{4, 40, 400, 2000} {
 		if each := flood(instances); each < alone/2 || each > 4*alone {
 			t.Errorf("a flood leaves %.1f commands at a backend with %d instances, %.1f with one", each, instances, alone)
 		}
@@ -124,7 +125,7 @@
 			if i%3 == 0 {
 				took = 2
 			}
-			h.b.settle(&command{came: h.b.now - took})
+			h.b.settle(&command{came: h.b.now - took}, false)
 		}
 		return h.b.level / first
 	}
@@ -135,3 +136,60 @@
 		t.Errorf("raised by %v on a hundred a second", grown)
 	}
 }
+
+func TestColdBudgetOfMany(t *testing.T) {
+	const instances, backends = 200, 20
+	hosts := fleetOf(t, instances, ready(backends), setup{})
+	next, got := uint64(0), []int{}
+	serve := func(seconds int) { // two commands a second at each instance, spread over the second
+		for range 2 * seconds {
+			count := 0
+			for i, h := range hosts {
+				next++
+				h.until(h.now + 0.3 + 0.2*float64(i)/instances)
+				h.b.Command(h.now, next, 0, 0, h.now+6)
+				h.until(h.now + 0.2 - 0.2*float64(i)/instances)
+				for n, to := range h.toOf(next) {
+					if to == id(99) {
+						count++
+					}
+					h.outcome(next, n, Answered)
+				}
+				h.relays = h.relays[:0]
+			}
+			got = append(got, count)
+		}
+	}
+	serve(5)
+	tell := func(gone int) {
+		changes := []Entry{{ID: id(99), Size: 1, Started: hosts[0].now}}
+		for i := range gone {
+			changes = append(changes, Entry{ID: id(i), State: Gone})
+		}
+		for _, h := range hosts {
+			h.b.Fleet(h.now, false, changes)
+		}
+	}
+	// 20 a second are each backend's usual: it can surely do a fifth of that, and falls over at three times as much.
+	budget := func(t *testing.T) {
+		for i := 3; i < len(got); i++ {
+			if sum := got[i-3] + got[i-2] + got[i-1]; sum > 20*3/5*3/2 {
+				t.Errorf("%d commands in 1.5 s", sum)
+			}
+		}
+	}
+	t.Run("hundreds that learn of a newcomer together keep to its budget, and use it", func(t *testing.T) {
+		got = nil
+		tell(0)
+		serve(3)
+		if budget(t); slices.Max(got) == 0 {
+			t.Error("it got nothing")
+		}
+	})
+	t.Run("also when half of the others leave and all turns to it", func(t *testing.T) {
+		got = nil
+		tell(backends / 2)
+		serve(3)
+		budget(t)
+	})
+}
