Reread the configuration on SIGHUP and turn the watch to its discovery

Now the signal's goroutine reads and checks the file and hands it to the loop, which closes the old watch and asks the new address for its whole list: versions are an agent's own. List, clients and what was learned stay; a file that a start would not take only makes a line in the log. SIGHUP and SIGTERM have a channel each, or one would drop the other.

Stories: TestDiscovery (a new configuration), TestServe (both files).

--- a/cmd/sandpass/main.go
+++ b/cmd/sandpass/main.go
@@ -43,22 +43,43 @@
 	if l.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(l.Limits.MemoryMB) * memoryPart * (1 << 20)))
 	}
+	// Each kind has a channel of its own: one that comes while another waits must not be dropped.
+	ends, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
 	p, err := proxy.New(l)
 	if err != nil {
 		return err
 	}
 	var asked atomic.Bool
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-signals
-		signal.Reset(syscall.SIGINT) // a second Ctrl-C ends it at once
-		asked.Store(true)
-		p.Ring()
+		for {
+			select {
+			case <-ends:
+				signal.Reset(syscall.SIGINT) // a second Ctrl-C ends it at once
+				asked.Store(true)
+				p.Ring()
+			case <-reloads:
+				reload(path, p)
+			}
+		}
 	}()
 	return p.Run(asked.Load)
 }
 
+// reload hands the configuration to the proxy anew; one that a start would not take changes nothing.
+func reload(path string, p *proxy.Proxy) {
+	l, err := read(path)
+	if err == nil {
+		err = proxy.Check(l)
+	}
+	if err != nil {
+		log.Printf("msg=reload_not_taken error=%q", err)
+		return
+	}
+	p.Reload(l)
+}
+
 func main() {
 	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
 	var path string
--- a/cmd/sandpass/main_test.go
+++ b/cmd/sandpass/main_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -21,12 +22,30 @@
 	os.Exit(m.Run())
 }
 
-func sandpass(config string, args ...string) (*exec.Cmd, *bytes.Buffer) {
-	var out bytes.Buffer
+// output is what a process has said so far.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (o *output) Write(b []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(b)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
+func sandpass(config string, args ...string) (*exec.Cmd, *output) {
+	out := &output{}
 	cmd := exec.Command(os.Args[0], args...)
 	cmd.Env = append(os.Environ(), "SANDPASS_ITSELF=1", "NODE_CONFIG="+config)
-	cmd.Stdout, cmd.Stderr = &out, &out
-	return cmd, &out
+	cmd.Stdout, cmd.Stderr = out, out
+	return cmd, out
 }
 
 func TestBadStart(t *testing.T) {
@@ -77,6 +96,25 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
+	// SIGHUP has it read the file again: a good one is turned to, a bad one only named.
+	for _, step := range []struct{ from, to, want string }{
+		{"127.0.0.1:1", "127.0.0.1:2", "msg=reloaded discovery=127.0.0.1:2"}, {`"seed"`, `"seed`, "msg=reload_not_taken"},
+	} {
+		changed = strings.Replace(changed, step.from, step.to, 1)
+		if err := os.WriteFile(config, []byte(changed), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd.Process.Signal(syscall.SIGHUP)
+		for range 500 {
+			if strings.Contains(out.String(), step.want) {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if !strings.Contains(out.String(), step.want) {
+			t.Errorf("no %s in %s", step.want, out)
+		}
+	}
 	cmd.Process.Signal(syscall.SIGTERM)
 	if err := cmd.Wait(); err != nil {
 		t.Errorf("a planned end: %v, %s", err, out)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"runtime/metrics"
 	"strconv"
+	"sync/atomic"
 
 	"sandpass/balance"
 	"sandpass/internal/http1"
@@ -75,8 +76,9 @@
 	scratch  []byte // heads are put together here
 	ending   bool
 	endBy    float64
-	freshBy  float64     // until when the first word of discovery is waited for
-	signal   func() bool // tells that the end was asked for
+	freshBy  float64                // until when the first word of discovery is waited for
+	signal   func() bool            // tells that the end was asked for
+	reloaded atomic.Pointer[Launch] // a configuration to turn to
 	seed     uint64
 	draws    uint64
 	memory   [1]metrics.Sample
@@ -182,6 +184,23 @@
 // Ring has the loop look at signal soon; it may be called from any goroutine.
 func (p *Proxy) Ring() { p.loop.Ring() }
 
+// Reload has the loop turn to a configuration that Check found good; it may be called from any goroutine.
+func (p *Proxy) Reload(l *Launch) {
+	p.reloaded.Store(l)
+	p.Ring()
+}
+
+// reload takes what can change while commands are open: where discovery is. The list, the clients and what was learned
+// stay; for the rest of the configuration the process is started anew.
+func (p *Proxy) reload(l *Launch) {
+	at, err := netip.ParseAddrPort(l.Discovery)
+	if err != nil {
+		return // Check has seen it
+	}
+	log.Printf("msg=reloaded discovery=%s", at)
+	p.turnTo(at)
+}
+
 // Run serves until it was asked to end, by signal, and all that was taken has its answer.
 func (p *Proxy) Run(signal func() bool) error {
 	p.signal = signal
@@ -194,6 +213,9 @@
 		if !p.ending && p.signal() {
 			p.end()
 		}
+		if l := p.reloaded.Swap(nil); l != nil {
+			p.reload(l)
+		}
 	})
 	p.summary()
 	p.loop.Close()
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -499,4 +499,45 @@
 			t.Errorf("answered %d", status)
 		}
 	})
+	t.Run("a new configuration turns the watch to another address, and what was known stays", func(t *testing.T) {
+		t.Parallel()
+		b, c := newToy(t, ok), newToy(t, ok)
+		left, asked := make(chan bool), make(chan string, 1)
+		first := discovery(t, func(_ int, conn net.Conn, _ *http.Request) {
+			chunk(conn, listing(7, true, ready("s-b", b))+"\n")
+			conn.Read(make([]byte, 1))
+			close(left)
+		})
+		second := discovery(t, func(_ int, conn net.Conn, r *http.Request) {
+			asked <- r.RequestURI
+			time.Sleep(200 * time.Millisecond)
+			chunk(conn, listing(2, true, ready("s-c", c))+"\n")
+			time.Sleep(time.Second)
+		})
+		p := run(t, launch(t, 200, "", first))
+		time.Sleep(100 * time.Millisecond)
+		caller := p.caller(t)
+		ask := func() {
+			t.Helper()
+			if status, _, _ := caller.ask(text("look")); status != 200 {
+				t.Errorf("answered %d", status)
+			}
+		}
+		ask()
+		p.Reload(&Launch{Discovery: second.Addr().String()})
+		select {
+		case <-left:
+		case <-time.After(time.Second):
+			t.Fatal("the old watch stays open")
+		}
+		if uri := <-asked; uri != "/api/targets?follow=1" {
+			t.Errorf("asked for %s: another agent's versions are its own", uri)
+		}
+		ask()
+		time.Sleep(400 * time.Millisecond)
+		ask()
+		if b.commands.Load() != 2 || c.commands.Load() != 1 {
+			t.Errorf("the first list's backend got %d, the second's %d", b.commands.Load(), c.commands.Load())
+		}
+	})
 }
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -52,6 +52,7 @@
 	heard    bool   // a line was had since the start
 	line     []byte // a line's beginning, from earlier reads
 	wait     float64
+	again    *loop.Timer // opens it after a loss
 	silentAt float64
 }
 
@@ -69,6 +70,21 @@
 	w.silentAt = p.loop.Now() + silence
 }
 
+// turnTo leaves discovery where it was for another address. Indexes need not mean the same there, so the whole list is
+// asked for; what was told so far holds until it comes.
+func (p *Proxy) turnTo(at netip.AddrPort) {
+	w := &p.watch
+	if at == w.at {
+		return
+	}
+	if w.conn != nil {
+		w.conn.Close()
+	}
+	w.again.Stop()
+	w.at, w.has, w.wait = at, false, 0
+	p.connect()
+}
+
 // lostWatch opens it again after a while.
 func (p *Proxy) lostWatch(err error) {
 	w := &p.watch
@@ -80,7 +96,7 @@
 		log.Printf("msg=watch_lost error=%q", err)
 	}
 	w.wait = min(againLast, max(againFirst, 2*w.wait))
-	p.loop.After(w.wait*(0.5+0.5*p.chance()), p.connect)
+	w.again = p.loop.After(w.wait*(0.5+0.5*p.chance()), p.connect)
 	p.balancer.ListFailed(p.loop.Now())
 }
 
