Hear bad clients within 3 s, judge lines as they come, let no backend pay for a bad command

Connections past the clients' part were scanned at each accept (roomForClient) and usual ones that rested went first (dropRestingClient). Heads were looked at only once their empty line had come (findHead), silence could last 300 s, half a command 6 s.

Now: an id that is open is 409, repeated or hop-named Req- fields, odd time limits and methods of other verbs 400; a backend's 4xx ends its command and says nothing of the backend; lists by state make way in constant time, usual clients last; opening 2 s in all; a bad load report spoils nothing; half an answer ends after 0.5 s; a connection waits 10 ms after an answer, so that a second copy meets nobody; memory bounds grown buffers, not connections; 60 MB are thrown away unread.

--- a/internal/http1/chunks.go
+++ b/internal/http1/chunks.go
@@ -28,32 +28,47 @@
 		}
 		return in[:n], n, false, nil
 	}
-	end := bytes.Index(in, []byte("\r\n"))
-	if end < 0 || end > maxLine {
-		if len(in) > maxLine {
-			return nil, 0, false, fault(400, "a chunk's line is too long")
+	line, whole := in, false
+	if end := bytes.IndexByte(in, '\n'); end >= 0 {
+		line, whole = in[:end+1], true
+	}
+	used = len(line)
+	if used > maxLine {
+		return nil, 0, false, fault(400, "a chunk's line is too long")
+	}
+	if whole && !bytes.HasSuffix(line, []byte("\r\n")) {
+		return nil, 0, false, fault(400, "a line feed alone")
+	}
+	// A line is judged as it comes: after what can't become one that is due, nothing may follow.
+	line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+	for _, b := range line {
+		if b < ' ' && b != '\t' || b == 0x7f {
+			return nil, 0, false, fault(400, "control bytes in a chunk's line")
 		}
-		return nil, 0, false, nil
 	}
-	line := in[:end]
-	switch c.state {
-	case atSize:
+	size := 0
+	switch {
+	case c.state == afterData && len(line) > 0:
+		return nil, 0, false, fault(400, "a chunk is longer than it says")
+	case c.state == atSize && (whole || len(line) > 0):
 		digits, _, _ := bytes.Cut(line, []byte(";"))
-		n, ok := number(bytes.TrimRight(digits, " \t"), 16)
-		if !ok {
+		ok := false
+		if size, ok = number(bytes.TrimRight(digits, " \t"), 16); !ok {
 			return nil, 0, false, fault(400, "malformed chunk size")
 		}
-		c.left, c.state = n, inData
-		if n == 0 {
-			c.state = inTrailer
-		}
-	case afterData:
-		if end != 0 {
-			return nil, 0, false, fault(400, "a chunk is longer than it says")
-		}
+	}
+	if !whole {
+		return nil, 0, false, nil
+	}
+	switch {
+	case c.state == inTrailer:
+		return nil, used, len(line) == 0, nil
+	case c.state == afterData:
 		c.state = atSize
-	case inTrailer:
-		return nil, end + 2, end == 0, nil
+	case size == 0:
+		c.state = inTrailer
+	default:
+		c.left, c.state = size, inData
 	}
-	return nil, end + 2, false, nil
+	return nil, used, false, nil
 }
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -11,6 +11,9 @@
 const (
 	MaxHead = 16 << 10 // bytes of a head; common servers take 8 to 16 KiB
 	MaxBody = 64 << 10 // bytes of a body, by the protocol
+	// Report is the field in which a backend tells its load.
+	Report   = "Srv-Load"
+	nameMost = 64 // bytes in which a line's beginning is judged before it is whole
 	// MaxMessage is what a buffer must hold: chunks come with their own lines.
 	MaxMessage = MaxHead + 2*MaxBody
 )
@@ -39,9 +42,12 @@
 	method  span
 	target  span
 	fields  []field
-	scanned int // bytes known to hold no end of the head
-	head    int // bytes of the head, 0 while it is not whole
-	length  int // of the body, -1 if it goes on to the end of the connection
+	begun   bool // the first line has been read
+	old     bool // HTTP/1.0
+	at      int  // where the line starts that is being read
+	judged  int  // bytes looked at
+	head    int  // bytes of the head, 0 while it is not whole
+	length  int  // of the body, -1 if it goes on to the end of the connection
 	chunked bool
 	chunks  Chunks
 	raw     int // bytes read of the message
@@ -54,6 +60,9 @@
 // Size is how many bytes the whole message took.
 func (m *Message) Size() int { return m.raw }
 
+// Begun tells whether any of the message is there, interim answers apart.
+func (m *Message) Begun(in []byte) bool { return m.begun || len(in) > m.at }
+
 // HeadWhole tells whether the head has been read.
 func (m *Message) HeadWhole() bool { return m.head > 0 }
 
@@ -83,11 +92,11 @@
 
 // hopByHop fields concern one connection or are written anew; they don't go on.
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length"}
+	"TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length", Report}
 
 // AppendFields writes the fields that go on with the message, but for those named.
 func (m *Message) AppendFields(to, in []byte, but ...string) []byte {
-	connection := string(m.Get(in, "Connection"))
+	connection := m.Count(in, "Connection") > 0
 next:
 	for _, f := range m.fields {
 		name := f.name.of(in)
@@ -98,7 +107,7 @@
 				}
 			}
 		}
-		if connection != "" && lists(connection, string(name)) {
+		if connection && m.Named(in, string(name)) {
 			continue
 		}
 		to = append(append(to, name...), ": "...)
@@ -120,34 +129,15 @@
 // Command reads a command from the bytes that begin with it and tells whether it is whole.
 func (m *Message) Command(in []byte) (bool, error) {
 	if m.head == 0 {
-		lines, err := m.findHead(in)
-		if lines == 0 || err != nil {
+		whole, err := m.readHead(in, false)
+		if !whole || err != nil {
 			return false, err
 		}
-		first, at, err := m.line(in, 0, lines)
-		if err != nil {
-			return false, err
-		}
-		one := bytes.IndexByte(first, ' ')
-		two := bytes.LastIndexByte(first, ' ')
-		if one <= 0 || two == one || !token(first[:one]) || bytes.IndexByte(first[one+1:two], ' ') >= 0 {
-			return false, fault(400, "malformed first line")
-		}
-		m.method, m.target = span{0, one}, span{one + 1, two}
-		old, err := version(first[two+1:])
-		if err != nil {
-			return false, err
-		}
-		if err := m.readFields(in, at, lines, old); err != nil {
-			return false, err
-		}
-		if hosts := m.count(in, "Host"); hosts > 1 || hosts == 0 && !old {
+		if hosts := m.Count(in, "Host"); hosts > 1 || hosts == 0 && !m.old {
 			return false, fault(400, "one Host field is needed")
 		}
-		if m.length < 0 {
-			m.length = 0
-		}
-		m.head, m.raw = lines, lines
+		m.length = max(0, m.length)
+		m.head, m.raw = m.at, m.at
 	}
 	return m.readBody(in, false)
 }
@@ -164,122 +154,173 @@
 // over by taking their bytes for part of the head.
 func (m *Message) AnswerHead(in []byte) (bool, error) {
 	for m.head == 0 {
-		start := m.raw
-		end, err := m.findHead(in)
-		if end == 0 || err != nil {
-			return false, err
-		}
-		first, at, err := m.line(in, start, end)
-		if err != nil {
-			return false, err
-		}
-		code, _, _ := bytes.Cut(first[min(len(first), 9):], []byte(" "))
-		if len(first) < 12 || first[8] != ' ' || len(code) != 3 {
-			return false, fault(502, "malformed first line")
-		}
-		old, err := version(first[:8])
-		if err != nil {
+		if whole, err := m.readHead(in, true); !whole || err != nil {
 			return false, err
 		}
-		n, ok := number(code, 10)
-		if !ok || n < 100 {
-			return false, fault(502, "malformed status")
-		}
-		m.fields = m.fields[:0]
-		if err := m.readFields(in, at, end, old); err != nil {
-			return false, err
-		}
-		m.Status, m.raw, m.scanned = n, end, end
-		switch {
+		switch n := m.Status; {
 		case n == 101:
 			return false, fault(502, "switching protocols was not asked for")
 		case n < 200:
+			m.begun, m.fields = false, m.fields[:0]
 			continue
 		case n == 204 || n == 304:
 			m.length, m.chunked = 0, false
 		case m.length < 0 && !m.chunked:
 			m.Keep = false
 		}
-		m.head = end
+		m.head, m.raw = m.at, m.at
 	}
 	return true, nil
 }
 
-// findHead looks for the empty line that ends the head and gives the head's end, or 0.
-func (m *Message) findHead(in []byte) (int, error) {
-	from := max(m.raw, m.scanned-3)
-	at := bytes.Index(in[from:], []byte("\r\n\r\n"))
-	if at < 0 && len(in) < MaxHead {
-		m.scanned = len(in)
-		return 0, nil
-	}
-	if at < 0 || from+at+4 > MaxHead {
-		return 0, fault(431, "the head is too large")
+// readHead judges the head's lines as they come, also the one that is not whole yet: what can't become a head any more
+// is a Fault at once, since nothing may follow. It tells whether the empty line has come.
+func (m *Message) readHead(in []byte, answer bool) (bool, error) {
+	for {
+		from := max(m.at, m.judged)
+		n := bytes.IndexByte(in[from:], '\n')
+		end := from + n + 1
+		if n < 0 {
+			end = len(in)
+		}
+		if end > MaxHead || n < 0 && end == MaxHead {
+			return false, fault(431, "the head is too large")
+		}
+		text := in[m.at:end]
+		if n < 0 {
+			m.judged = max(m.at, end-1) // the last byte is looked at again: a line feed may follow it
+			return false, m.begins(bytes.TrimSuffix(text, []byte("\r")), from-m.at, answer)
+		}
+		if !bytes.HasSuffix(text, []byte("\r\n")) {
+			return false, fault(400, "a line feed alone")
+		}
+		text = text[:len(text)-2]
+		if err := m.begins(text, min(from-m.at, len(text)), answer); err != nil {
+			return false, err
+		}
+		at := m.at
+		m.at, m.judged = end, end
+		var err error
+		switch {
+		case !m.begun && answer:
+			err = m.firstOfAnswer(text)
+		case !m.begun:
+			err = m.firstOfCommand(text, at)
+		case len(text) > 0:
+			err = m.readField(text, at)
+		default:
+			return true, m.framing()
+		}
+		if err != nil {
+			return false, err
+		}
+		m.begun = true
 	}
-	return from + at + 4, nil
 }
 
-// line gives the line at from, and where the next one starts.
-func (m *Message) line(in []byte, from, end int) ([]byte, int, error) {
-	n := bytes.Index(in[from:end], []byte("\r\n"))
-	text := in[from : from+n]
-	for _, b := range text {
+// begins tells what is wrong with a line so far, whose bytes before fresh were looked at before.
+func (m *Message) begins(text []byte, fresh int, answer bool) error {
+	const known = "HTTP/1."
+	mark := byte(':')
+	switch {
+	case !m.begun && answer:
+		if n := min(len(text), len(known)); string(text[:n]) != known[:n] {
+			return fault(502, "malformed first line")
+		}
+		mark = 0
+	case !m.begun:
+		mark = ' '
+	case isReport(text):
+		return nil // what a backend tells of itself must not spoil its answer, and does not go on
+	}
+	for _, b := range text[fresh:] {
 		if b < ' ' && b != '\t' || b == 0x7f {
-			return nil, 0, fault(400, "control bytes in the head")
+			return fault(400, "control bytes in the head")
 		}
 	}
-	return text, from + n + 2, nil
+	if name, _, _ := bytes.Cut(text[:min(len(text), nameMost)], []byte{mark}); mark != 0 && len(name) > 0 && !token(name) {
+		return fault(400, "malformed line")
+	}
+	return nil
+}
+
+// isReport tells a line with a backend's load report.
+func isReport(text []byte) bool {
+	return len(text) > len(Report) && is(text[:len(Report)], Report) && text[len(Report)] == ':'
 }
 
-func version(text []byte) (old bool, err error) {
-	switch string(text) {
-	case "HTTP/1.1":
-		return false, nil
-	case "HTTP/1.0":
-		return true, nil
+func (m *Message) firstOfCommand(text []byte, at int) error {
+	one, two := bytes.IndexByte(text, ' '), bytes.LastIndexByte(text, ' ')
+	if one <= 0 || two == one {
+		return fault(400, "malformed first line")
 	}
-	if bytes.HasPrefix(text, []byte("HTTP/")) {
-		return false, fault(505, "the HTTP version is not supported")
+	for _, b := range text[one+1 : two] {
+		if b <= ' ' || b >= 0x7f {
+			return fault(400, "malformed target")
+		}
 	}
-	return false, fault(400, "malformed first line")
+	m.method, m.target = span{at, at + one}, span{at + one + 1, at + two}
+	return m.version(text[two+1:])
 }
 
-// readFields reads the lines between at and end, and what they say of body and connection.
-func (m *Message) readFields(in []byte, at, end int, old bool) error {
-	m.length, m.chunked, m.Keep = -1, false, !old
-	for at < end-2 {
-		text, next, err := m.line(in, at, end)
-		if err != nil {
-			return err
+func (m *Message) firstOfAnswer(text []byte) error {
+	code, _, _ := bytes.Cut(text[min(len(text), 9):], []byte(" "))
+	if len(text) < 12 || text[8] != ' ' || len(code) != 3 {
+		return fault(502, "malformed first line")
+	}
+	n, ok := number(code, 10)
+	if !ok || n < 100 {
+		return fault(502, "malformed status")
+	}
+	m.Status = n
+	return m.version(text[:8])
+}
+
+func (m *Message) version(text []byte) error {
+	m.old = string(text) == "HTTP/1.0"
+	m.length, m.chunked, m.Keep = -1, false, !m.old
+	switch {
+	case m.old || string(text) == "HTTP/1.1":
+		return nil
+	case bytes.HasPrefix(text, []byte("HTTP/")):
+		return fault(505, "the HTTP version is not supported")
+	}
+	return fault(400, "malformed first line")
+}
+
+// readField reads a field's line, and what it says of body and connection.
+func (m *Message) readField(text []byte, at int) error {
+	colon := bytes.IndexByte(text, ':')
+	if colon <= 0 || !token(text[:colon]) {
+		return fault(400, "malformed field")
+	}
+	value := bytes.Trim(text[colon+1:], " \t")
+	from := at + colon + 1 + len(text[colon+1:]) - len(bytes.TrimLeft(text[colon+1:], " \t"))
+	m.fields = append(m.fields, field{span{at, at + colon}, span{from, from + len(value)}})
+	switch name := text[:colon]; {
+	case is(name, "Content-Length"):
+		n, ok := number(value, 10)
+		if !ok || m.length >= 0 {
+			return fault(400, "malformed or repeated Content-Length")
 		}
-		colon := bytes.IndexByte(text, ':')
-		if colon <= 0 || !token(text[:colon]) {
-			return fault(400, "malformed field")
+		m.length = n
+	case is(name, "Transfer-Encoding"):
+		if m.chunked || m.old || !is(value, "chunked") {
+			return fault(501, "only one transfer coding, chunked, is known")
 		}
-		value := bytes.Trim(text[colon+1:], " \t")
-		from := at + colon + 1 + len(text[colon+1:]) - len(bytes.TrimLeft(text[colon+1:], " \t"))
-		m.fields = append(m.fields, field{span{at, at + colon}, span{from, from + len(value)}})
-		switch name := text[:colon]; {
-		case is(name, "Content-Length"):
-			n, ok := number(value, 10)
-			if !ok || m.length >= 0 && n != m.length {
-				return fault(400, "malformed Content-Length")
-			}
-			m.length = n
-		case is(name, "Transfer-Encoding"):
-			if m.chunked || old || !is(value, "chunked") {
-				return fault(501, "only one transfer coding, chunked, is known")
-			}
-			m.chunked = true
-		case is(name, "Connection"):
-			if lists(string(value), "close") {
-				m.Keep = false
-			} else if old && lists(string(value), "keep-alive") {
-				m.Keep = true
-			}
+		m.chunked = true
+	case is(name, "Connection"):
+		if lists(string(value), "close") {
+			m.Keep = false
+		} else if m.old && lists(string(value), "keep-alive") {
+			m.Keep = true
 		}
-		at = next
 	}
+	return nil
+}
+
+// framing judges what the whole head says of the body.
+func (m *Message) framing() error {
 	if m.chunked && m.length >= 0 {
 		return fault(400, "both Content-Length and Transfer-Encoding")
 	}
@@ -289,7 +330,8 @@
 	return nil
 }
 
-func (m *Message) count(in []byte, name string) (n int) {
+// Count is how many fields have that name.
+func (m *Message) Count(in []byte, name string) (n int) {
 	for _, f := range m.fields {
 		if is(f.name.of(in), name) {
 			n++
@@ -298,6 +340,16 @@
 	return n
 }
 
+// Named tells whether a Connection field says that the named one concerns this connection alone.
+func (m *Message) Named(in []byte, name string) bool {
+	for _, f := range m.fields {
+		if is(f.name.of(in), "Connection") && lists(string(f.value.of(in)), name) {
+			return true
+		}
+	}
+	return false
+}
+
 // readBody tells whether the body is whole. Chunks are moved together in place.
 func (m *Message) readBody(in []byte, ended bool) (bool, error) {
 	switch {
--- a/internal/http1/message_test.go
+++ b/internal/http1/message_test.go
@@ -59,6 +59,10 @@
 	if m.Status != 200 || string(m.Body(in)) != "ok" || n != 65 || !m.Keep {
 		t.Errorf("after an interim answer: %d %q after %d bytes, keep %t", m.Status, m.Body(in), n, m.Keep)
 	}
+	m, in, _ = grow(t, "HTTP/1.1 200 OK\r\nSrv-Load: \x01\xffin;flight\rx\r\nContent-Length: 0\r\n\r\n", read(false))
+	if m.Status != 200 || len(m.AppendFields(nil, in)) != 0 {
+		t.Errorf("a load report that can't be read spoils its answer or goes on: %q", m.AppendFields(nil, in))
+	}
 	m, _, _ = grow(t, "HTTP/1.1 204 \r\n\r\n", read(false))
 	if m.Status != 204 {
 		t.Errorf("no content: %d", m.Status)
@@ -74,7 +78,8 @@
 	for name, text := range map[string]string{
 		"garbage": "SSH-2.0-x\r\n\r\n", "status": "HTTP/1.1 2x0 OK\r\n\r\n", "short": "HTTP/1.1\r\n\r\n",
 		"switch": "HTTP/1.1 101 X\r\n\r\n", "lengths": "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx",
-		"chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nxx\r\n",
+		"chunk":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nxx\r\n",
+		"no line's end": "\xb9=\x17", "half a line": "HTTP/2", "half a field": "HTTP/1.1 200 OK\r\nno colon \xff",
 	} {
 		var m Message
 		if whole, err := m.Answer([]byte(text), false); whole || err == nil {
@@ -107,8 +112,16 @@
 		"large chunk":           {good + "Transfer-Encoding: chunked\r\n\r\n10001\r\n" + strings.Repeat("b", MaxBody+1), 413},
 		"bad chunk size":        {good + "Transfer-Encoding: chunked\r\n\r\n-1\r\n", 400},
 		"chunk past its length": {good + "Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", 400},
-		"large head":            {"GET / HTTP/1.1\r\nHost: a\r\nX: " + long + "\r\n\r\n", 431},
-		"endless head":          {"GET /" + long, 431},
+		"two equal lengths":     {good + "Content-Length: 3\r\nContent-Length: 3\r\n\r\n", 400},
+		"line feed in a chunk":  {good + "Transfer-Encoding: chunked\r\n\r\n1;a\nb\r\n", 400},
+		"target of odd bytes":   {"GET /\xff HTTP/1.1\r\nHost: a\r\n\r\n", 400},
+		// Nothing need follow for these to be told.
+		"noise":             {"\x16\x03\x01", 400},
+		"half a field":      {"GET / HTTP/1.1\r\nno such name", 400},
+		"half a chunk size": {good + "Transfer-Encoding: chunked\r\n\r\nzz", 400},
+		"half a chunk":      {good + "Transfer-Encoding: chunked\r\n\r\n1\r\nab", 400},
+		"large head":        {"GET / HTTP/1.1\r\nHost: a\r\nX: " + long + "\r\n\r\n", 431},
+		"endless head":      {"GET /" + long, 431},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var m Message
@@ -121,6 +134,33 @@
 	}
 }
 
+// FuzzMessage holds the parser to its word: what it takes for whole lies within the bytes, and however the bytes come, the
+// end is the same.
+func FuzzMessage(f *testing.F) {
+	f.Add([]byte(good+"Content-Length: 5\r\n\r\nhello"), 7)
+	f.Add([]byte("HTTP/1.1 100 C\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"), 30)
+	f.Fuzz(func(t *testing.T, text []byte, cut int) {
+		for _, read := range []func(*Message, []byte) (bool, error){
+			(*Message).Command, func(m *Message, in []byte) (bool, error) { return m.Answer(in, false) },
+		} {
+			var one, two Message
+			pieces := append([]byte{}, text...) // chunks are moved together in place
+			first, bad := read(&two, pieces[:min(len(text), max(0, cut))])
+			whole, err := read(&one, append([]byte{}, text...))
+			if bad != nil && err == nil || first && !whole {
+				t.Fatalf("a beginning is judged %t %v, all of it %t %v", first, bad, whole, err)
+			}
+			if first || bad != nil {
+				continue
+			}
+			again, bad := read(&two, pieces)
+			if again != whole || (bad == nil) != (err == nil) || whole && (one.Size() != two.Size() || one.Size() > len(text)) {
+				t.Fatalf("in pieces %t %v %d, at once %t %v %d", again, bad, two.Size(), whole, err, one.Size())
+			}
+		}
+	})
+}
+
 func TestNothingPanics(t *testing.T) {
 	seeds := []string{good + "Content-Length: 5\r\n\r\nhello", good + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
 		"HTTP/1.1 100 C\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -29,18 +29,20 @@
 
 // Conn is one TCP connection.
 type Conn struct {
-	loop    *Loop
-	fd      int // -1 once closed
-	handler Handler
-	most    int // bytes that In may hold
-	buffer  []byte
-	from    int // unread bytes start here
-	to      int
-	out     []byte
-	mask    uint32
-	dialing bool
-	paused  bool
-	down    bool // Down was called or is to be
+	loop     *Loop
+	fd       int // -1 once closed
+	handler  Handler
+	most     int // bytes that In may hold
+	buffer   []byte
+	from     int // unread bytes start here
+	to       int
+	out      []byte
+	mask     uint32
+	dialing  bool
+	paused   bool
+	down     bool // Down was called or is to be
+	accepted bool
+	drains   int // bytes that may still be thrown away, once Drain was called
 }
 
 func (l *Loop) newConn(fd int, h Handler, most int, mask uint32) (*Conn, error) {
@@ -96,9 +98,33 @@
 	if len(c.buffer) == bufferFirst && len(c.loop.spare) < sparesKept {
 		c.loop.spare = append(c.loop.spare, c.buffer)
 	}
+	c.loop.grown -= max(0, len(c.buffer)-bufferFirst)
 	c.buffer = nil
 }
 
+// Full tells that nothing more can be read before something is consumed.
+func (c *Conn) Full() bool { return c.from == 0 && c.to == len(c.buffer) && c.to > 0 && c.next() == 0 }
+
+// next is the size that the buffer may have instead of its own, 0 if none: its owner and all buffers have a bound.
+func (c *Conn) next() int {
+	size := max(bufferFirst, min(c.most, 2*len(c.buffer)))
+	all := c.loop.Most
+	if c.accepted {
+		all /= 2 // what comes in must not keep out the answers to what has
+	}
+	if size <= len(c.buffer) || size > bufferFirst && c.loop.grown+size-max(bufferFirst, len(c.buffer)) > all {
+		return 0
+	}
+	return size
+}
+
+// Drain throws away what is there and up to so many bytes of what comes; what is past that is left with the kernel.
+func (c *Conn) Drain(most int) {
+	c.drains = most
+	c.Consume(c.to - c.from)
+	c.Resume()
+}
+
 // Unsent tells whether some of what was to be written has not reached the kernel.
 func (c *Conn) Unsent() bool { return len(c.out) > 0 }
 
@@ -232,6 +258,15 @@
 }
 
 func (c *Conn) read() {
+	if c.drains > 0 {
+		n, _, err := unix.Recvfrom(c.fd, c.loop.sink, unix.MSG_TRUNC|unix.MSG_DONTWAIT)
+		if c.drains -= max(n, 0); c.drains <= 0 {
+			c.Pause()
+		} else if n <= 0 && err != unix.EAGAIN && err != unix.EINTR {
+			c.end(io.EOF)
+		}
+		return
+	}
 	if !c.room() {
 		c.end(ErrTooMuch)
 		return
@@ -263,13 +298,16 @@
 		last := len(c.loop.spare) - 1
 		c.buffer = c.loop.spare[last]
 		c.loop.spare = c.loop.spare[:last]
-	case c.from > 0 && held <= len(c.buffer)/2:
+	case c.from > 0 && (held <= len(c.buffer)/2 || c.next() == 0):
 		copy(c.buffer, c.In())
-	case held >= c.most:
-		return false
 	default:
-		bigger := make([]byte, max(bufferFirst, min(c.most, 2*len(c.buffer))))
+		size := c.next()
+		if size == 0 {
+			return false
+		}
+		bigger := make([]byte, size)
 		copy(bigger, c.In())
+		c.loop.grown += size - max(bufferFirst, len(c.buffer))
 		c.buffer = bigger
 	}
 	c.from, c.to = 0, held
--- a/internal/loop/listener.go
+++ b/internal/loop/listener.go
@@ -87,6 +87,7 @@
 			return true // EAGAIN: nothing waits
 		}
 		if c, err := s.loop.newConn(fd, nil, s.most, reading); err == nil {
+			c.accepted = true
 			c.handler = s.accept(c)
 		}
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	eventsATurn = 128  // events taken at once: timers and posted work get their turn in between
-	longestWait = 60.0 // seconds of one wait in the kernel
+	eventsATurn = 128       // events taken at once: timers and posted work get their turn in between
+	longestWait = 60.0      // seconds of one wait in the kernel
+	sinkSize    = 256 << 10 // bytes thrown away at once
 )
 
 // source is what a descriptor belongs to.
@@ -37,6 +38,9 @@
 	posted      []func()
 	running     []func() // those of the turn before, kept for its space
 	spare       [][]byte // read buffers at rest
+	Most        int      // bytes that read buffers may hold beyond their first size; accepted connections get half
+	grown       int      // bytes that they do hold
+	sink        []byte   // where bytes go that nobody wants; the kernel writes none, so it takes no memory
 	stopped     bool
 }
 
@@ -53,7 +57,8 @@
 		return nil, fmt.Errorf("eventfd: %w", err)
 	}
 	started := time.Now()
-	l := &Loop{epoll: epoll, bell: bell, started: started, base: float64(started.UnixNano()) / 1e9}
+	l := &Loop{epoll: epoll, bell: bell, started: started, base: float64(started.UnixNano()) / 1e9,
+		Most: math.MaxInt, sink: make([]byte, sinkSize)}
 	l.turn = l.base
 	if err := l.add(bell, bellSource{l}, unix.EPOLLIN); err != nil {
 		return nil, err
--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -9,6 +9,7 @@
 	"io"
 	"log"
 	"net/netip"
+	"slices"
 	"strconv"
 
 	"golang.org/x/sys/unix"
@@ -18,7 +19,11 @@
 	"sandpass/internal/loop"
 )
 
-const idlePart = 0.7 // of the idle time in the settings, after which a connection is dropped: well before the backend
+const (
+	idlePart = 0.7  // of the idle time in the settings, after which a connection is dropped: well before the backend
+	aired    = 0.01 // seconds after an answer before its connection carries more: what follows on it would pass for the next
+	gasp     = 0.5  // seconds from an answer's first byte to its last: it is written at once, or is spoilt
+)
 
 type backends struct {
 	byName map[string]*target
@@ -69,6 +74,7 @@
 	msg   http1.Message
 	relay *relay // under way, nil while idle
 	up    bool
+	begun bool    // an answer has begun and is not whole
 	since float64 // when it became idle
 	timer *loop.Timer
 }
@@ -76,6 +82,7 @@
 // command is one that a client is owed an answer for, or whose relays have not all ended.
 type command struct {
 	id      uint64
+	name    string  // its Req-Id
 	from    *client // nil once it has had its answer or its client is gone
 	expires float64
 	timer   *loop.Timer
@@ -97,13 +104,16 @@
 // start sends a relay on an idle connection or a new one.
 func (p *Proxy) start(r *relay) {
 	t := r.to
-	for len(t.idle) > 0 {
-		l := t.idle[len(t.idle)-1]
+	for i := len(t.idle) - 1; i >= 0; i-- {
+		l := t.idle[i]
 		if p.stale(l) || !l.conn.Quiet() {
 			l.close()
 			continue
 		}
-		t.idle = t.idle[:len(t.idle)-1]
+		if p.loop.Now()-l.since < aired {
+			continue
+		}
+		t.idle = slices.Delete(t.idle, i, i+1)
 		l.relay, r.link = r, l
 		l.send()
 		return
@@ -141,11 +151,8 @@
 	l.to.links--
 	defer l.p.backends.forget(l.to)
 	l.timer.Stop()
-	for i, x := range l.to.idle {
-		if x == l {
-			l.to.idle = append(l.to.idle[:i], l.to.idle[i+1:]...)
-			break
-		}
+	if i := slices.Index(l.to.idle, l); i >= 0 {
+		l.to.idle = slices.Delete(l.to.idle, i, i+1)
 	}
 	l.conn.Close()
 }
@@ -236,11 +243,17 @@
 	}
 	whole, err := l.msg.Answer(l.conn.In(), false)
 	switch {
-	case err != nil:
+	case err != nil || !whole && l.conn.Full():
 		l.p.bad++
 		l.ended(l.broken())
 	case whole:
 		l.answer(l.msg.Keep)
+	case !l.begun && l.msg.Begun(l.conn.In()):
+		l.begun = true
+		l.timer = l.p.loop.After(gasp, func() {
+			l.p.bad++
+			l.ended(l.broken())
+		})
 	}
 }
 
@@ -282,7 +295,16 @@
 	r := l.relay
 	in := l.conn.In()
 	result := balance.Errored
-	switch l.msg.Status {
+	l.timer.Stop()
+	l.begun = false
+	switch status := l.msg.Status; status {
+	case 429, 408: // about the moment, not the command
+	default:
+		if status >= 400 && status < 500 {
+			// The command is at fault, anywhere: it ends here, and that says nothing of the backend.
+			result = balance.Moot
+			l.p.give(r.cmd, status, 0, nil)
+		}
 	case 200:
 		result = balance.Answered
 		if !r.cmd.done {
@@ -353,5 +375,8 @@
 	if cmd.done && cmd.out == 0 {
 		cmd.timer.Stop()
 		delete(p.commands, cmd.id)
+		if p.ids[cmd.name] == cmd {
+			delete(p.ids, cmd.name)
+		}
 	}
 }
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"container/list"
 	"errors"
+	"math"
 	"strconv"
 	"strings"
 
@@ -14,17 +15,36 @@
 )
 
 const (
-	slowest  = 6.0   // seconds for a whole command from its first byte, or to take an answer
-	resting  = 300.0 // seconds that a client's connection may rest: those of a vanished machine end some time
-	patience = 0.5   // seconds that a connection has to send, before it makes way where there is no room
-	linger   = 1.0   // seconds for the other side to read the last answer and close
+	opening   = 2.0      // seconds from connecting to a whole first command: within 3 all must hear or be closed
+	slowest   = 2.0      // seconds for any later command, from its first byte
+	unread    = 0.4      // seconds more for one of which something waits to be read
+	untaken   = 6.0      // seconds for an answer to be taken
+	resting   = 30.0     // seconds that a connection may rest between commands; opening another costs little
+	patience  = 0.1      // seconds that a connection has to send or to close, before it makes way where there is no room
+	linger    = 1.0      // seconds for the other side to read the last answer and close
+	drained   = 64 << 20 // bytes of a body too large that are thrown away meanwhile, so that the answer is not reset
+	looked    = 8        // connections looked at in each state for one to make way
+	longestID = 128      // bytes of a Req-Id
+	waitMost  = 86400.0  // seconds: no client waits longer
+)
+
+// state is what goes on on a client's connection. Each state has a list, in the order of entering it.
+type state int
+
+const (
+	closing state = iota // the last answer is written
+	silent               // nothing has come yet
+	sending              // a command has begun
+	rested               // between commands
+	busy                 // a command is read and not answered, or its answer has not left
+	stateCount
 )
 
 type clients struct {
-	all        map[*client]struct{}
-	owed       int       // connections that are owed an answer
-	part, most int       // of these there may be so many, and open so many
-	resting    list.List // those between commands, longest first
+	in         [stateCount]list.List
+	count      int
+	owed       int // connections that are owed an answer
+	part, most int // of these there may be so many, and open so many
 }
 
 // client is one connection of a client.
@@ -32,44 +52,58 @@
 	p       *Proxy
 	conn    *loop.Conn
 	msg     http1.Message
-	cmd     *command      // read and not answered
-	since   float64       // when it began to rest, to send a command, or to close
-	rests   *list.Element // its place among those that rest
+	cmd     *command // read and not answered
+	state   state
+	place   *list.Element // in the state's list
+	since   float64       // when it entered the state; when it connected, until its first command is whole
 	invited bool          // was told to send the body
-	used    bool          // has had an answer
-	closing bool          // the last answer is written
+	used    bool          // has had a whole command
 	gone    bool          // closed
 }
 
-// roomForClient tells whether one more connection may be taken from the backlog. When all are in use one makes way
-// that has had its last answer, or that has been long about sending a command.
-func (p *Proxy) roomForClient() bool {
-	if len(p.clients.all) < p.clients.most {
-		return true
-	}
-	var found *client
-	now := p.loop.Now()
-	for c := range p.clients.all {
-		if c.cmd == nil && (c.closing || now-c.since > patience) && (found == nil || c.closing && !found.closing ||
-			c.closing == found.closing && c.since < found.since) && c.idle() {
-			found = c
-		}
+// enter is the one place where a connection's state changes.
+func (c *client) enter(s state) {
+	all := &c.p.clients
+	if c.place != nil {
+		all.in[c.state].Remove(c.place)
 	}
-	if found != nil {
-		found.close()
+	if c.state = s; s != sending || c.used {
+		c.since = c.p.loop.Now() // a trickle before the first command renews nothing
+	}
+	c.place = all.in[s].PushBack(c)
+}
+
+// roomForClient tells whether one more connection may be taken from the backlog.
+func (p *Proxy) roomForClient() bool { return p.clients.count < p.clients.most || p.makeWay() }
+
+// makeWay closes a connection in favour of one with something to say: one that has had its last answer, one that says
+// nothing or is long about it, and the one that has rested longest only where there is none of these, which would soon be
+// due. The usual clients are so the last to go.
+func (p *Proxy) makeWay() bool {
+	now, others := p.loop.Now(), 0
+	for s := closing; s <= rested && (s < rested || others == 0); s++ {
+		others += p.clients.in[s].Len()
+		e := p.clients.in[s].Front()
+		for i := 0; e != nil && i < looked; i, e = i+1, e.Next() {
+			c := e.Value.(*client)
+			if (s == rested || now-c.since > patience) && !c.conn.Unsent() && (s == closing || c.conn.Quiet()) {
+				c.close()
+				return true
+			}
+		}
 	}
-	return found != nil
+	return false
 }
 
-// accept takes a connection. Past the clients' part it takes the place of one that rests; what is left past it stays
-// free of commands, so that there is always room for one more to be declined.
+// accept takes a connection. Past the clients' part it takes the place of another where one can go; what is left past
+// it stays free of commands, so that there is always room for one more to be declined.
 func (p *Proxy) accept(conn *loop.Conn) loop.Handler {
-	c := &client{p: p, conn: conn}
-	p.clients.all[c] = struct{}{}
-	c.rest()
-	if len(p.clients.all) > p.clients.part {
-		p.dropRestingClient()
+	if p.clients.count >= p.clients.part {
+		p.makeWay()
 	}
+	c := &client{p: p, conn: conn}
+	p.clients.count++
+	c.enter(silent)
 	return c
 }
 
@@ -77,47 +111,21 @@
 // lose a command that counts as taken.
 func (c *client) idle() bool { return c.cmd == nil && !c.conn.Unsent() && c.conn.Quiet() }
 
-// dropRestingClient closes the connection that has rested longest, in favour of one with something to say. One that
-// has just been opened is about to say something.
-func (p *Proxy) dropRestingClient() {
-	now := p.loop.Now()
-	for e := p.clients.resting.Front(); e != nil; e = e.Next() {
-		if c := e.Value.(*client); (c.used || now-c.since > patience) && c.idle() {
-			c.close()
-			return
-		}
-	}
-}
-
-// rest puts the connection among those between commands.
-func (c *client) rest() {
-	c.since = c.p.loop.Now()
-	c.rests = c.p.clients.resting.PushBack(c)
-}
-
-func (c *client) wake() {
-	if c.rests != nil {
-		c.p.clients.resting.Remove(c.rests)
-		c.rests = nil
-		c.since = c.p.loop.Now()
-	}
-}
-
 // close is the one place where a client's connection is given back.
 func (c *client) close() {
 	if c.gone {
 		return
 	}
 	c.gone = true
-	c.wake()
+	c.p.clients.in[c.state].Remove(c.place)
+	c.p.clients.count--
 	c.conn.Close()
-	delete(c.p.clients.all, c)
 }
 
 func (c *client) Up(*loop.Conn) {}
 
 func (c *client) Flushed(*loop.Conn) {
-	if c.closing {
+	if c.state == closing {
 		c.conn.EndWriting()
 	} else {
 		c.proceed()
@@ -141,11 +149,9 @@
 }
 
 func (c *client) Data(*loop.Conn) {
-	if c.closing {
-		c.conn.Consume(len(c.conn.In())) // what comes after the last answer is drained
-		return
+	if c.state != closing {
+		c.next()
 	}
-	c.next()
 }
 
 // next reads the command at hand, if it is whole.
@@ -158,7 +164,9 @@
 	if len(in) == 0 {
 		return
 	}
-	c.wake()
+	if c.state != sending {
+		c.enter(sending)
+	}
 	whole, err := c.msg.Command(in)
 	var f *http1.Fault
 	switch {
@@ -166,8 +174,11 @@
 		c.bad(f.Status, f.Text)
 	case whole:
 		c.command(in)
-	case len(in) >= http1.MaxMessage:
+	case c.conn.Full() && len(in) >= http1.MaxMessage:
 		c.bad(413, "the command is too large")
+	case c.conn.Full():
+		c.p.noRoom++
+		c.reply(503, "no memory for more commands\n", false) // never relayed, so harmless to repeat
 	case c.msg.HeadWhole() && !c.invited && len(in) == c.msg.HeadSize() &&
 		strings.EqualFold(string(c.msg.Get(in, "Expect")), "100-continue"):
 		c.invited = true
@@ -175,27 +186,45 @@
 	}
 }
 
+// own are the fields that say what a command is: none may come twice, or be meant for this connection alone.
+var own = []string{"Req-Id", "Req-Kind", "Req-Owner", "Req-Deadline", "Req-Retry", "Req-Extra", "Idempotency-Key"}
+
 // understand reads what the Balancer needs out of a whole command; a fault says why it is none. Verbs differ in what
-// may be repeated, so field and path must name the same one.
+// may be repeated, so field, path and method must say the same.
 func (c *client) understand(in, path []byte) (verb, customer int, wait float64, f *http1.Fault) {
 	p := c.p
+	no := func(status int, text string) (int, int, float64, *http1.Fault) {
+		return 0, 0, 0, &http1.Fault{Status: status, Text: text}
+	}
+	for _, name := range own {
+		if c.msg.Count(in, name) > 1 || c.msg.Named(in, name) {
+			return no(400, "a field that says what the command is comes twice or is named in Connection")
+		}
+	}
 	kind, _, _ := bytes.Cut(path[1:], []byte("/"))
 	verb, known := p.verbs[string(kind)]
 	if said := c.msg.Get(in, "Req-Kind"); !known || said != nil && !bytes.Equal(said, kind) {
-		return 0, 0, 0, &http1.Fault{Status: 404, Text: "the verb is unknown, or not the same in path and Req-Kind"}
+		return no(404, "the verb is unknown, or not the same in path and Req-Kind")
 	}
 	v := &p.names.Verbs[verb]
-	if len(c.msg.Get(in, "Req-Id")) == 0 {
-		return 0, 0, 0, &http1.Fault{Status: 400, Text: "a Req-Id is needed"}
+	if get := string(c.msg.Method(in)) == "GET"; get != v.Pure || get && len(c.msg.Body(in)) > 0 {
+		return no(400, "a GET without a body is for verbs that may be repeated, a POST for the others")
+	}
+	id := c.msg.Get(in, "Req-Id")
+	if len(id) == 0 || len(id) > longestID {
+		return no(400, "a Req-Id is needed")
+	}
+	if p.ids[string(id)] != nil {
+		return no(409, "a command with this Req-Id is open")
 	}
 	if v.Receipted && len(c.msg.Get(in, "Idempotency-Key")) == 0 {
-		return 0, 0, 0, &http1.Fault{Status: 400, Text: "this verb needs an Idempotency-Key"}
+		return no(400, "this verb needs an Idempotency-Key")
 	}
 	wait = v.TimeLimit
 	if text := c.msg.Get(in, "Req-Deadline"); text != nil {
 		w, err := strconv.ParseFloat(string(text), 64)
-		if err != nil || !(w >= 0) {
-			return 0, 0, 0, &http1.Fault{Status: 400, Text: "malformed Req-Deadline"}
+		if err != nil || len(bytes.Trim(text, "0123456789.")) > 0 || w > waitMost {
+			return no(400, "malformed Req-Deadline")
 		}
 		wait = min(w, wait)
 	}
@@ -238,8 +267,10 @@
 	}
 	c.conn.Pause() // the command stays where it is until it has its answer
 	p.lastID++
-	cmd := &command{id: p.lastID, from: c, expires: p.loop.Turn() + wait}
-	c.cmd = cmd
+	cmd := &command{id: p.lastID, name: string(c.msg.Get(in, "Req-Id")), from: c, expires: p.loop.Turn() + wait}
+	c.cmd, c.used = cmd, true
+	c.enter(busy)
+	p.ids[cmd.name] = cmd
 	p.clients.owed++
 	p.commands[cmd.id] = cmd
 	cmd.timer = p.loop.After(cmd.expires-p.loop.Now(), func() { p.timeOut(cmd) })
@@ -247,7 +278,7 @@
 }
 
 var phrases = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-	408: "Request Timeout", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large",
 	501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable", 505: "HTTP Version Not Supported"}
 
 // head begins an answer in the scratch space.
@@ -276,7 +307,6 @@
 // bad answers what can't be understood and closes.
 func (c *client) bad(status int, text string) {
 	c.p.bad++
-	c.wake()
 	c.reply(status, text+"\n", false)
 }
 
@@ -285,17 +315,17 @@
 	if c.cmd != nil {
 		c.p.clients.owed--
 	}
-	c.cmd, c.used = nil, true
-	c.since = c.p.loop.Now()
+	c.cmd = nil
 	if keep {
+		c.used = true
+		c.enter(busy)
 		c.conn.Consume(c.msg.Size())
 		c.msg.Reset()
 		c.invited = false
 		c.p.loop.Post(c.proceed)
 		return
 	}
-	c.closing = true
-	c.wake()
+	c.enter(closing)
 	c.p.loop.Post(func() {
 		if c.gone {
 			return
@@ -303,8 +333,7 @@
 		if !c.conn.Unsent() {
 			c.conn.EndWriting()
 		}
-		c.conn.Consume(len(c.conn.In()))
-		c.conn.Resume()
+		c.conn.Drain(drained)
 	})
 	c.lingerOn()
 }
@@ -312,14 +341,13 @@
 // proceed goes on to the next command once the answer to the last has left: a client that sends and does not read
 // must not have its answers pile up here.
 func (c *client) proceed() {
-	if c.gone || c.closing || c.cmd != nil || c.conn.Unsent() {
+	if c.gone || c.state != busy || c.cmd != nil || c.conn.Unsent() {
 		return
 	}
+	c.enter(rested)
 	c.conn.Resume()
 	if len(c.conn.In()) > 0 {
 		c.next()
-	} else if c.rests == nil {
-		c.rest()
 	}
 }
 
@@ -327,7 +355,7 @@
 // unread would reset the connection under the answer.
 func (c *client) lingerOn() {
 	c.p.loop.After(linger, func() {
-		if !c.gone && c.conn.Unsent() && c.p.loop.Now()-c.since < slowest {
+		if !c.gone && c.conn.Unsent() && c.p.loop.Now()-c.since < untaken {
 			c.lingerOn()
 			return
 		}
@@ -347,7 +375,7 @@
 	if from != nil {
 		in := from.conn.In()
 		body = from.msg.Body(in)
-		p.scratch = from.msg.AppendFields(p.head(status, len(body), keep), in, "Srv-Load")
+		p.scratch = from.msg.AppendFields(p.head(status, len(body), keep), in)
 	} else {
 		p.scratch = p.head(status, 0, keep)
 		if comeBack > 0 {
@@ -360,30 +388,42 @@
 	c.answered(keep)
 }
 
-// sweepClients ends connections that have stood too long in one state; a command out is timed on its own.
+// sweepClients ends connections that have stood too long in one state; a command out is timed on its own. One of which
+// something waits to be read gets a little longer: it may be a whole command.
 func (p *Proxy) sweepClients(now float64) {
-	for c := range p.clients.all {
-		switch stood := now - c.since; {
-		case c.cmd != nil || c.closing: // timed on their own
-		case c.conn.Unsent():
-			if stood > slowest {
-				c.close() // the answer is not taken
+	for s, most := range [stateCount]float64{closing: math.Inf(1), silent: opening, sending: slowest, rested: resting,
+		busy: untaken} {
+		for e := p.clients.in[s].Front(); e != nil; {
+			c := e.Value.(*client)
+			e = e.Next()
+			if stood := now - c.since; stood < most || c.cmd != nil || state(s) != busy && stood < most+unread && !c.conn.Quiet() {
+				continue
 			}
-		case c.rests != nil:
-			if stood > resting && c.idle() {
+			if state(s) == sending {
+				c.bad(408, "the command did not come in time")
+			} else {
 				c.close()
 			}
-		case stood > slowest:
-			c.bad(408, "the command did not come in time")
+		}
+	}
+}
+
+// each calls f for every connection; f may close it.
+func (s *clients) each(f func(*client)) {
+	for i := range s.in {
+		for e := s.in[i].Front(); e != nil; {
+			c := e.Value.(*client)
+			e = e.Next()
+			f(c)
 		}
 	}
 }
 
 // closeResting ends the connections on which nothing is under way, for the planned end.
 func (p *Proxy) closeResting() {
-	for c := range p.clients.all {
-		if c.rests != nil && c.idle() {
+	p.clients.each(func(c *client) {
+		if (c.state == silent || c.state == rested) && c.idle() {
 			c.close()
 		}
-	}
+	})
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -23,15 +23,15 @@
 
 const (
 	ownDescriptors = 16   // standard ones, loop, listener, signals, discovery, Go's own, and some to spare
-	sweepEvery     = 0.5  // seconds between looks at what has stood too long
+	sweepEvery     = 0.25 // seconds between looks at what has stood too long
 	summaryEvery   = 10.0 // seconds between lines in the log
 	freshFor       = 0.5  // seconds that discovery has to say what is new before the known list will do
 	drainFor       = 0.6  // seconds after SIGTERM in which connections still come
 	drainMost      = 3.4  // seconds after SIGTERM by which the last answer is out: the kill may follow at 3.7
 	soon           = 0.02 // seconds between looks at whether the end has come
 	lastWords      = 0.2  // seconds after that for the last answers to leave
-	bufferPart     = 0.5  // of the memory that read buffers may fill at worst
-	spareShare     = 8    // one in so many descriptors is for clients past their part, who are declined
+	bufferPart     = 0.25 // of the memory that grown read buffers may fill: as much again waits for the collector
+	spareShare     = 6    // one in so many descriptors is for clients past their part: silent ones, and who is declined
 )
 
 // Launch is what a proxy is told at its start, in the operators' words.
@@ -72,6 +72,7 @@
 	watch    watch
 
 	commands map[uint64]*command
+	ids      map[string]*command // the same by their Req-Id
 	lastID   uint64
 	scratch  []byte // heads are put together here
 	ending   bool
@@ -100,6 +101,9 @@
 	if p.loop, err = loop.New(); err != nil {
 		return nil, err
 	}
+	if l.Limits.MemoryMB > 0 {
+		p.loop.Most = int(bufferPart * float64(l.Limits.MemoryMB) * (1 << 20))
+	}
 	if p.balancer, _, err = settings.Balancer(p, p.seed, p.loop.Now(), l.Settings); err != nil {
 		return nil, err
 	}
@@ -129,7 +133,7 @@
 
 // prepare decodes everything that a start can fail on but the sockets.
 func prepare(l *Launch) (p *Proxy, known *roster, err error) {
-	p = &Proxy{commands: map[uint64]*command{}, verbs: map[string]int{}, customers: map[string]int{}}
+	p = &Proxy{commands: map[uint64]*command{}, ids: map[string]*command{}, verbs: map[string]int{}, customers: map[string]int{}}
 	p.memory[0].Name = "/memory/classes/total:bytes"
 	if len(l.Settings) == 0 {
 		return nil, nil, errors.New("settings: is missing")
@@ -158,20 +162,16 @@
 			return nil, nil, fmt.Errorf("known: %w", err)
 		}
 	}
-	p.share(l.Limits.Sockets, l.Limits.MemoryMB)
-	p.clients.all = map[*client]struct{}{}
+	p.share(l.Limits.Sockets)
 	p.backends.links = map[*link]struct{}{}
 	p.backends.byName, p.backends.byID = map[string]*target{}, map[balance.BackendID]*target{}
 	return p, known, nil
 }
 
-// share parts the descriptors, as far as the memory holds their buffers: one in spareShare for clients who can only
-// be declined, the rest half and half for clients and backends. Each side reclaims its own idle ones first.
-func (p *Proxy) share(sockets, memoryMB int) {
+// share parts the descriptors: one in spareShare for clients past their part, the rest half and half for clients and
+// backends. Each side reclaims its own idle ones first.
+func (p *Proxy) share(sockets int) {
 	all := sockets - ownDescriptors
-	if memoryMB > 0 {
-		all = max(ownDescriptors, min(all, int(bufferPart*float64(memoryMB)*(1<<20)/http1.MaxMessage)))
-	}
 	spare := max(1, all/spareShare)
 	p.backends.most = max(1, (all-spare)/2)
 	p.clients.part = max(1, all-spare-p.backends.most)
@@ -239,7 +239,7 @@
 func (p *Proxy) end() {
 	p.ending = true
 	p.endBy = p.loop.Now() + drainMost
-	log.Printf("msg=ending open=%d clients=%d", len(p.commands), len(p.clients.all))
+	log.Printf("msg=ending open=%d clients=%d", len(p.commands), p.clients.count)
 	p.loop.After(drainFor, p.closeDoor)
 	p.loop.After(drainMost, func() {
 		p.terminateAll()
@@ -260,7 +260,7 @@
 // finish stops the loop once nothing is owed and the last answers have left.
 func (p *Proxy) finish() {
 	late := p.loop.Now() >= p.endBy+lastWords
-	if len(p.clients.all) == 0 || late {
+	if p.clients.count == 0 || late {
 		p.loop.Stop()
 		return
 	}
@@ -276,10 +276,10 @@
 
 // starved gives up what is idle when the system has no descriptor left.
 func (p *Proxy) starved() {
-	log.Printf("msg=no_descriptor clients=%d links=%d", len(p.clients.all), len(p.backends.links))
+	log.Printf("msg=no_descriptor clients=%d links=%d", p.clients.count, len(p.backends.links))
 	for range 8 {
 		p.dropIdleLink()
-		p.dropRestingClient()
+		p.makeWay()
 	}
 }
 
@@ -287,7 +287,7 @@
 	metrics.Read(p.memory[:])
 	log.Printf("msg=summary came=%d answered=%d declined=%d no_room=%d terminated=%d departed=%d bad=%d relays=%d open=%d "+
 		"clients=%d links=%d backends=%d memory_mb=%d", p.came, p.answered, p.declined, p.noRoom, p.terminated, p.departed,
-		p.bad, p.relays, len(p.commands), len(p.clients.all), len(p.backends.links), p.backends.usable,
+		p.bad, p.relays, len(p.commands), p.clients.count, len(p.backends.links), p.backends.usable,
 		p.memory[0].Value.Uint64()>>20)
 	p.came, p.answered, p.declined, p.noRoom, p.terminated, p.departed, p.bad, p.relays = 0, 0, 0, 0, 0, 0, 0, 0
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -135,6 +135,7 @@
 	Name      string
 	TimeLimit float64 // seconds
 	Receipted bool    // a command carries a mark by which a repeat is known
+	Pure      bool    // may be repeated
 }
 
 // Names are what the settings call things; the module knows these by their places.
@@ -176,7 +177,8 @@
 		return names, links, fmt.Errorf("settings: %s is missing", m)
 	}
 	for _, v := range l.Verbs {
-		names.Verbs = append(names.Verbs, Verb{*v.Name, *v.Limit / 1000, effects[*v.Effect] == balance.Receipted})
+		names.Verbs = append(names.Verbs, Verb{*v.Name, *v.Limit / 1000,
+			effects[*v.Effect] == balance.Receipted, effects[*v.Effect] == balance.Pure})
 	}
 	for _, r := range l.Realms {
 		names.Customers = append(names.Customers, *r.Name)
