Serve open connections until 1.4 s after SIGTERM: the other proxies may be away as well

The logs show one front proxy away from 13.6 to 18.0 s and the other told to end at 16.6 s; neither lost a command, the clients had nobody to ask. closeDoor closed resting connections at 0.6 s, and every answer after SIGTERM said Connection: close (clients.go, reply and give), while clients go on using what stays open.

The story of the planned end asks once more after the door is shut.

--- a/internal/loop/listener.go
+++ b/internal/loop/listener.go
@@ -104,6 +104,9 @@
 	})
 }
 
+// Closed tells that Close has done its work.
+func (s *Listener) Closed() bool { return s.fd < 0 }
+
 // Close takes what still waits in the backlog and closes the socket; it tells whether there was room for all of that,
 // and is to be called again where not.
 func (s *Listener) Close() bool {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -27,6 +27,7 @@
 	summaryEvery   = 10.0 // seconds between lines in the log
 	freshFor       = 0.5  // seconds that discovery has to say what is new before the known list will do
 	drainFor       = 0.6  // seconds after SIGTERM in which connections still come
+	serveFor       = 1.4  // seconds after SIGTERM in which open ones go on: the other proxies may be away as well
 	drainMost      = 3.4  // seconds after SIGTERM by which the last answer is out: the kill may follow at 3.7
 	soon           = 0.02 // seconds between looks at whether the end has come
 	lastWords      = 0.2  // seconds after that for the last answers to leave
@@ -76,6 +77,7 @@
 	lastID   uint64
 	scratch  []byte // heads are put together here
 	ending   bool
+	leaving  bool // open connections are closed with their next answer
 	endBy    float64
 	freshBy  float64                // until when the first word of discovery is waited for
 	signal   func() bool            // tells that the end was asked for
@@ -241,18 +243,23 @@
 	p.endBy = p.loop.Now() + drainMost
 	log.Printf("msg=ending open=%d clients=%d", len(p.commands), p.clients.count)
 	p.loop.After(drainFor, p.closeDoor)
+	p.loop.After(serveFor, p.leave)
 	p.loop.After(drainMost, func() {
 		p.terminateAll()
 		p.finish()
 	})
 }
 
-// closeDoor takes the last connections, as soon as there is room for them, and closes those that rest.
+// closeDoor takes the last connections, as soon as there is room for them.
 func (p *Proxy) closeDoor() {
 	if !p.listener.Close() {
 		p.loop.After(soon, p.closeDoor)
-		return
 	}
+}
+
+// leave closes the connections that rest; the others follow with their answers.
+func (p *Proxy) leave() {
+	p.leaving = true
 	p.closeResting()
 	p.finish()
 }
@@ -260,7 +267,7 @@
 // finish stops the loop once nothing is owed and the last answers have left.
 func (p *Proxy) finish() {
 	late := p.loop.Now() >= p.endBy+lastWords
-	if p.clients.count == 0 || late {
+	if p.clients.count == 0 && p.listener.Closed() || late {
 		p.loop.Stop()
 		return
 	}
