Pass answers of up to 1 MiB; an answer ends as spoilt only once it gets no further

Seen on silent+leave: 14 to 16% of commands failed in some windows. A trace of every outcome showed them as resets for 'the body is too large': good answers of 163 to 378 KB, where message.go held answers to the 64 KiB of commands, and one command was so sent to four backends. Slow commands and clients that left were ruled out: none met a 408.

Answers have 1 MiB now; grown buffers and unsent bytes keep to a quarter of the memory as before. Half an answer ends after 0.5 s without progress, 2 s in all.

--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -10,12 +10,17 @@
 
 const (
 	MaxHead = 16 << 10 // bytes of a head; common servers take 8 to 16 KiB
-	MaxBody = 64 << 10 // bytes of a body, by the protocol
+	MaxBody = 64 << 10 // bytes of a command's body, by the protocol
+	// MaxAnswer is how many bytes an answer's body may have: some have several times what the protocol says, and whoever
+	// asked can use them.
+	MaxAnswer = 1 << 20
 	// Report is the field in which a backend tells its load.
 	Report   = "Srv-Load"
 	nameMost = 64 // bytes in which a line's beginning is judged before it is whole
 	// MaxMessage is what a buffer must hold: chunks come with their own lines.
 	MaxMessage = MaxHead + 2*MaxBody
+	// MaxWhole is the same for an answer.
+	MaxWhole = MaxHead + 2*MaxAnswer
 )
 
 // Fault is what is wrong with a message and the status that says so to a client.
@@ -42,6 +47,7 @@
 	method  span
 	target  span
 	fields  []field
+	most    int  // bytes that the body may have
 	begun   bool // the first line has been read
 	old     bool // HTTP/1.0
 	at      int  // where the line starts that is being read
@@ -128,6 +134,7 @@
 
 // Command reads a command from the bytes that begin with it and tells whether it is whole.
 func (m *Message) Command(in []byte) (bool, error) {
+	m.most = MaxBody
 	if m.head == 0 {
 		whole, err := m.readHead(in, false)
 		if !whole || err != nil {
@@ -153,6 +160,7 @@
 // AnswerHead reads an answer's head alone, for a body that is used as it comes. Interim answers (1xx) are passed
 // over by taking their bytes for part of the head.
 func (m *Message) AnswerHead(in []byte) (bool, error) {
+	m.most = MaxAnswer
 	for m.head == 0 {
 		if whole, err := m.readHead(in, true); !whole || err != nil {
 			return false, err
@@ -324,7 +332,7 @@
 	if m.chunked && m.length >= 0 {
 		return fault(400, "both Content-Length and Transfer-Encoding")
 	}
-	if m.length > MaxBody {
+	if m.length > m.most {
 		return fault(413, "the body is too large")
 	}
 	return nil
@@ -361,7 +369,7 @@
 			}
 			m.body += copy(in[m.head+m.body:], data)
 			m.raw += used
-			if m.body > MaxBody {
+			if m.body > m.most {
 				return false, fault(413, "the body is too large")
 			}
 			if done || used == 0 {
@@ -370,7 +378,7 @@
 		}
 	case m.length < 0:
 		m.raw, m.body = len(in), len(in)-m.head
-		if m.body > MaxBody {
+		if m.body > m.most {
 			return false, fault(413, "the body is too large")
 		}
 		return ended, nil
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -174,6 +174,7 @@
 		skip := min(n, len(p))
 		n -= skip
 		c.out = append(c.out, p[skip:]...)
+		c.loop.grown += len(p) - skip
 	}
 	c.want()
 }
@@ -209,6 +210,7 @@
 		return
 	}
 	c.loop.drop(c.fd)
+	c.loop.grown -= len(c.out)
 	c.fd, c.out = -1, nil
 	c.Consume(c.to - c.from)
 }
@@ -237,6 +239,7 @@
 			return
 		}
 		c.out = c.out[:copy(c.out, c.out[max(n, 0):])]
+		c.loop.grown -= max(n, 0)
 		if len(c.out) == 0 {
 			c.out = nil
 			c.want()
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -38,7 +38,7 @@
 	posted      []func()
 	running     []func() // those of the turn before, kept for its space
 	spare       [][]byte // read buffers at rest
-	Most        int      // bytes that read buffers may hold beyond their first size; accepted connections get half
+	Most        int      // bytes that read buffers beyond their first size and unsent bytes may hold; accepted connections get half
 	grown       int      // bytes that they do hold
 	sink        []byte   // where bytes go that nobody wants; the kernel writes none, so it takes no memory
 	stopped     bool
--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -22,7 +22,8 @@
 const (
 	idlePart = 0.7  // of the idle time in the settings, after which a connection is dropped: well before the backend
 	aired    = 0.01 // seconds after an answer before its connection carries more: what follows on it would pass for the next
-	gasp     = 0.5  // seconds from an answer's first byte to its last: it is written at once, or is spoilt
+	gasp     = 0.5  // seconds in which an answer that has begun gets no further: it is spoilt
+	breath   = 2.0  // seconds from an answer's first byte to its last
 )
 
 type backends struct {
@@ -74,7 +75,8 @@
 	msg   http1.Message
 	relay *relay // under way, nil while idle
 	up    bool
-	begun bool    // an answer has begun and is not whole
+	begun float64 // when an answer began that is not whole, 0 if none
+	moved float64 // when the last of it came
 	since float64 // when it became idle
 	timer *loop.Timer
 }
@@ -126,7 +128,7 @@
 		return
 	}
 	l := &link{p: p, to: t, relay: r}
-	conn, err := p.loop.Dial(t.at, l, http1.MaxMessage)
+	conn, err := p.loop.Dial(t.at, l, http1.MaxWhole)
 	if err != nil {
 		if err == unix.EMFILE || err == unix.ENFILE {
 			p.starved()
@@ -248,13 +250,25 @@
 		l.ended(l.broken())
 	case whole:
 		l.answer(l.msg.Keep)
-	case !l.begun && l.msg.Begun(l.conn.In()):
-		l.begun = true
-		l.timer = l.p.loop.After(gasp, func() {
-			l.p.bad++
-			l.ended(l.broken())
-		})
+	case l.msg.Begun(l.conn.In()):
+		l.moved = l.p.loop.Now()
+		if l.begun == 0 {
+			l.begun = l.moved
+			l.timer = l.p.loop.After(gasp, l.stalled)
+		}
+	}
+}
+
+// stalled ends a relay whose answer gets no further, or not to its end in time.
+func (l *link) stalled() {
+	now := l.p.loop.Now()
+	left := min(l.moved+gasp, l.begun+breath) - now
+	if left > 0 {
+		l.timer = l.p.loop.After(left, l.stalled)
+		return
 	}
+	l.p.bad++
+	l.ended(l.broken())
 }
 
 // Down says that the connection has ended.
@@ -296,7 +310,7 @@
 	in := l.conn.In()
 	result := balance.Errored
 	l.timer.Stop()
-	l.begun = false
+	l.begun = 0
 	switch status := l.msg.Status; status {
 	case 429, 408: // about the moment, not the command
 	default:
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -36,6 +36,19 @@
 			t.Errorf("%d connections for commands in turn", b.conns.Load())
 		}
 	})
+	t.Run("an answer larger than any command goes through", func(t *testing.T) {
+		t.Parallel()
+		body := strings.Repeat("0123456789abcdef", 30<<10)
+		b := newToy(t, func(_ *toy, c net.Conn, _ *http.Request) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		})
+		c := run(t, launch(t, 200, listing(1, true, ready("s-1", b)), nil)).caller(t)
+		for range 3 {
+			if status, got, _ := c.ask(text("pay", "Content-Length: 0\r\n")); status != 200 || got != body {
+				t.Errorf("status %d, %d bytes", status, len(got))
+			}
+		}
+	})
 	t.Run("commands written one after the other are answered in turn", func(t *testing.T) {
 		t.Parallel()
 		b := newToy(t, ok)
