Let 10 commands out for each backend at the start and 7 at least, usual latency from 30

The bound stood at 8 a backend for 7 s, was cut to its least of 5 while the usual latency was not known (40 answers), since the median of a fleet at ease, 1.05 s, lay past 0.4 of the goal, and stayed there: settle raises only where the late part is surely under. Full backends were ruled out: no outcome was Full.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -49,8 +49,8 @@
 	// Admission.
 	rateSpan     = 2.0   // seconds over which the rate of answers is counted: a few response times
 	spareFirst   = 0.7   // part of the bound open to commands of no utility; the rest goes by utility
-	boundMin     = 5.0   // commands out for each backend, by all instances, that are always allowed
-	boundFirst   = 8.0   // the same at the start: cut within seconds where it is too much
+	boundMin     = 7.0   // commands out for each backend, by all instances, that are always allowed
+	boundFirst   = 10.0  // the same at the start: cut within seconds where it is too much
 	boundRoot    = 1.7   // roots of its share, or shares, that an instance may have out beyond it
 	fewInstances = 4.0   // instances up to which one sees enough of the whole to keep to its share
 	lateFrom     = 0.4   // of the response goal from which an answer counts as late: half may be, with any tail
@@ -59,7 +59,7 @@
 	leeway       = 1.5   // times the usual latency up to which no answer is late
 	lateTo       = 0.75  // of the response goal from which every answer is late
 	usualStep    = 0.005 // step at which the usual latency is followed, for each answer
-	usualAnswers = 40    // answers until the usual latency is known: the first to come are the light ones
+	usualAnswers = 30    // answers until the usual latency is known: the first to come are the light ones
 	lateSlack    = 1.0   // late answers that prove nothing
 	lateSpan     = 2.0   // seconds over which that part is counted
 	lateAnswers  = 6.0   // answers that it keeps at least, however long ago
