--- a/balance/mechanism_test.go
+++ b/balance/mechanism_test.go
@@ -275,3 +275,28 @@
 		h.b.Command(h.now, 10, 0, 7, h.now+6)
 	})
 }
+
+// Two front proxies over four backends at ease, whose median answer takes 0.42 of the goal: while nothing is known of what
+// is usual that looks late, and the bound must not come down onto what is out.
+func TestAtEase(t *testing.T) {
+	h := start(t, setup{backends: ready(4), place: Place{Siblings: 2}})
+	spent := []float64{1.1, 0.6, 2.1, 1.0, 1.2, 0.7, 1.6, 1.05, 0.9, 2.6, 1.15, 1.4}
+	due := map[uint64]float64{}
+	for tick := range 2000 {
+		h.until(1000 + float64(tick)/100)
+		for id := uint64(0); id < uint64(tick); id++ {
+			if at, out := due[id]; out && at <= h.now {
+				delete(due, id)
+				h.outcome(id, 0, Answered)
+			}
+		}
+		if tick%13 == 0 { // 7.7 a second
+			id := uint64(tick / 13)
+			h.b.Command(h.now, id, 0, 0, h.now+6)
+			due[id] = h.now + spent[int(id)%len(spent)]
+		}
+	}
+	if len(h.declined) > 0 {
+		t.Errorf("%d of 154 commands declined, bound %.1f", len(h.declined), h.b.level)
+	}
+}
