Resting connections make way unless many others are soon due; readiness makes no usual client

A trace of clients' connections by state showed 215 open, 211 to 215 at rest for under 2 s, and one silent, which alone held them all (clients.go, makeWay, others > 0); answered() counted who asked for readiness as a usual client.

TestMakingWay fails without it.

--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -24,6 +24,7 @@
 	patience  = 0.1      // seconds that a connection has to send or to close, before it makes way where there is no room
 	linger    = 1.0      // seconds for the other side to read the last answer and close
 	drained   = 64 << 20 // bytes of a body too large that are thrown away meanwhile, so that the answer is not reset
+	crowd     = 4        // the clients' part by which connections that will soon be due are many
 	looked    = 8        // connections looked at in each state for one to make way
 	longestID = 128      // bytes of a Req-Id
 	waitMost  = 86400.0  // seconds: no client waits longer
@@ -78,7 +79,7 @@
 func (p *Proxy) roomForClient() bool { return p.clients.count < p.clients.most || p.makeWay() }
 
 // makeWay closes a connection in favour of one with something to say: one that has had its last answer, one that says
-// nothing or is long about it, then the one that has rested longest. Where some of the former will soon be due, only one
+// nothing or is long about it, then the one that has rested longest. Where many of the former will soon be due, only one
 // that has rested for a while goes: the usual clients come back to theirs, and those who asked once and stay must not
 // leave the few places between them to the silent.
 func (p *Proxy) makeWay() bool {
@@ -87,7 +88,7 @@
 		least := patience
 		if s < rested {
 			others += p.clients.in[s].Len()
-		} else if least = 0; others > 0 {
+		} else if least = 0; others > p.clients.part/crowd {
 			least = settled
 		}
 		e := p.clients.in[s].Front()
@@ -324,7 +325,6 @@
 	}
 	c.cmd = nil
 	if keep {
-		c.used = true
 		c.enter(busy)
 		c.conn.Consume(c.msg.Size())
 		c.msg.Reset()
@@ -351,7 +351,11 @@
 	if c.gone || c.state != busy || c.cmd != nil || c.conn.Unsent() {
 		return
 	}
-	c.enter(rested)
+	if c.used {
+		c.enter(rested)
+	} else {
+		c.enter(silent) // whoever only asks whether this proxy is ready is no usual client
+	}
 	c.conn.Resume()
 	if len(c.conn.In()) > 0 {
 		c.next()
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -382,6 +382,39 @@
 	}
 }
 
+// One that has just connected must not hold up the others until those at rest have rested for long, and who only asks
+// whether the proxy is ready is the first to make way.
+func TestMakingWay(t *testing.T) {
+	for name, asks := range map[string]string{"commands": "", "readiness": "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := launch(t, 100, listing(1, true, ready("s-1", newToy(t, ok))), nil)
+			made, usual := make(chan bool, 1), make(chan int, 1)
+			p.loop.After(0.6, func() {
+				made <- p.makeWay()
+				usual <- p.clients.in[rested].Len()
+			})
+			r := run(t, p)
+			for range 6 {
+				if asks == "" {
+					r.caller(t).ask(text("look"))
+				} else {
+					r.caller(t).ask(asks)
+				}
+			}
+			r.caller(t).ask(text("look"))
+			time.Sleep(500 * time.Millisecond)
+			r.caller(t) // says nothing
+			if !<-made {
+				t.Error("none made way")
+			}
+			if n := <-usual; asks == "" && n != 6 || asks != "" && n != 1 {
+				t.Errorf("%d are taken for usual clients", n)
+			}
+		})
+	}
+}
+
 func TestMemory(t *testing.T) {
 	t.Parallel()
 	l := launch(t, 200, listing(1, true, ready("s-1", newToy(t, ok))), nil)
