Keys, messages and zones reach the module; settings turn in place; no decision changed

The module had New with all settings and no key, so it could neither see what a command is about nor be turned. New starts it blank, Turn gives it settings; verbs keep what was learned of them.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -171,7 +171,7 @@
 	if k.State != Ready {
 		return false
 	}
-	v := &b.verbs[c.verb]
+	v := c.verb
 	if c.mayHaveRun == nil || v.Effect == Pure {
 		return true
 	}
@@ -367,7 +367,7 @@
 // settle moves the bound with the part of commands that end late or fail, since a lower tier that is crowded
 // declines: up slowly while it is in use, down at once.
 func (b *Balancer) settle(c *command, failed bool) {
-	goal, took, late := b.verbs[c.verb].Goal, b.now-c.came, 0.0
+	goal, took, late := c.verb.Goal, b.now-c.came, 0.0
 	slow := lateFrom * goal
 	if b.usual > 0 {
 		// What is usual is not late, also where half of the goal is needed with no queue at all.
@@ -436,7 +436,7 @@
 		return cmp.Or(cmp.Compare(y.priority, x.priority), cmp.Compare(x.seq, y.seq))
 	})
 	b.held = slices.Insert(b.held, at, c)
-	longest := holdShare * b.verbs[c.verb].Goal
+	longest := holdShare * c.verb.Goal
 	room := int(b.answers.rate(b.now, rateSpan, b.start)*longest) + 1
 	for len(b.held) > room {
 		b.giveUp(b.held[len(b.held)-1])
@@ -478,7 +478,8 @@
 type command struct {
 	id                    uint64
 	seq                   uint64
-	verb                  int
+	verb                  *verb
+	key                   uint64 // what it is about, 0 if nothing is said
 	came, expires         float64
 	priority              float64 // its utility against the highest, 0 to 1
 	luck                  float64 // 0 to 1, of the bound's last part
@@ -493,8 +494,13 @@
 	return slices.ContainsFunc(c.relays, func(r relay) bool { return r.to == k })
 }
 
+// verb is a kind of command as the settings have it; learnt is what outlives them.
 type verb struct {
 	Verb
+	*learnt
+}
+
+type learnt struct {
 	delay   delay
 	calls   decaying
 	copies  bucket
@@ -513,7 +519,7 @@
 	overage          float64
 	mustAsk          bool
 
-	verbs         []verb
+	verbs         []*verb
 	customers     []Customer
 	shares        []bucket
 	service       breaker
@@ -540,24 +546,44 @@
 	askWait                float64
 }
 
-// New starts an instance that knows nothing yet.
-func New(host Host, seed uint64, now, tick float64, place Place, verbs []Verb, customers []Customer,
-	overage float64, limits Limits, cold Cold, mustAsk bool) *Balancer {
-	b := &Balancer{
-		host: host, seed: seed, now: now, start: now, tick: tick, place: place, customers: customers,
-		overage: overage, limits: limits, cold: cold, mustAsk: mustAsk, askWait: askFirst, level: boundFirst,
+// New starts an instance that knows nothing yet; Turn must follow, before anything else.
+func New(host Host, seed uint64, now float64) *Balancer {
+	return &Balancer{
+		host: host, seed: seed, now: now, start: now, askWait: askFirst, level: boundFirst,
 		commands: map[uint64]*command{}, wakes: map[uint64]func(){},
 		retries: bucket{retryBurst, now}, anyDelay: newDelay(now),
 	}
+}
+
+// Turn has the instance go by these settings from now on. What was learned stays, also of a verb or customer that
+// goes on under another number; a command that is open keeps the verb it came with.
+func (b *Balancer) Turn(now, tick float64, place Place, verbs []Verb, customers []Customer,
+	overage float64, limits Limits, cold Cold, mustAsk bool) {
+	ask := mustAsk && !b.mustAsk
+	b.now, b.tick, b.place, b.overage, b.limits, b.cold = now, tick, place, overage, limits, cold
+	b.mustAsk, b.topUtil = mustAsk, 0
+	oldVerbs, oldShares := b.verbs, b.shares
+	b.verbs, b.customers, b.shares = nil, customers, nil
 	for _, v := range verbs {
+		l := &learnt{copies: bucket{0, now}, delay: newDelay(now)}
+		if v.Was >= 0 && v.Was < len(oldVerbs) {
+			l = oldVerbs[v.Was].learnt
+		}
 		b.topUtil = max(b.topUtil, v.Utility)
-		b.verbs = append(b.verbs, verb{Verb: v, copies: bucket{0, now}, delay: newDelay(now)})
+		b.verbs = append(b.verbs, &verb{v, l})
 	}
 	for _, c := range customers {
-		b.shares = append(b.shares, bucket{max(1, c.Allowance*shareBurst), now})
+		share := bucket{max(1, c.Allowance*shareBurst), now}
+		if c.Was >= 0 && c.Was < len(oldShares) {
+			share = oldShares[c.Was]
+		}
+		b.shares = append(b.shares, share)
 	}
-	b.ListFailed(now)
-	return b
+	b.arrange()
+	if ask {
+		b.ListFailed(now)
+	}
+	b.dispatch()
 }
 
 // Verbs is the number of verbs it was started with.
@@ -579,13 +605,13 @@
 }
 
 // Command is told of a command that is now owed exactly one final answer before it expires.
-func (b *Balancer) Command(now float64, id uint64, verb, customer int, expires float64) {
+func (b *Balancer) Command(now float64, id uint64, verb, customer int, expires float64, key uint64) {
 	b.now = now
 	if _, ok := b.commands[id]; ok {
 		return
 	}
-	v := &b.verbs[verb]
-	c := &command{id: id, luck: b.chance(), seq: b.draws, verb: verb, came: now, expires: expires}
+	v := b.verbs[verb]
+	c := &command{id: id, luck: b.chance(), seq: b.draws, verb: v, key: key, came: now, expires: expires}
 	c.priority = v.Utility / max(b.topUtil, tiny)
 	if b.over(customer) {
 		c.priority *= b.overage
@@ -609,7 +635,7 @@
 }
 
 func (b *Balancer) relay(c *command, k *backend) {
-	v := &b.verbs[c.verb]
+	v := c.verb
 	n := len(c.relays)
 	r := relay{to: k, sent: b.now, out: true}
 	r.delay, r.learned = b.delay(v)
@@ -631,7 +657,7 @@
 // overdue is called when the delay passes: an unanswered relay counts against its backend now, since a
 // hung one never answers, and a second copy goes out where that is allowed.
 func (b *Balancer) overdue(c *command, n int) {
-	r, v := &c.relays[n], &b.verbs[c.verb]
+	r, v := &c.relays[n], c.verb
 	if !r.out || r.loser {
 		return
 	}
@@ -663,6 +689,11 @@
 	return b.late.read(b.now, slowSpan)-slowSlack > slowShare*b.relayed.read(b.now, slowSpan)
 }
 
+// Heard is told what a sibling had to say.
+func (b *Balancer) Heard(now float64, from int, text []byte) {
+	b.now = now
+}
+
 // Started is told that a stream has begun: the command now belongs to that relay.
 func (b *Balancer) Started(now float64, id uint64, n int) {
 	b.now = now
@@ -688,7 +719,7 @@
 	if !ok || n >= len(c.relays) || !c.relays[n].out {
 		return
 	}
-	r, v := &c.relays[n], &b.verbs[c.verb]
+	r, v := &c.relays[n], c.verb
 	r.out, r.neverRan = false, result.NeverRan()
 	c.out--
 	r.to.inFlight--
@@ -763,7 +794,7 @@
 
 // mayDecline tells whether trying again is harmless.
 func (b *Balancer) mayDecline(c *command) bool {
-	v := &b.verbs[c.verb]
+	v := c.verb
 	if v.Effect == Pure || v.Effect == Receipted && v.Scope == ScopeAll {
 		return true
 	}
@@ -773,7 +804,7 @@
 // giveUp ends a command at once, by declining it where that promise holds.
 func (b *Balancer) giveUp(c *command) {
 	if b.mayDecline(c) {
-		b.host.Decline(c.id, min(b.limits.ComeBack, comeBack*b.verbs[c.verb].Goal))
+		b.host.Decline(c.id, min(b.limits.ComeBack, comeBack*c.verb.Goal))
 	} else {
 		b.host.Terminate(c.id)
 	}
@@ -797,7 +828,7 @@
 			continue
 		}
 		r.loser = true
-		b.verbs[c.verb].losers++
+		c.verb.losers++
 		if b.limits.Cancel {
 			b.host.Cancel(c.id, i)
 		}
--- a/balance/helper_test.go
+++ b/balance/helper_test.go
@@ -16,6 +16,11 @@
 	relay int
 }
 
+type note struct {
+	to   int
+	text []byte
+}
+
 type wake struct {
 	at    float64
 	token uint64
@@ -32,6 +37,7 @@
 	declined   []uint64
 	terminated []uint64
 	watches    int
+	told       []note
 	wakes      []wake
 	ended      map[uint64]bool
 }
@@ -49,6 +55,7 @@
 func (h *fakeHost) Terminate(cmd uint64)            { h.end(cmd); h.terminated = append(h.terminated, cmd) }
 func (h *fakeHost) WakeAfter(s float64, tok uint64) { h.wakes = append(h.wakes, wake{h.now + s, tok}) }
 func (h *fakeHost) Watch()                          { h.watches++ }
+func (h *fakeHost) Tell(to int, text []byte)        { h.told = append(h.told, note{to, slices.Clone(text)}) }
 
 func (h *fakeHost) end(cmd uint64) {
 	if h.ended[cmd] {
@@ -95,7 +102,7 @@
 func (h *fakeHost) serve(from uint64, count int, took float64) {
 	for i := range count {
 		id := from + uint64(i)
-		h.b.Command(h.now, id, 0, 0, h.now+6)
+		h.b.Command(h.now, id, 0, 0, h.now+6, 0)
 		spent := took * float64(i*37%61+1) / 61
 		h.until(h.now + spent)
 		h.b.Outcome(h.now, id, 0, Answered, spent, true, Load{})
@@ -148,7 +155,9 @@
 	if s.place.Siblings == 0 {
 		s.place.Siblings = 1
 	}
-	h.b = New(h, 7+s.seed, h.now, 0.005, s.place, []Verb{s.verb, {Goal: 2.5, TimeLimit: 6, Utility: 5}}, s.customers, 0.1,
+	h.b = New(h, 7+s.seed, h.now)
+	s.verb.Was = -1
+	h.b.Turn(h.now, 0.005, s.place, []Verb{s.verb, {Goal: 2.5, TimeLimit: 6, Utility: 5, Was: -1}}, s.customers, 0.1,
 		s.limits, Cold{Share: 0.2, Span: 10, Multiple: 3}, s.mustAsk)
 	if s.backends == nil {
 		s.backends = ready(6)
--- a/balance/host.go
+++ b/balance/host.go
@@ -20,8 +20,13 @@
 	WakeAfter(seconds float64, token uint64)
 	// Watch subscribes to changes of the list; Fleet or ListFailed follows.
 	Watch()
+	// Tell sends a few bytes to a sibling by its number, or to all of them; they may be lost.
+	Tell(to int, text []byte)
 }
 
+// Everybody is whom Tell reaches when all siblings are to hear.
+const Everybody = -1
+
 // Effect says what a second run of a command would do.
 type Effect int
 
@@ -50,11 +55,13 @@
 	Utility   float64
 	Late      float64 // part of the utility that an answer past the goal still earns
 	Stream    bool
+	Was       int // its place among the verbs before these, -1 if it is new
 }
 
 // Customer is one of those who share the service.
 type Customer struct {
 	Allowance float64 // commands a second within its share, all proxies together
+	Was       int     // its place among the customers before these, -1 if it is new
 }
 
 // Place is where an instance stands.
@@ -62,6 +69,7 @@
 	Me       int // its number among its siblings
 	Siblings int // instances of this tier
 	Tier     int // the tier it sends to, 0 is the clients' own
+	Zone     int // its own
 }
 
 // Limits is what an instance may do.
@@ -70,6 +78,8 @@
 	SecondCopies bool
 	Cancel       bool
 	ComeBack     float64 // longest wait that clients can be told, 0 where they are told nothing
+	Peers        bool    // may tell its siblings something
+	Keys         bool    // backends do less for a key that their cell met lately
 }
 
 // Cold is the rule on backends that have just started.
--- a/balance/mechanism_test.go
+++ b/balance/mechanism_test.go
@@ -15,7 +15,7 @@
 	}
 	t.Run("a copy goes elsewhere after the learned delay, the loser is cancelled", func(t *testing.T) {
 		h := warm(setup{})
-		h.b.Command(h.now, 1000, 0, 0, h.now+6)
+		h.b.Command(h.now, 1000, 0, 0, h.now+6, 0)
 		h.until(h.now + 0.04)
 		if len(h.relays) != 1 {
 			t.Fatal("copied before the delay")
@@ -33,7 +33,7 @@
 		h := warm(setup{limits: Limits{Relays: 4, SecondCopies: true}})
 		late := 0
 		for i := uint64(1000); i < 3000; i += 100 {
-			h.b.Command(h.now, i, 0, 0, h.now+6)
+			h.b.Command(h.now, i, 0, 0, h.now+6, 0)
 			h.until(h.now + 0.1)
 			late += len(h.toOf(i)) - 1
 			h.outcome(i, 0, Answered) // where nothing can be cancelled the loser never ends
@@ -45,7 +45,7 @@
 	})
 	t.Run("none where second copies are not allowed", func(t *testing.T) {
 		h := warm(setup{limits: Limits{Relays: 4}})
-		h.b.Command(h.now, 1000, 0, 0, h.now+6)
+		h.b.Command(h.now, 1000, 0, 0, h.now+6, 0)
 		h.until(h.now + 2)
 		if len(h.relays) != 1 {
 			t.Errorf("%d relays", len(h.relays))
@@ -54,11 +54,11 @@
 	t.Run("none while all run late: the percentile is stale", func(t *testing.T) {
 		h := warm(setup{})
 		for i := uint64(1000); i < 1012; i++ {
-			h.b.Command(h.now, i, 0, 0, h.now+6)
+			h.b.Command(h.now, i, 0, 0, h.now+6, 0)
 		}
 		h.until(h.now + 0.3)
 		before := len(h.relays)
-		h.b.Command(h.now, 2000, 0, 0, h.now+6)
+		h.b.Command(h.now, 2000, 0, 0, h.now+6, 0)
 		h.until(h.now + 0.5)
 		if len(h.relays) != before+1 {
 			t.Error("a copy went into a fleet that is slow as a whole")
@@ -129,7 +129,7 @@
 		round := func(count int, bad bool) {
 			for range count {
 				next++
-				h.b.Command(h.now, next, 0, 0, h.now+6)
+				h.b.Command(h.now, next, 0, 0, h.now+6, 0)
 				h.until(h.now + 0.1)
 				for n := 0; !h.ended[next]; n++ {
 					if bad && h.toOf(next)[n] == id(0) {
@@ -157,7 +157,7 @@
 	t.Run("a hung backend is passed over", func(t *testing.T) {
 		h := start(t, setup{verb: Verb{Effect: Effectful, Goal: 2.5, TimeLimit: 6, Utility: 1, Late: 0.5}})
 		for i := range uint64(200) {
-			h.b.Command(h.now, i, 0, 0, h.now+6)
+			h.b.Command(h.now, i, 0, 0, h.now+6, 0)
 			h.until(h.now + 0.1)
 			if h.toOf(i)[0] != id(0) {
 				h.outcome(i, 0, Answered)
@@ -171,7 +171,7 @@
 		h := start(t, setup{})
 		refused := 0
 		for i := range uint64(100) {
-			h.b.Command(h.now, i, 0, 0, h.now+6)
+			h.b.Command(h.now, i, 0, 0, h.now+6, 0)
 			h.until(h.now + 0.1)
 			for n := 0; !h.ended[i]; n++ {
 				if h.toOf(i)[n] == id(0) {
@@ -192,7 +192,7 @@
 	t.Run("refusals are no storm", func(t *testing.T) {
 		h := start(t, setup{})
 		for i := range uint64(100) {
-			h.b.Command(h.now, i, 0, 0, h.now+6)
+			h.b.Command(h.now, i, 0, 0, h.now+6, 0)
 			for n := 0; !h.ended[i] && n < len(h.toOf(i)); n++ {
 				h.outcome(i, n, Errored)
 			}
@@ -205,7 +205,7 @@
 	t.Run("a flood is bounded, low utility goes first, and early", func(t *testing.T) {
 		h := start(t, setup{})
 		for i := range uint64(300) {
-			h.b.Command(h.now, i, int(i%2), 0, h.now+6)
+			h.b.Command(h.now, i, int(i%2), 0, h.now+6, 0)
 		}
 		h.until(h.now + 0.3)
 		if len(h.relays) > 60 || len(h.declined) < 240 {
@@ -229,7 +229,7 @@
 				took = 2.4
 			}
 			h.b.inFlight = int(h.b.level * 6)
-			h.b.settle(&command{came: h.b.now - took}, false)
+			h.b.settle(&command{verb: h.b.verbs[0], came: h.b.now - took}, false)
 			lowest = min(lowest, h.b.level)
 		}
 		if lowest > 0.8*first || h.b.level < 1.2*lowest {
@@ -243,7 +243,7 @@
 			for range 100 {
 				h.b.now += 0.02
 				h.b.usual = 1.1
-				h.b.settle(&command{came: h.b.now - took}, false)
+				h.b.settle(&command{verb: h.b.verbs[0], came: h.b.now - took}, false)
 			}
 		}
 		if settle(1.5); h.b.level < first {
@@ -266,13 +266,13 @@
 	t.Run("what is past a customer's share counts for less", func(t *testing.T) {
 		h := start(t, setup{customers: []Customer{{Allowance: 1}, {Allowance: 0}}})
 		for i := range uint64(3) {
-			h.b.Command(h.now, i, 0, 0, h.now+6)
+			h.b.Command(h.now, i, 0, 0, h.now+6, 0)
 		}
 		if h.b.commands[0].priority <= h.b.commands[2].priority {
 			t.Error("the third command at once of a customer with 1 a second is within its share")
 		}
-		h.b.Command(h.now, 9, 0, 1, h.now+6) // an allowance of nothing divides nothing by zero
-		h.b.Command(h.now, 10, 0, 7, h.now+6)
+		h.b.Command(h.now, 9, 0, 1, h.now+6, 0) // an allowance of nothing divides nothing by zero
+		h.b.Command(h.now, 10, 0, 7, h.now+6, 0)
 	})
 }
 
@@ -292,7 +292,7 @@
 		}
 		if tick%13 == 0 { // 7.7 a second
 			id := uint64(tick / 13)
-			h.b.Command(h.now, id, 0, 0, h.now+6)
+			h.b.Command(h.now, id, 0, 0, h.now+6, 0)
 			due[id] = h.now + spent[int(id)%len(spent)]
 		}
 	}
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -9,7 +9,7 @@
 	for _, effect := range []Effect{Pure, Receipted, Effectful} {
 		h := start(t, setup{verb: Verb{Effect: effect, Goal: 2.5, TimeLimit: 6, Utility: 1, Late: 0.5, Window: 5}})
 		t.Run("ends by its limit when nothing replies", func(t *testing.T) {
-			h.b.Command(h.now, 1, 0, 0, h.now+6)
+			h.b.Command(h.now, 1, 0, 0, h.now+6, 0)
 			h.until(h.now + 6)
 			if !h.ended[1] {
 				t.Error("no final answer")
@@ -29,7 +29,7 @@
 	}
 	t.Run("an empty list declines soon", func(t *testing.T) {
 		h := start(t, setup{backends: []Entry{}})
-		h.b.Command(h.now, 1, 0, 0, h.now+6)
+		h.b.Command(h.now, 1, 0, 0, h.now+6, 0)
 		h.until(h.now + 1)
 		if !slices.Contains(h.declined, 1) {
 			t.Error("not declined")
@@ -37,7 +37,7 @@
 	})
 	t.Run("a client that leaves is owed nothing", func(t *testing.T) {
 		h := start(t, setup{})
-		h.b.Command(h.now, 1, 0, 0, h.now+6)
+		h.b.Command(h.now, 1, 0, 0, h.now+6, 0)
 		h.b.Departed(h.now, 1)
 		h.outcome(1, 0, Cancelled)
 		h.until(h.now + 7)
@@ -47,7 +47,7 @@
 	})
 	t.Run("a stream has no limit once begun", func(t *testing.T) {
 		h := start(t, setup{verb: Verb{Goal: 2.5, TimeLimit: 6, Utility: 1, Stream: true}})
-		h.b.Command(h.now, 1, 0, 0, h.now+6)
+		h.b.Command(h.now, 1, 0, 0, h.now+6, 0)
 		h.b.Started(h.now, 1, 0)
 		h.until(h.now + 20)
 		if len(h.declined)+len(h.terminated)+len(h.cancels) != 0 {
@@ -62,7 +62,7 @@
 	}
 	t.Run("an effectful command that may have run is terminated", func(t *testing.T) {
 		h := start(t, verb(Effectful, ScopeAll))
-		h.b.Command(h.now, 1, 0, 0, h.now+6)
+		h.b.Command(h.now, 1, 0, 0, h.now+6, 0)
 		h.outcome(1, 0, Errored)
 		if len(h.relays) != 1 || !slices.Contains(h.terminated, 1) {
 			t.Errorf("%d relays, terminated %v", len(h.relays), h.terminated)
@@ -70,7 +70,7 @@
 	})
 	t.Run("one that never ran goes elsewhere", func(t *testing.T) {
 		h := start(t, verb(Effectful, ScopeAll))
-		h.b.Command(h.now, 1, 0, 0, h.now+6)
+		h.b.Command(h.now, 1, 0, 0, h.now+6, 0)
 		h.outcome(1, 0, Full)
 		if to := h.toOf(1); len(to) != 2 || to[0] == to[1] {
 			t.Errorf("sent to %v", to)
@@ -78,7 +78,7 @@
 	})
 	t.Run("an effectful command gets no copy", func(t *testing.T) {
 		h := start(t, verb(Effectful, ScopeAll))
-		h.b.Command(h.now, 1, 0, 0, h.now+6)
+		h.b.Command(h.now, 1, 0, 0, h.now+6, 0)
 		h.until(h.now + 5)
 		if len(h.relays) != 1 {
 			t.Errorf("%d relays", len(h.relays))
@@ -88,13 +88,13 @@
 		h := start(t, verb(Receipted, ScopeCell))
 		cell := func(b BackendID) byte { return b[3] / 3 }
 		for cmd := uint64(1); cmd <= 3; cmd++ {
-			h.b.Command(h.now, cmd, 0, 0, h.now+6)
+			h.b.Command(h.now, cmd, 0, 0, h.now+6, 0)
 			h.outcome(cmd, 0, Errored)
 			if to := h.toOf(cmd); len(to) != 2 || cell(to[0]) != cell(to[1]) {
 				t.Errorf("sent to %v", to)
 			}
 		}
-		h.b.Command(h.now, 9, 0, 0, h.now+6)
+		h.b.Command(h.now, 9, 0, 0, h.now+6, 0)
 		h.until(h.now + 5.5)
 		h.outcome(9, 0, Errored)
 		for n := range h.toOf(9)[1:] { // a copy may have gone out within the window
--- a/balance/size_test.go
+++ b/balance/size_test.go
@@ -65,7 +65,7 @@
 				t.Errorf("%+v: %d relays, %d in the window", p, len(h.relays), len(h.b.window))
 			}
 			h.b.Fleet(h.now, true, nil)
-			h.b.Command(h.now, 99, 0, 0, h.now+6)
+			h.b.Command(h.now, 99, 0, 0, h.now+6, 0)
 			h.until(h.now + 7)
 		}
 	})
@@ -75,7 +75,7 @@
 	t.Run("hundreds of instances that know nothing yet do not copy at once", func(t *testing.T) {
 		copies := 0
 		for _, h := range fleetOf(t, 300, ready(40), setup{}) {
-			h.b.Command(h.now, 1, 0, 0, h.now+6)
+			h.b.Command(h.now, 1, 0, 0, h.now+6, 0)
 			h.until(h.now + 1)
 			copies += len(h.relays) - 1
 		}
@@ -85,11 +85,11 @@
 	})
 	t.Run("a rare verb goes by the answers of all", func(t *testing.T) {
 		h := start(t, setup{})
-		if d, learned := h.b.delay(&h.b.verbs[1]); learned || d < 1 {
+		if d, learned := h.b.delay(h.b.verbs[1]); learned || d < 1 {
 			t.Errorf("%v s before any answer", d)
 		}
 		h.serve(1, 100, 0.1)
-		if d, learned := h.b.delay(&h.b.verbs[1]); !learned || d > 0.11 {
+		if d, learned := h.b.delay(h.b.verbs[1]); !learned || d > 0.11 {
 			t.Errorf("%v s once another verb is known", d)
 		}
 	})
@@ -101,7 +101,7 @@
 		for _, h := range fleetOf(t, instances, ready(60), setup{}) {
 			h.b.level *= 0.99 // not at ease any more
 			for i := range uint64(8000 / instances) {
-				h.b.Command(h.now, i, 1, 0, h.now+6)
+				h.b.Command(h.now, i, 1, 0, h.now+6, 0)
 			}
 			out += len(h.relays)
 		}
@@ -125,7 +125,7 @@
 			if i%3 == 0 {
 				took = 2
 			}
-			h.b.settle(&command{came: h.b.now - took}, false)
+			h.b.settle(&command{verb: h.b.verbs[0], came: h.b.now - took}, false)
 		}
 		return h.b.level / first
 	}
@@ -147,7 +147,7 @@
 			for i, h := range hosts {
 				next++
 				h.until(h.now + 0.3 + 0.2*float64(i)/instances)
-				h.b.Command(h.now, next, 0, 0, h.now+6)
+				h.b.Command(h.now, next, 0, 0, h.now+6, 0)
 				h.until(h.now + 0.2 - 0.2*float64(i)/instances)
 				for n, to := range h.toOf(next) {
 					if to == id(99) {
--- a/internal/benchwire/wire.go
+++ b/internal/benchwire/wire.go
@@ -31,10 +31,13 @@
 	outBusy    = 256
 	outDeliver = 258
 	outDrop    = 261
+	outSignal  = 263
 	outStream  = 264
 	outDefer   = 265
 	outAbandon = 266
 
+	everybody = 1<<32 - 1 // who hears a message to all
+
 	maxFrame  = 1 << 30 // bytes; a longer frame is taken for garbage
 	entrySize = 25      // bytes of a line of the list
 )
@@ -95,6 +98,17 @@
 	*h.reply = append(*h.reply, 1)
 }
 
+func (h *host) Tell(to int, text []byte) {
+	h.record(outSignal, 6+len(text))
+	peer := uint32(to)
+	if to == balance.Everybody {
+		peer = everybody
+	}
+	*h.reply = binary.LittleEndian.AppendUint32(*h.reply, peer)
+	*h.reply = binary.LittleEndian.AppendUint16(*h.reply, uint16(len(text)))
+	*h.reply = append(*h.reply, text...)
+}
+
 type instance struct {
 	host *host
 	*balance.Balancer
@@ -241,14 +255,14 @@
 		call = func() { at.Fleet(now, kind != 0, l.lists[ref]) }
 	case inAccept:
 		cmd, expires, verb := f.u64(), f.seconds(), int(f.u16())
-		f.u64() // key
+		key := f.u64()
 		f.u64() // expected work
 		customer := int(f.u16())
 		f.u16() // state bits
 		if at.Balancer != nil && verb >= at.Verbs() {
 			return fmt.Errorf("verb %d is not in the settings", verb)
 		}
-		call = func() { at.Command(now, cmd, verb, customer, expires) }
+		call = func() { at.Command(now, cmd, verb, customer, expires, key) }
 	case inStarted:
 		cmd, n := f.u64(), int(f.u16())
 		f.backend()
@@ -278,8 +292,9 @@
 			return fmt.Errorf("outcome %d is unknown", code)
 		}
 	case inNeighbour:
-		f.u16()
-		f.bytes(int(f.u16()))
+		from := int(f.u16())
+		text := f.bytes(int(f.u16()))
+		call = func() { at.Heard(now, from, text) }
 	default:
 		return errors.New("the code is unknown")
 	}
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -282,7 +282,7 @@
 	p.clients.owed++
 	p.commands[cmd.id] = cmd
 	cmd.timer = p.loop.After(cmd.expires-p.loop.Now(), func() { p.timeOut(cmd) })
-	p.balancer.Command(p.loop.Now(), cmd.id, verb, customer, cmd.expires)
+	p.balancer.Command(p.loop.Now(), cmd.id, verb, customer, cmd.expires, 0)
 }
 
 var phrases = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,6 +24,7 @@
 		Cancel       *bool    `json:"cancel"`
 		RetryAfter   *bool    `json:"retry_after"`
 		MaxAfter     *float64 `json:"max_retry_after_ms"`
+		Peers        bool     `json:"peers"`
 	} `json:"limits"`
 	LoadInfo *struct {
 		Fields []string `json:"fields"`
@@ -39,7 +40,12 @@
 		Allowance *float64 `json:"allowance_per_s"`
 	} `json:"realms"`
 	TickMs *float64 `json:"tick_ms"`
-	Verbs  []struct {
+	// What may be absent, and is then as it was before these were read: one zone, no messages, no keys.
+	Zone   int `json:"zone"`
+	Family struct {
+		Keys bool `json:"warm_keys"`
+	} `json:"family_info"`
+	Verbs []struct {
 		Effect  *string  `json:"effect"`
 		Scope   *string  `json:"key_scope"`
 		Window  *float64 `json:"window_ms"`
@@ -86,38 +92,55 @@
 
 // Balancer starts an instance from its settings and names the fields of its load reports.
 func Balancer(h balance.Host, seed uint64, now float64, text []byte) (*balance.Balancer, []string, error) {
+	b := balance.New(h, seed, now)
+	fields, err := Turn(b, now, text, nil, nil)
+	return b, fields, err
+}
+
+// Turn has an instance go by other settings from now on, or tells what is wrong with them and changes nothing. The
+// place that each verb and customer had before, or -1, may be left out where there was nothing before.
+func Turn(b *balance.Balancer, now float64, text []byte, verbsWere, customersWere []int) ([]string, error) {
 	var l launch
 	if err := json.Unmarshal(text, &l); err != nil {
-		return nil, nil, fmt.Errorf("settings: %w", err)
+		return nil, fmt.Errorf("settings: %w", err)
 	}
 	if m := missing(reflect.ValueOf(l), ""); m != "" {
-		return nil, nil, fmt.Errorf("settings: %s is missing", m)
+		return nil, fmt.Errorf("settings: %s is missing", m)
 	}
 	if len(l.Verbs) == 0 {
-		return nil, nil, fmt.Errorf("settings: verbs is missing")
+		return nil, fmt.Errorf("settings: verbs is missing")
+	}
+	if *l.Me < 0 || *l.Siblings < 0 || l.Zone < 0 {
+		return nil, fmt.Errorf("settings: me, siblings or zone is below 0")
+	}
+	was := func(were []int, i int) int {
+		if i < len(were) {
+			return were[i]
+		}
+		return -1
 	}
 	var verbs []balance.Verb
 	for i, v := range l.Verbs {
 		effect, ok := effects[*v.Effect]
 		if !ok {
-			return nil, nil, fmt.Errorf("settings: verbs[%d].effect %q is unknown", i, *v.Effect)
+			return nil, fmt.Errorf("settings: verbs[%d].effect %q is unknown", i, *v.Effect)
 		}
 		scope, ok := scopes[*v.Scope]
 		if !ok && effect == balance.Receipted {
-			return nil, nil, fmt.Errorf("settings: verbs[%d].key_scope %q is unknown", i, *v.Scope)
+			return nil, fmt.Errorf("settings: verbs[%d].key_scope %q is unknown", i, *v.Scope)
 		}
 		verbs = append(verbs, balance.Verb{
 			Effect: effect, Scope: scope, Window: *v.Window / 1000, Goal: *v.Goal / 1000,
-			TimeLimit: *v.Limit / 1000, Utility: *v.Utility, Late: *v.Late, Stream: *v.Stream,
+			TimeLimit: *v.Limit / 1000, Utility: *v.Utility, Late: *v.Late, Stream: *v.Stream, Was: was(verbsWere, i),
 		})
 	}
 	var customers []balance.Customer
-	for _, r := range l.Realms {
-		customers = append(customers, balance.Customer{Allowance: *r.Allowance})
+	for i, r := range l.Realms {
+		customers = append(customers, balance.Customer{Allowance: *r.Allowance, Was: was(customersWere, i)})
 	}
 	limits := balance.Limits{
-		Relays: *l.Limits.Relays, SecondCopies: *l.Limits.SecondCopies,
-		Cancel: *l.Limits.Cancel,
+		Relays: *l.Limits.Relays, SecondCopies: *l.Limits.SecondCopies, Cancel: *l.Limits.Cancel,
+		Peers: l.Limits.Peers, Keys: l.Family.Keys,
 	}
 	if *l.Limits.RetryAfter {
 		limits.ComeBack = *l.Limits.MaxAfter / 1000
@@ -125,9 +148,9 @@
 	cold := balance.Cold{
 		Share: *l.Safety.ColdShare, Span: *l.Safety.ColdMs / 1000, Multiple: *l.Safety.FallMultiple,
 	}
-	place := balance.Place{Me: *l.Me, Siblings: *l.Siblings, Tier: *l.Tier}
-	return balance.New(h, seed, now, *l.TickMs/1000, place, verbs, customers, *l.Overage, limits, cold,
-		*l.Discovery == "on_request"), l.LoadInfo.Fields, nil
+	place := balance.Place{Me: *l.Me, Siblings: *l.Siblings, Tier: *l.Tier, Zone: l.Zone}
+	b.Turn(now, *l.TickMs/1000, place, verbs, customers, *l.Overage, limits, cold, *l.Discovery == "on_request")
+	return l.LoadInfo.Fields, nil
 }
 
 // Verb is what a front needs to know of one.
