--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math"
 	"slices"
 )
@@ -34,11 +35,19 @@
 	trials          = 5    // copies let through before it closes again
 
 	// Weights and pick.
-	weightMin, weightMax = 0.1, 3.0 // no unit; a thirtieth of the best still learns when a backend mends
-	weightGain           = 0.1      // for each quick answer: ten make up for one halving at the mean
-	farSlack             = 0.5      // commands under the mean count from which it is skipped: queues stay even
-	asideFirst           = 2.0      // seconds left alone after a connection failed: it is down or full
-	asideLast            = 30.0     // seconds, longest such spell: as long as idle connections hold their place
+	weightMin, weightMax      = 0.1, 3.0 // no unit; a thirtieth of the best still learns when a backend mends
+	weightGain                = 0.1      // for each quick answer: ten make up for one halving at the mean
+	farSlack                  = 0.5      // commands under the mean count from which it is skipped: queues stay even
+	asideFirst                = 2.0      // seconds left alone after a connection failed: it is down or full
+	asideLast                 = 30.0     // seconds, longest such spell: as long as idle connections hold their place
+	homePull                  = 60.0     // times the weight of backends in the cell of a command's key
+	homeGain, zoneGain        = 2.0, 1.3
+	draws                     = 3
+	patience                  = 0.04
+	noteSize                  = 4
+	noteOut, noteAsk, noteSum = 0x11, 0x12, 0x13 // version and kind of a message
+	knownMin, knownMost       = 3.0, 5.0
+	zonePull                  = 3.0 // times the weight of backends in the own zone
 
 	// Fleet.
 	nearLeast         = 4.0      // backends in an instance's window: room for copies and for some that fail
@@ -157,8 +166,16 @@
 	aside    float64 // no commands before this time
 	spell    float64 // length of the last such spell
 	budget   bucket  // commands that may go to it while it is cold
+
+	counts         map[int]note // what each instance has out here, at its keeper alone
+	heard, heardAt float64      // what all have out together, as its keeper said
 }
 
+// note is what an instance last said that it has out.
+type note struct{ out, at float64 }
+
+func (k *backend) tag() uint16 { return uint16(k.spot >> 20) }
+
 func (k *backend) slowed() { k.weight = max(weightMin, k.weight/2) }
 
 func (k *backend) quick() {
@@ -196,7 +213,13 @@
 	far := max(float64(count)/max(1, float64(len(b.window)))-farSlack, farSlack)
 	// First those of the window that the weight rule and the skip leave, then any of the window, then any of the
 	// fleet that is not set aside, then any at all.
-	from, share := b.window, func(k *backend) float64 { return k.weight * k.near }
+	home := b.home(c.key)
+	from, share := b.window, func(k *backend) float64 {
+		if len(c.drawn) >= draws-1 {
+			return k.weight * k.near
+		}
+		return k.weight * k.near * b.pull(k, home, homePull, zonePull)
+	}
 	for pass := range 4 {
 		if pass == 2 {
 			from, share = b.fleet, func(k *backend) float64 { return k.weight * k.Size }
@@ -204,7 +227,7 @@
 		total := 0.0
 		b.picks = b.picks[:0]
 		for _, k := range from {
-			if b.may(c, k) && b.coldAllows(k) && (pass > 2 || !c.triedOn(k) && k.aside <= b.now) &&
+			if b.may(c, k) && !slices.Contains(c.drawn, k) && b.coldAllows(k) && (pass > 2 || !c.triedOn(k) && k.aside <= b.now) &&
 				(pass > 0 || float64(k.inFlight) <= far) {
 				b.picks = append(b.picks, k)
 				total += share(k)
@@ -223,6 +246,25 @@
 	return nil
 }
 
+// home is the cell that the key belongs to, the same at every instance and by size, or -1. A cell that comes or goes
+// moves only its own keys.
+func (b *Balancer) home(key uint64) int {
+	best, home := math.Inf(1), -1
+	if key == 0 || !b.limits.Keys {
+		return home
+	}
+	var text [16]byte
+	binary.LittleEndian.PutUint64(text[:], key)
+	for _, c := range b.cells {
+		binary.LittleEndian.PutUint64(text[8:], uint64(c.number))
+		u := (float64(hash(text[:])>>11) + 1) / (1 << 53)
+		if at := -math.Log(u) / c.size; at < best {
+			best, home = at, c.number
+		}
+	}
+	return home
+}
+
 // ---- Fleet: the list, drains and cold budgets.
 
 // sum adds up a figure over the usable backends.
@@ -281,15 +323,26 @@
 	b.dispatch()
 }
 
+// cell is a set of backends that share what keys they have met.
+type cell struct {
+	number int
+	size   float64
+}
+
 // arrange lays this instance's window on the ring of usable backends. Of hundreds of instances each then
 // knows a few backends well, uses connections again, and each backend lies in its share of windows.
 func (b *Balancer) arrange() {
 	total, count := b.sum(func(k *backend) float64 { return k.Size }), b.usable()
 	width := min(1, (nearLeast+nearShared*count/b.siblings())/max(1, count)) * total
+	if b.limits.Peers {
+		width = total // what siblings learn is told: there is no need to keep to few
+	}
 	from := (float64(b.place.Me)+0.5)/b.siblings()*total - width/2
 	from -= math.Floor(from/max(total, tiny)) * total // the window may reach over the end of the ring
 	at := 0.0
 	b.window, b.reach = b.window[:0], max(width, tiny)
+	b.meanSize = total / max(1, count)
+	b.cells = b.cells[:0]
 	for _, k := range b.fleet {
 		k.near = 0
 		if k.State == Ready {
@@ -297,6 +350,11 @@
 				k.near += max(0, min(at+k.Size+turn, from+width)-max(at+turn, from))
 			}
 			at += k.Size
+			i, known := slices.BinarySearchFunc(b.cells, k.Cell, func(c cell, n int) int { return cmp.Compare(c.number, n) })
+			if !known {
+				b.cells = slices.Insert(b.cells, i, cell{number: k.Cell})
+			}
+			b.cells[i].size += k.Size
 		}
 		if k.near > 0 {
 			b.window = append(b.window, k)
@@ -419,6 +477,9 @@
 
 // try sends the command's first or next relay where there is room, and tells whether it did.
 func (b *Balancer) try(c *command) bool {
+	if b.limits.Peers {
+		return b.ask(c)
+	}
 	if b.crowded(c) {
 		return false
 	}
@@ -452,15 +513,17 @@
 func (b *Balancer) dispatch() {
 	for i := 0; i < len(b.held); {
 		c := b.held[i]
-		if !b.try(c) {
+		if c.asking || !b.try(c) || c.asking {
 			i++
-			if b.crowded(c) {
+			if !b.limits.Peers && b.crowded(c) {
 				return
 			}
 			continue
 		}
-		c.held = false
-		b.held = slices.Delete(b.held, i, i+1)
+		if c.held {
+			c.held = false
+			b.held = slices.Delete(b.held, i, i+1)
+		}
 	}
 }
 
@@ -488,6 +551,9 @@
 	mayHaveRun            *backend // of the first relay that may have run
 	ranFrom               float64  // when that was sent
 	held, done, streaming bool
+	drawn                 []*backend // whose keepers were asked
+	askedAt               float64
+	asking                bool
 }
 
 func (c *command) triedOn(k *backend) bool {
@@ -525,6 +591,10 @@
 	service       breaker
 	anyDelay      delay      // of all verbs together
 	fleet         []*backend // by id
+	cells         []cell
+	meanSize      float64
+	longest       float64    // time limit of any verb
+	waiting       []*command // for what keepers say
 	picks, window []*backend // window: those this instance keeps to
 	reach         float64    // width of the window
 	commands      map[uint64]*command
@@ -569,7 +639,7 @@
 		if v.Was >= 0 && v.Was < len(oldVerbs) {
 			l = oldVerbs[v.Was].learnt
 		}
-		b.topUtil = max(b.topUtil, v.Utility)
+		b.topUtil, b.longest = max(b.topUtil, v.Utility), max(b.longest, v.TimeLimit)
 		b.verbs = append(b.verbs, &verb{v, l})
 	}
 	for _, c := range customers {
@@ -629,7 +699,7 @@
 			}
 		})
 	}
-	if len(b.held) > 0 && b.held[0].priority >= c.priority || !b.try(c) {
+	if len(b.held) > 0 && b.held[0].priority >= c.priority || !b.try(c) && !c.held && !c.done {
 		b.hold(c)
 	}
 }
@@ -643,6 +713,7 @@
 	c.out++
 	k.inFlight++
 	b.inFlight++
+	b.report(k)
 	k.budget.tokens-- // counts only while it is cold
 	b.relayed.add(b.now, slowSpan, 1)
 	if c.mayHaveRun == nil {
@@ -692,6 +763,169 @@
 // Heard is told what a sibling had to say.
 func (b *Balancer) Heard(now float64, from int, text []byte) {
 	b.now = now
+	if !b.limits.Peers || len(text) != noteSize || float64(from) >= b.siblings() {
+		return
+	}
+	tag, count := binary.LittleEndian.Uint16(text[1:]), float64(text[3])
+	for _, k := range b.fleet {
+		switch {
+		case k.tag() != tag:
+		case text[0] == noteOut && b.keeper(k) == b.place.Me:
+			k.count(now, from, count)
+		case text[0] == noteAsk && b.keeper(k) == b.place.Me:
+			b.tell(from, noteSum, k, b.load(k))
+		case text[0] == noteSum && b.keeper(k) == from:
+			k.heard, k.heardAt = count, now
+		}
+	}
+	for i := 0; i < len(b.waiting); {
+		if c := b.waiting[i]; slices.ContainsFunc(c.drawn, func(k *backend) bool { return k.heardAt < c.askedAt }) {
+			i++
+		} else {
+			b.choose(c)
+		}
+	}
+}
+
+// keeper is the instance that counts what all have out at the backend.
+func (b *Balancer) keeper(k *backend) int { return int(k.spot % uint64(b.siblings())) }
+
+// report tells the backend's keeper what this instance has out there.
+func (b *Balancer) report(k *backend) {
+	if b.limits.Peers {
+		if at := b.keeper(k); at == b.place.Me {
+			k.count(b.now, at, float64(k.inFlight))
+		} else {
+			b.tell(at, noteOut, k, float64(k.inFlight))
+		}
+	}
+}
+
+func (b *Balancer) tell(to int, kind byte, k *backend, count float64) {
+	text := binary.LittleEndian.AppendUint16([]byte{kind}, k.tag())
+	b.host.Tell(to, append(text, byte(min(255, count))))
+}
+
+// count is the keeper's: it notes what an instance has out at a backend.
+func (k *backend) count(now float64, from int, out float64) {
+	if k.counts == nil {
+		k.counts = map[int]note{}
+	}
+	if k.counts[from] = (note{out, now}); out == 0 {
+		delete(k.counts, from)
+	}
+}
+
+// load is how many commands all instances have out at the backend. A note too old to be of a command that is still
+// open was lost or its sender is no more.
+func (b *Balancer) load(k *backend) float64 {
+	if b.keeper(k) != b.place.Me {
+		return max(k.heard, float64(k.inFlight))
+	}
+	sum := 0.0
+	for from, n := range k.counts {
+		if b.now-n.at > b.longest {
+			delete(k.counts, from)
+			continue
+		}
+		sum += n.out
+	}
+	return sum
+}
+
+// ask draws a few backends for the command and has their keepers say what all instances have out there.
+func (b *Balancer) ask(c *command) bool {
+	if b.now < c.askedAt+recheck {
+		return false
+	}
+	c.drawn = c.drawn[:0]
+	for range draws {
+		if k := b.pick(c, false); k != nil {
+			c.drawn = append(c.drawn, k)
+		}
+	}
+	c.askedAt = b.now
+	open := false
+	for _, k := range c.drawn {
+		if at := b.keeper(k); at == b.place.Me {
+			k.heardAt = b.now
+		} else {
+			open = true
+			b.tell(at, noteAsk, k, 0)
+		}
+	}
+	if !open {
+		return b.choose(c)
+	}
+	c.asking = true
+	b.waiting = append(b.waiting, c)
+	asked := c.askedAt
+	b.after(patience, func() {
+		if c.asking && c.askedAt == asked {
+			b.choose(c)
+		}
+	})
+	return true
+}
+
+// choose sends the command to the least busy of those drawn for it, or holds it where all are full. Where no keeper
+// had a word in time, the instance goes by what it knows alone.
+func (b *Balancer) choose(c *command) bool {
+	b.waiting = slices.DeleteFunc(b.waiting, func(x *command) bool { return x == c })
+	c.asking = false
+	if c.done || c.out > 0 {
+		return false
+	}
+	var best *backend
+	least, heard := math.Inf(1), false
+	home := b.home(c.key)
+	for _, k := range c.drawn {
+		if k.heardAt < c.askedAt || !b.may(c, k) || !b.coldAllows(k) {
+			continue
+		}
+		heard = true
+		load := b.load(k)
+		cost := (load + 1) / (k.Size * k.weight * b.pull(k, home, homeGain, zoneGain))
+		if load < b.roomAt(k)*(spareFirst+(1-spareFirst)*c.priority) && cost < least {
+			best, least = k, cost
+		}
+	}
+	c.drawn = c.drawn[:0]
+	if !heard && !b.crowded(c) {
+		best = b.pick(c, false)
+	}
+	if best != nil {
+		if c.held {
+			c.held = false
+			b.held = slices.DeleteFunc(b.held, func(x *command) bool { return x == c })
+		}
+		b.relay(c, best)
+		return true
+	}
+	if !c.held {
+		b.hold(c)
+	} else {
+		b.after(recheck, b.dispatch)
+	}
+	return false
+}
+
+// pull is how much more a backend is wanted for what it has met and for how near it is.
+func (b *Balancer) pull(k *backend, home int, ofHome, ofZone float64) float64 {
+	pull := 1.0
+	if k.Cell == home {
+		pull *= ofHome
+	}
+	if k.Zone == b.place.Zone && b.limits.Peers {
+		pull *= ofZone
+	}
+	return pull
+}
+
+// roomAt is how many commands all instances together may have out at the backend.
+func (b *Balancer) roomAt(k *backend) float64 {
+	b.level = min(max(b.level, knownMin), knownMost)
+	return b.level * b.part(k) * k.Size / b.meanSize
 }
 
 // Started is told that a stream has begun: the command now belongs to that relay.
@@ -724,6 +958,7 @@
 	c.out--
 	r.to.inFlight--
 	b.inFlight--
+	b.report(r.to)
 	if r.loser {
 		v.losers--
 	}
--- a/balance/helper_test.go
+++ b/balance/helper_test.go
@@ -16,7 +16,7 @@
 	relay int
 }
 
-type note struct {
+type telling struct {
 	to   int
 	text []byte
 }
@@ -37,7 +37,7 @@
 	declined   []uint64
 	terminated []uint64
 	watches    int
-	told       []note
+	told       []telling
 	wakes      []wake
 	ended      map[uint64]bool
 }
@@ -55,7 +55,9 @@
 func (h *fakeHost) Terminate(cmd uint64)            { h.end(cmd); h.terminated = append(h.terminated, cmd) }
 func (h *fakeHost) WakeAfter(s float64, tok uint64) { h.wakes = append(h.wakes, wake{h.now + s, tok}) }
 func (h *fakeHost) Watch()                          { h.watches++ }
-func (h *fakeHost) Tell(to int, text []byte)        { h.told = append(h.told, note{to, slices.Clone(text)}) }
+func (h *fakeHost) Tell(to int, text []byte) {
+	h.told = append(h.told, telling{to, slices.Clone(text)})
+}
 
 func (h *fakeHost) end(cmd uint64) {
 	if h.ended[cmd] {
