--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -35,19 +35,22 @@
 	trials          = 5    // copies let through before it closes again
 
 	// Weights and pick.
-	weightMin, weightMax      = 0.1, 3.0 // no unit; a thirtieth of the best still learns when a backend mends
-	weightGain                = 0.1      // for each quick answer: ten make up for one halving at the mean
-	farSlack                  = 0.5      // commands under the mean count from which it is skipped: queues stay even
-	asideFirst                = 2.0      // seconds left alone after a connection failed: it is down or full
-	asideLast                 = 30.0     // seconds, longest such spell: as long as idle connections hold their place
-	homePull                  = 60.0     // times the weight of backends in the cell of a command's key
-	homeGain, zoneGain        = 2.0, 1.3
-	draws                     = 3
-	patience                  = 0.04
-	noteSize                  = 4
-	noteOut, noteAsk, noteSum = 0x11, 0x12, 0x13 // version and kind of a message
-	knownMin, knownMost       = 3.0, 5.0
-	zonePull                  = 3.0 // times the weight of backends in the own zone
+	weightMin, weightMax                = 0.1, 3.0 // no unit; a thirtieth of the best still learns when a backend mends
+	weightGain                          = 0.1      // for each quick answer: ten make up for one halving at the mean
+	farSlack                            = 0.5      // commands under the mean count from which it is skipped: queues stay even
+	asideFirst                          = 2.0      // seconds left alone after a connection failed: it is down or full
+	asideLast                           = 30.0     // seconds, longest such spell: as long as idle connections hold their place
+	homePull                            = 60.0     // times the weight of backends in the cell of a command's key
+	homeGain, zoneGain                  = 2.0, 1.3
+	asksMost                            = 2
+	patience                            = 0.04
+	noteHead, noteSize                  = 3, 7
+	noteOut, noteAsk, noteGrant         = 0x11, 0x12, 0x13 // version and kind of a message
+	howOut, howWell, howLate, howFailed = byte(0), byte(1), byte(2), byte(3)
+	failLoad, failSpan                  = 2.0, 3.0
+	knownFirst, knownMin, knownMost = 5.0, 0.5, 7.0
+	knownGain                           = 0.2
+	zonePull                            = 3.0 // times the weight of backends in the own zone
 
 	// Fleet.
 	nearLeast         = 4.0      // backends in an instance's window: room for copies and for some that fail
@@ -167,12 +170,17 @@
 	spell    float64 // length of the last such spell
 	budget   bucket  // commands that may go to it while it is cold
 
-	counts         map[int]note // what each instance has out here, at its keeper alone
-	heard, heardAt float64      // what all have out together, as its keeper said
+	counts map[int]told // what each instance has out here, at its keeper alone
+	fails  decaying     // the same of those that failed lately
+	bound  bound        // and how many they may have
+
 }
 
-// note is what an instance last said that it has out.
-type note struct{ out, at float64 }
+// told is what an instance last said that it has out.
+type told struct {
+	out, at    float64
+	soon, till float64 // what it was answered that it could send, until that is out or it has gone elsewhere
+}
 
 func (k *backend) tag() uint16 { return uint16(k.spot >> 20) }
 
@@ -215,8 +223,8 @@
 	// fleet that is not set aside, then any at all.
 	home := b.home(c.key)
 	from, share := b.window, func(k *backend) float64 {
-		if len(c.drawn) >= draws-1 {
-			return k.weight * k.near
+		if len(c.asked) > 0 {
+			return k.weight * k.near * b.pull(k, -1, 1, zonePull)
 		}
 		return k.weight * k.near * b.pull(k, home, homePull, zonePull)
 	}
@@ -227,7 +235,7 @@
 		total := 0.0
 		b.picks = b.picks[:0]
 		for _, k := range from {
-			if b.may(c, k) && !slices.Contains(c.drawn, k) && b.coldAllows(k) && (pass > 2 || !c.triedOn(k) && k.aside <= b.now) &&
+			if b.may(c, k) && !slices.Contains(c.asked, k.Cell) && b.coldAllows(k) && (pass > 2 || !c.triedOn(k) && k.aside <= b.now) &&
 				(pass > 0 || float64(k.inFlight) <= far) {
 				b.picks = append(b.picks, k)
 				total += share(k)
@@ -422,31 +430,51 @@
 	return float64(b.inFlight)+c.luck >= limit
 }
 
-// settle moves the bound with the part of commands that end late or fail, since a lower tier that is crowded
-// declines: up slowly while it is in use, down at once.
-func (b *Balancer) settle(c *command, failed bool) {
-	goal, took, late := c.verb.Goal, b.now-c.came, 0.0
-	slow := lateFrom * goal
+// bound is how many commands may be out, and the part of late ones that moves it.
+type bound struct {
+	level            float64
+	ended, endedLate float64 // commands that ended, and late ones of them, fading
+	cutAt, settled   float64
+}
+
+// settle takes in a command that ended, 1 if it was late: the bound goes up slowly while it is in use and down at
+// once, by no more than to what is in use. It tells whether too many are late.
+func (x *bound) settle(now, late float64, inUsed bool, used float64) bool {
+	// An instance with an answer a second would forget each before the next came.
+	fade := max(math.Exp((x.settled-now)/lateSpan), 1-1/lateAnswers)
+	x.ended, x.endedLate = x.ended*fade+1, x.endedLate*fade+late
+	excess := (x.endedLate-lateSlack)/x.ended - lateShare
+	if late == 1 && excess > 0 && now >= x.cutAt+cutEvery {
+		x.level *= (1 - cut*excess) * min(1, used)
+		x.cutAt = now
+	} else if x.endedLate+math.Sqrt(x.ended) <= lateShare*x.ended && inUsed {
+		// Only where the part is surely under: few answers prove little, and a bound raised in error chokes.
+		x.level *= 1 + raise*min(cutEvery, now-x.settled)
+	}
+	x.settled = now
+	return excess > 0
+}
+
+// slow is from when an answer to the verb is late. What is usual is not late, also where half of the goal is needed
+// with no queue at all.
+func (b *Balancer) slow(v *verb) float64 {
+	slow := lateFrom * v.Goal
 	if b.usual > 0 {
-		// What is usual is not late, also where half of the goal is needed with no queue at all.
-		slow = max(min(slow, stretch*b.usual), min(leeway*b.usual, lateTo*goal))
+		slow = max(min(slow, stretch*b.usual), min(leeway*b.usual, lateTo*v.Goal))
 	}
+	return slow
+}
+
+// settle moves the bound with the part of commands that end late or fail, since a lower tier that is crowded
+// declines.
+func (b *Balancer) settle(c *command, failed bool) {
+	took, late := b.now-c.came, 0.0
+	slow := b.slow(c.verb)
 	if failed || took > slow {
 		late = 1
 	}
-	// An instance with an answer a second would forget each before the next came.
-	fade := max(math.Exp((b.settled-b.now)/lateSpan), 1-1/lateAnswers)
-	b.ended, b.endedLate = b.ended*fade+1, b.endedLate*fade+late
-	excess := (b.endedLate-lateSlack)/b.ended - lateShare
-	tooLate, inUsed := excess > 0, float64(b.inFlight) >= inUse*b.share()
-	if late == 1 && tooLate && b.now >= b.cutAt+cutEvery {
-		b.level *= (1 - cut*excess) * min(1, float64(b.inFlight+1)/b.share())
-		b.cutAt = b.now
-	} else if b.endedLate+math.Sqrt(b.ended) <= lateShare*b.ended && inUsed {
-		// Only where the part is surely under: few answers prove little, and a bound raised in error chokes.
-		b.level *= 1 + raise*min(cutEvery, b.now-b.settled)
-	}
-	b.settled = b.now
+	inUsed := float64(b.inFlight) >= inUse*b.share()
+	tooLate := b.bound.settle(b.now, late, inUsed, float64(b.inFlight+1)/b.share())
 	// The median of a fleet at ease: it hardly follows what comes with our own crowding.
 	switch {
 	case b.usual == 0 && b.anyDelay.answers >= usualAnswers:
@@ -485,11 +513,20 @@
 	}
 	k := b.pick(c, false)
 	if k != nil {
+		b.release(c)
 		b.relay(c, k)
 	}
 	return k != nil
 }
 
+// release takes a command out of those held.
+func (b *Balancer) release(c *command) {
+	if c.held {
+		c.held = false
+		b.held = slices.DeleteFunc(b.held, func(x *command) bool { return x == c })
+	}
+}
+
 // hold keeps a command for a moment, highest utility first, and declines at once what can't be sent in time.
 func (b *Balancer) hold(c *command) {
 	c.held = true
@@ -513,16 +550,11 @@
 func (b *Balancer) dispatch() {
 	for i := 0; i < len(b.held); {
 		c := b.held[i]
-		if c.asking || !b.try(c) || c.asking {
-			i++
-			if !b.limits.Peers && b.crowded(c) {
-				return
-			}
-			continue
+		if !b.try(c) && !b.limits.Peers && b.crowded(c) {
+			return
 		}
-		if c.held {
-			c.held = false
-			b.held = slices.Delete(b.held, i, i+1)
+		if i < len(b.held) && b.held[i] == c {
+			i++
 		}
 	}
 }
@@ -551,7 +583,7 @@
 	mayHaveRun            *backend // of the first relay that may have run
 	ranFrom               float64  // when that was sent
 	held, done, streaming bool
-	drawn                 []*backend // whose keepers were asked
+	asked                 []int // cells whose keepers were asked
 	askedAt               float64
 	asking                bool
 }
@@ -606,10 +638,8 @@
 	topUtil       float64
 
 	came, carried, answers decaying
-	ended, endedLate       float64 // commands that ended, and late ones of them, fading
 	usual                  float64 // median latency in seconds of a fleet at ease, 0 while not known
-	level                  float64 // commands out for each warm backend, by all instances
-	cutAt, settled         float64
+	bound                          // commands out for each warm backend, by all instances
 	relayed, late          decaying
 	retries                bucket
 	asking                 bool
@@ -619,7 +649,7 @@
 // New starts an instance that knows nothing yet; Turn must follow, before anything else.
 func New(host Host, seed uint64, now float64) *Balancer {
 	return &Balancer{
-		host: host, seed: seed, now: now, start: now, askWait: askFirst, level: boundFirst,
+		host: host, seed: seed, now: now, start: now, askWait: askFirst, bound: bound{level: boundFirst},
 		commands: map[uint64]*command{}, wakes: map[uint64]func(){},
 		retries: bucket{retryBurst, now}, anyDelay: newDelay(now),
 	}
@@ -709,11 +739,11 @@
 	n := len(c.relays)
 	r := relay{to: k, sent: b.now, out: true}
 	r.delay, r.learned = b.delay(v)
-	c.relays = append(c.relays, r)
+	c.relays, c.asked = append(c.relays, r), c.asked[:0]
 	c.out++
 	k.inFlight++
 	b.inFlight++
-	b.report(k)
+	b.report(k, howOut)
 	k.budget.tokens-- // counts only while it is cold
 	b.relayed.add(b.now, slowSpan, 1)
 	if c.mayHaveRun == nil {
@@ -763,55 +793,127 @@
 // Heard is told what a sibling had to say.
 func (b *Balancer) Heard(now float64, from int, text []byte) {
 	b.now = now
-	if !b.limits.Peers || len(text) != noteSize || float64(from) >= b.siblings() {
+	if !b.limits.Peers || float64(from) >= b.siblings() {
 		return
 	}
-	tag, count := binary.LittleEndian.Uint16(text[1:]), float64(text[3])
-	for _, k := range b.fleet {
-		switch {
-		case k.tag() != tag:
-		case text[0] == noteOut && b.keeper(k) == b.place.Me:
-			k.count(now, from, count)
-		case text[0] == noteAsk && b.keeper(k) == b.place.Me:
-			b.tell(from, noteSum, k, b.load(k))
-		case text[0] == noteSum && b.keeper(k) == from:
-			k.heard, k.heardAt = count, now
+	if from == b.place.Me || len(text) < noteHead || text[0] == noteAsk && len(text) != noteHead+1 {
+		return
+	}
+	cell := int(binary.LittleEndian.Uint16(text[1:]))
+	if text[0] == noteAsk {
+		if b.keeper(cell) == b.place.Me {
+			reply := b.note(noteGrant, cell)
+			if k := b.answer(cell, from, float64(text[3])/255); k != nil {
+				reply = binary.LittleEndian.AppendUint16(reply, k.tag())
+			}
+			b.host.Tell(from, reply)
 		}
+		return
 	}
-	for i := 0; i < len(b.waiting); {
-		if c := b.waiting[i]; slices.ContainsFunc(c.drawn, func(k *backend) bool { return k.heardAt < c.askedAt }) {
-			i++
-		} else {
-			b.choose(c)
+	var k *backend
+	if len(text) >= noteHead+2 {
+		tag := binary.LittleEndian.Uint16(text[noteHead:])
+		if i := slices.IndexFunc(b.fleet, func(k *backend) bool { return k.Cell == cell && k.tag() == tag }); i >= 0 {
+			k = b.fleet[i]
+		}
+	}
+	switch {
+	case text[0] == noteOut && k != nil && len(text) == noteSize && b.keeper(cell) == b.place.Me:
+		b.count(k, from, float64(text[5]), text[6])
+	case text[0] == noteGrant && b.keeper(cell) == from:
+		for _, c := range b.waiting {
+			if c.asked[len(c.asked)-1] == cell {
+				b.granted(c, k)
+				return
+			}
+		}
+		if k != nil {
+			b.report(k, howOut) // too late
 		}
 	}
 }
 
-// keeper is the instance that counts what all have out at the backend.
-func (b *Balancer) keeper(k *backend) int { return int(k.spot % uint64(b.siblings())) }
+// keeper is the instance that counts what all have out at the backends of a cell.
+func (b *Balancer) keeper(cell int) int {
+	return int(hash(binary.LittleEndian.AppendUint64(nil, uint64(cell))) % uint64(b.siblings()))
+}
 
-// report tells the backend's keeper what this instance has out there.
-func (b *Balancer) report(k *backend) {
-	if b.limits.Peers {
-		if at := b.keeper(k); at == b.place.Me {
-			k.count(b.now, at, float64(k.inFlight))
-		} else {
-			b.tell(at, noteOut, k, float64(k.inFlight))
+// report tells the backend's keeper what this instance has out there, and how a relay ended.
+func (b *Balancer) report(k *backend, how byte) {
+	if !b.limits.Peers {
+		return
+	}
+	if at := b.keeper(k.Cell); at == b.place.Me {
+		b.count(k, at, float64(k.inFlight), how)
+	} else {
+		text := binary.LittleEndian.AppendUint16(b.note(noteOut, k.Cell), k.tag())
+		b.host.Tell(at, append(text, byte(min(255, k.inFlight)), how))
+	}
+}
+
+func (b *Balancer) note(kind byte, cell int) []byte {
+	return binary.LittleEndian.AppendUint16([]byte{kind}, uint16(cell))
+}
+
+// answer is the keeper's: it gives an instance leave to send to the least busy backend of the cell that has room for
+// one more command of its priority. What it grants counts as out at once, since others ask before it is.
+func (b *Balancer) answer(cell, to int, priority float64) *backend {
+	var best *backend
+	least := 1.0
+	for _, k := range b.fleet {
+		if k.Cell == cell && k.State == Ready {
+			part := spareFirst + (1-spareFirst)*priority
+			if use := (b.load(k) + b.chance()*tiny) / (b.roomAt(k) * part); use < least {
+				best, least = k, use
+			}
 		}
 	}
+	if best != nil {
+		b.expect(best, to)
+	}
+	return best
 }
 
-func (b *Balancer) tell(to int, kind byte, k *backend, count float64) {
-	text := binary.LittleEndian.AppendUint16([]byte{kind}, k.tag())
-	b.host.Tell(to, append(text, byte(min(255, count))))
+// expect is the keeper's: it counts a command that an instance is about to send.
+func (b *Balancer) expect(k *backend, from int) {
+	t := k.counts[from]
+	if b.now >= t.till {
+		t.soon = 0
+	}
+	t.at, t.soon, t.till = b.now, t.soon+1, b.now+patience
+	b.kept(k)[from] = t
 }
 
-// count is the keeper's: it notes what an instance has out at a backend.
-func (k *backend) count(now float64, from int, out float64) {
+// kept is what the keeper has of a backend.
+func (b *Balancer) kept(k *backend) map[int]told {
 	if k.counts == nil {
-		k.counts = map[int]note{}
+		k.counts, k.bound = map[int]told{}, bound{level: knownFirst}
+	}
+	return k.counts
+}
+
+// count is the keeper's: it notes what an instance has out at a backend.
+func (b *Balancer) count(k *backend, from int, out float64, how byte) {
+	b.kept(k)
+	if how != howOut {
+		late := 0.0
+		if how != howWell {
+			late = 1
+		}
+		if how == howFailed {
+			k.fails.add(b.now, failSpan, 1)
+		}
+		room, load := b.roomAt(k), b.load(k)
+		if !k.bound.settle(b.now, late, load >= inUse*room, (load+1)/room) && late == 0 && k.bound.level < knownFirst {
+			k.bound.level += knownGain
+		}
 	}
-	if k.counts[from] = (note{out, now}); out == 0 {
+	t := k.counts[from]
+	t.out, t.at = out, b.now
+	if how == howOut {
+		t.soon = max(0, t.soon-1)
+	}
+	if k.counts[from] = t; out == 0 && b.now >= t.till {
 		delete(k.counts, from)
 	}
 }
@@ -819,95 +921,95 @@
 // load is how many commands all instances have out at the backend. A note too old to be of a command that is still
 // open was lost or its sender is no more.
 func (b *Balancer) load(k *backend) float64 {
-	if b.keeper(k) != b.place.Me {
-		return max(k.heard, float64(k.inFlight))
-	}
-	sum := 0.0
+
+	sum := failLoad * k.fails.read(b.now, failSpan)
 	for from, n := range k.counts {
 		if b.now-n.at > b.longest {
 			delete(k.counts, from)
 			continue
 		}
 		sum += n.out
+		if b.now < n.till {
+			sum += n.soon
+		}
 	}
 	return sum
 }
 
-// ask draws a few backends for the command and has their keepers say what all instances have out there.
+// ask draws a cell for the command and has its keeper say where in it there is room.
 func (b *Balancer) ask(c *command) bool {
-	if b.now < c.askedAt+recheck {
+	if c.asking || b.now < c.askedAt+recheck {
 		return false
 	}
-	c.drawn = c.drawn[:0]
-	for range draws {
-		if k := b.pick(c, false); k != nil {
-			c.drawn = append(c.drawn, k)
-		}
-	}
-	c.askedAt = b.now
-	open := false
-	for _, k := range c.drawn {
-		if at := b.keeper(k); at == b.place.Me {
-			k.heardAt = b.now
-		} else {
-			open = true
-			b.tell(at, noteAsk, k, 0)
-		}
+	c.asked = c.asked[:0]
+	return b.askOn(c)
+}
+
+func (b *Balancer) askOn(c *command) bool {
+	k := b.pick(c, false)
+	if k == nil || len(c.asked) >= asksMost {
+		return false
 	}
-	if !open {
-		return b.choose(c)
+	c.askedAt, c.asked = b.now, append(c.asked, k.Cell)
+	at := b.keeper(k.Cell)
+	if at == b.place.Me {
+		b.granted(c, b.answer(k.Cell, at, c.priority))
+		return true
 	}
+	b.host.Tell(at, append(b.note(noteAsk, k.Cell), byte(255*c.priority)))
 	c.asking = true
 	b.waiting = append(b.waiting, c)
-	asked := c.askedAt
+	asks, asked := len(c.asked), c.askedAt
 	b.after(patience, func() {
-		if c.asking && c.askedAt == asked {
-			b.choose(c)
+		if !c.asking || c.askedAt != asked || len(c.asked) != asks {
+			return
 		}
+		// No word in time: the instance goes by what it knows alone.
+		b.answered(c)
+		if c.done {
+			return
+		}
+		if c.asked = c.asked[:0]; !b.crowded(c) {
+			if k := b.pick(c, false); k != nil {
+				b.release(c)
+				b.relay(c, k)
+				return
+			}
+		}
+		b.wait(c)
 	})
 	return true
 }
 
-// choose sends the command to the least busy of those drawn for it, or holds it where all are full. Where no keeper
-// had a word in time, the instance goes by what it knows alone.
-func (b *Balancer) choose(c *command) bool {
+func (b *Balancer) answered(c *command) {
 	b.waiting = slices.DeleteFunc(b.waiting, func(x *command) bool { return x == c })
 	c.asking = false
-	if c.done || c.out > 0 {
-		return false
-	}
-	var best *backend
-	least, heard := math.Inf(1), false
-	home := b.home(c.key)
-	for _, k := range c.drawn {
-		if k.heardAt < c.askedAt || !b.may(c, k) || !b.coldAllows(k) {
-			continue
-		}
-		heard = true
-		load := b.load(k)
-		cost := (load + 1) / (k.Size * k.weight * b.pull(k, home, homeGain, zoneGain))
-		if load < b.roomAt(k)*(spareFirst+(1-spareFirst)*c.priority) && cost < least {
-			best, least = k, cost
-		}
-	}
-	c.drawn = c.drawn[:0]
-	if !heard && !b.crowded(c) {
-		best = b.pick(c, false)
+}
+
+// granted sends a command where its keeper said, or asks on, or holds it.
+func (b *Balancer) granted(c *command, k *backend) {
+	b.answered(c)
+	usable := k != nil && !c.done && c.out == 0 && b.may(c, k) && !c.triedOn(k)
+	switch {
+	case usable:
+		b.release(c)
+		b.relay(c, k)
+		return
+	case k != nil:
+		b.report(k, howOut) // not taken
 	}
-	if best != nil {
-		if c.held {
-			c.held = false
-			b.held = slices.DeleteFunc(b.held, func(x *command) bool { return x == c })
-		}
-		b.relay(c, best)
-		return true
+	if !c.done && c.out == 0 && !b.askOn(c) {
+		b.wait(c)
 	}
-	if !c.held {
-		b.hold(c)
-	} else {
+}
+
+// wait holds a command for which there is no room yet.
+func (b *Balancer) wait(c *command) {
+	if c.held {
 		b.after(recheck, b.dispatch)
+	} else {
+		b.hold(c)
 	}
-	return false
 }
 
 // pull is how much more a backend is wanted for what it has met and for how near it is.
@@ -922,10 +1024,10 @@
 	return pull
 }
 
-// roomAt is how many commands all instances together may have out at the backend.
+// roomAt is how many commands all instances together may have out at the backend, by its keeper.
 func (b *Balancer) roomAt(k *backend) float64 {
-	b.level = min(max(b.level, knownMin), knownMost)
-	return b.level * b.part(k) * k.Size / b.meanSize
+	k.bound.level = min(max(k.bound.level, knownMin), knownMost)
+	return k.bound.level * b.part(k) * k.Size / b.meanSize
 }
 
 // Started is told that a stream has begun: the command now belongs to that relay.
@@ -958,11 +1060,18 @@
 	c.out--
 	r.to.inFlight--
 	b.inFlight--
-	b.report(r.to)
 	if r.loser {
 		v.losers--
 	}
 	b.judge(r, result, took)
+	how := howWell
+	switch {
+	case result != Answered && result != Cancelled && result != Moot:
+		how = howFailed
+	case took > b.slow(v):
+		how = howLate
+	}
+	b.report(r.to, how)
 	winner := !c.done && result != Cancelled && result != Moot
 	if winner && (result == Answered || c.out == 0) {
 		v.breaker.outcome(now, result != Answered)
@@ -1076,10 +1185,7 @@
 		return
 	}
 	c.done = true
-	if c.held {
-		c.held = false
-		b.held = slices.DeleteFunc(b.held, func(x *command) bool { return x == c })
-	}
+	b.release(c)
 	b.cancelOthers(c, -1)
 	b.forget(c)
 }
