--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -35,22 +35,19 @@
 	trials          = 5    // copies let through before it closes again
 
 	// Weights and pick.
-	weightMin, weightMax                = 0.1, 3.0 // no unit; a thirtieth of the best still learns when a backend mends
-	weightGain                          = 0.1      // for each quick answer: ten make up for one halving at the mean
-	farSlack                            = 0.5      // commands under the mean count from which it is skipped: queues stay even
-	asideFirst                          = 2.0      // seconds left alone after a connection failed: it is down or full
-	asideLast                           = 30.0     // seconds, longest such spell: as long as idle connections hold their place
-	homePull                            = 60.0     // times the weight of backends in the cell of a command's key
-	homeGain, zoneGain                  = 2.0, 1.3
-	asksMost                            = 2
-	patience                            = 0.04
-	noteHead, noteSize                  = 3, 7
-	noteOut, noteAsk, noteGrant         = 0x11, 0x12, 0x13 // version and kind of a message
-	howOut, howWell, howLate, howFailed = byte(0), byte(1), byte(2), byte(3)
-	failLoad, failSpan                  = 2.0, 3.0
-	knownFirst, knownMin, knownMost = 5.0, 0.5, 7.0
-	knownGain                           = 0.2
-	zonePull                            = 3.0 // times the weight of backends in the own zone
+	weightMin, weightMax = 0.1, 3.0 // no unit; a thirtieth of the best still learns when a backend mends
+	weightGain           = 0.1      // for each quick answer: ten make up for one halving at the mean
+	farSlack             = 0.5      // commands under the mean count from which it is skipped: queues stay even
+	asideFirst           = 2.0      // seconds left alone after a connection failed: it is down or full
+	asideLast            = 30.0     // seconds, longest such spell: as long as idle connections hold their place
+	homePull             = 60.0     // times the weight of backends in the cell of a command's key
+	zonePull             = 3.0      // times the weight of backends in the own zone
+
+	// Keepers.
+	room               = 5.0      // commands out for each backend, by all instances: fewer idle it, more choke it
+	failLoad, failSpan = 2.0, 3.0 // commands that a failure counts for, and for how many seconds
+	asksMost           = 2        // cells asked for a command at a time: more only add to a flood
+	patience           = 0.04     // seconds for a keeper's word: twice the way there and back, and a few ticks
 
 	// Fleet.
 	nearLeast         = 4.0      // backends in an instance's window: room for copies and for some that fail
@@ -170,18 +167,11 @@
 	spell    float64 // length of the last such spell
 	budget   bucket  // commands that may go to it while it is cold
 
-	counts map[int]told // what each instance has out here, at its keeper alone
-	fails  decaying     // the same of those that failed lately
-	bound  bound        // and how many they may have
+	tally tally // what all instances have out here, at its keeper alone
 
 }
 
-// told is what an instance last said that it has out.
-type told struct {
-	out, at    float64
-	soon, till float64 // what it was answered that it could send, until that is out or it has gone elsewhere
-}
-
+// tag names the backend in notes, within its cell.
 func (k *backend) tag() uint16 { return uint16(k.spot >> 20) }
 
 func (k *backend) slowed() { k.weight = max(weightMin, k.weight/2) }
@@ -221,12 +211,16 @@
 	far := max(float64(count)/max(1, float64(len(b.window)))-farSlack, farSlack)
 	// First those of the window that the weight rule and the skip leave, then any of the window, then any of the
 	// fleet that is not set aside, then any at all.
-	home := b.home(c.key)
+	home := b.home(c)
 	from, share := b.window, func(k *backend) float64 {
-		if len(c.asked) > 0 {
-			return k.weight * k.near * b.pull(k, -1, 1, zonePull)
+		s := k.weight * k.near
+		if k.Cell == home {
+			s *= homePull
 		}
-		return k.weight * k.near * b.pull(k, home, homePull, zonePull)
+		if b.limits.Peers && k.Zone == b.place.Zone {
+			s *= zonePull
+		}
+		return s
 	}
 	for pass := range 4 {
 		if pass == 2 {
@@ -235,7 +229,7 @@
 		total := 0.0
 		b.picks = b.picks[:0]
 		for _, k := range from {
-			if b.may(c, k) && !slices.Contains(c.asked, k.Cell) && b.coldAllows(k) && (pass > 2 || !c.triedOn(k) && k.aside <= b.now) &&
+			if b.may(c, k) && !slices.Contains(c.asked, uint16(k.Cell)) && b.coldAllows(k) && (pass > 2 || !c.triedOn(k) && k.aside <= b.now) &&
 				(pass > 0 || float64(k.inFlight) <= far) {
 				b.picks = append(b.picks, k)
 				total += share(k)
@@ -254,15 +248,15 @@
 	return nil
 }
 
-// home is the cell that the key belongs to, the same at every instance and by size, or -1. A cell that comes or goes
-// moves only its own keys.
-func (b *Balancer) home(key uint64) int {
+// home is the cell that the command's key belongs to, the same at every instance and by size, or -1. A cell that
+// comes or goes moves only its own keys. Once that cell had no room, another may be as good as any.
+func (b *Balancer) home(c *command) int {
 	best, home := math.Inf(1), -1
-	if key == 0 || !b.limits.Keys {
+	if c.key == 0 || !b.limits.Keys || len(c.asked) > 0 {
 		return home
 	}
 	var text [16]byte
-	binary.LittleEndian.PutUint64(text[:], key)
+	binary.LittleEndian.PutUint64(text[:], c.key)
 	for _, c := range b.cells {
 		binary.LittleEndian.PutUint64(text[8:], uint64(c.number))
 		u := (float64(hash(text[:])>>11) + 1) / (1 << 53)
@@ -430,51 +424,31 @@
 	return float64(b.inFlight)+c.luck >= limit
 }
 
-// bound is how many commands may be out, and the part of late ones that moves it.
-type bound struct {
-	level            float64
-	ended, endedLate float64 // commands that ended, and late ones of them, fading
-	cutAt, settled   float64
-}
-
-// settle takes in a command that ended, 1 if it was late: the bound goes up slowly while it is in use and down at
-// once, by no more than to what is in use. It tells whether too many are late.
-func (x *bound) settle(now, late float64, inUsed bool, used float64) bool {
-	// An instance with an answer a second would forget each before the next came.
-	fade := max(math.Exp((x.settled-now)/lateSpan), 1-1/lateAnswers)
-	x.ended, x.endedLate = x.ended*fade+1, x.endedLate*fade+late
-	excess := (x.endedLate-lateSlack)/x.ended - lateShare
-	if late == 1 && excess > 0 && now >= x.cutAt+cutEvery {
-		x.level *= (1 - cut*excess) * min(1, used)
-		x.cutAt = now
-	} else if x.endedLate+math.Sqrt(x.ended) <= lateShare*x.ended && inUsed {
-		// Only where the part is surely under: few answers prove little, and a bound raised in error chokes.
-		x.level *= 1 + raise*min(cutEvery, now-x.settled)
-	}
-	x.settled = now
-	return excess > 0
-}
-
-// slow is from when an answer to the verb is late. What is usual is not late, also where half of the goal is needed
-// with no queue at all.
-func (b *Balancer) slow(v *verb) float64 {
-	slow := lateFrom * v.Goal
-	if b.usual > 0 {
-		slow = max(min(slow, stretch*b.usual), min(leeway*b.usual, lateTo*v.Goal))
-	}
-	return slow
-}
-
 // settle moves the bound with the part of commands that end late or fail, since a lower tier that is crowded
-// declines.
+// declines: up slowly while it is in use, down at once.
 func (b *Balancer) settle(c *command, failed bool) {
-	took, late := b.now-c.came, 0.0
-	slow := b.slow(c.verb)
+	goal, took, late := c.verb.Goal, b.now-c.came, 0.0
+	slow := lateFrom * goal
+	if b.usual > 0 {
+		// What is usual is not late, also where half of the goal is needed with no queue at all.
+		slow = max(min(slow, stretch*b.usual), min(leeway*b.usual, lateTo*goal))
+	}
 	if failed || took > slow {
 		late = 1
 	}
-	inUsed := float64(b.inFlight) >= inUse*b.share()
-	tooLate := b.bound.settle(b.now, late, inUsed, float64(b.inFlight+1)/b.share())
+	// An instance with an answer a second would forget each before the next came.
+	fade := max(math.Exp((b.settled-b.now)/lateSpan), 1-1/lateAnswers)
+	b.ended, b.endedLate = b.ended*fade+1, b.endedLate*fade+late
+	excess := (b.endedLate-lateSlack)/b.ended - lateShare
+	tooLate, inUsed := excess > 0, float64(b.inFlight) >= inUse*b.share()
+	if late == 1 && tooLate && b.now >= b.cutAt+cutEvery {
+		b.level *= (1 - cut*excess) * min(1, float64(b.inFlight+1)/b.share())
+		b.cutAt = b.now
+	} else if b.endedLate+math.Sqrt(b.ended) <= lateShare*b.ended && inUsed {
+		// Only where the part is surely under: few answers prove little, and a bound raised in error chokes.
+		b.level *= 1 + raise*min(cutEvery, b.now-b.settled)
+	}
+	b.settled = b.now
 	// The median of a fleet at ease: it hardly follows what comes with our own crowding.
 	switch {
 	case b.usual == 0 && b.anyDelay.answers >= usualAnswers:
@@ -503,14 +477,15 @@
 	return false
 }
 
-// try sends the command's first or next relay where there is room, and tells whether it did.
+// try sends the command's first relay where there is room, or asks where there is, and tells whether it did.
 func (b *Balancer) try(c *command) bool {
 	if b.limits.Peers {
 		return b.ask(c)
 	}
-	if b.crowded(c) {
-		return false
-	}
+	return !b.crowded(c) && b.send(c)
+}
+
+func (b *Balancer) send(c *command) bool {
 	k := b.pick(c, false)
 	if k != nil {
 		b.release(c)
@@ -529,6 +504,10 @@
 
 // hold keeps a command for a moment, highest utility first, and declines at once what can't be sent in time.
 func (b *Balancer) hold(c *command) {
+	if c.held {
+		b.after(recheck, b.dispatch)
+		return
+	}
 	c.held = true
 	at, _ := slices.BinarySearchFunc(b.held, c, func(x, y *command) int {
 		return cmp.Or(cmp.Compare(y.priority, x.priority), cmp.Compare(x.seq, y.seq))
@@ -559,6 +538,152 @@
 	}
 }
 
+// ---- Keepers: for each cell one instance counts what all have out at its backends, and gives leave to send.
+
+// keeper is that instance.
+func (b *Balancer) keeper(cell uint16) int {
+	return int(hash([]byte{byte(cell), byte(cell >> 8)}) % uint64(b.siblings()))
+}
+
+// load is for its keeper how much a backend has to do, by the commands that it may have.
+func (b *Balancer) load(k *backend) float64 {
+	out := k.tally.sum(b.now, b.longest) + failLoad*k.tally.fails.read(b.now, failSpan)
+	return out / (room * b.part(k) * k.Size / b.meanSize)
+}
+
+// grant is the keeper's: it names the least busy backend of the cell, if one has room for a command of the priority.
+// The command counts as out from now on, since others ask before it is. What has failed lately counts for a
+// while, or a backend that fails at once would look idle to everybody.
+func (b *Balancer) grant(cell uint16, to int, priority float64) (best *backend) {
+	least := spareFirst + (1-spareFirst)*priority
+	for _, k := range b.fleet {
+		if uint16(k.Cell) == cell && k.State == Ready {
+			if load := b.load(k) + b.chance()*tiny; load < least {
+				best, least = k, load
+			}
+		}
+	}
+	if best != nil {
+		best.tally.grant(b.now, to, b.now+patience)
+	}
+	return best
+}
+
+// report tells the backend's keeper what this instance has out there.
+func (b *Balancer) report(k *backend, flag byte) {
+	n := note{noteOut, uint16(k.Cell), k.tag(), byte(min(255, k.inFlight)), flag}
+	if at := b.keeper(n.cell); !b.limits.Peers {
+		return
+	} else if at != b.place.Me {
+		b.host.Tell(at, n.bytes())
+	} else {
+		b.count(k, at, n)
+	}
+}
+
+func (b *Balancer) count(k *backend, from int, n note) {
+	k.tally.note(b.now, from, float64(n.amount), n.flag == flagSent)
+	if n.flag == flagFailed {
+		k.tally.fails.add(b.now, failSpan, 1)
+	}
+}
+
+// Heard is told what a sibling had to say.
+func (b *Balancer) Heard(now float64, from int, text []byte) {
+	b.now = now
+	n, ok := readNote(text)
+	if !ok || !b.limits.Peers || from == b.place.Me || from >= b.place.Siblings {
+		return
+	}
+	var k *backend
+	if i := slices.IndexFunc(b.fleet, func(k *backend) bool {
+		return uint16(k.Cell) == n.cell && k.tag() == n.tag
+	}); i >= 0 {
+		k = b.fleet[i]
+	}
+	switch at := b.keeper(n.cell); {
+	case n.kind == noteAsk && at == b.place.Me:
+		reply := note{kind: noteGrant, cell: n.cell}
+		if k := b.grant(n.cell, from, float64(n.amount)/255); k != nil {
+			reply.tag, reply.flag = k.tag(), flagYes
+		}
+		b.host.Tell(from, reply.bytes())
+	case n.kind == noteOut && at == b.place.Me && k != nil:
+		b.count(k, from, n)
+	case n.kind == noteGrant && at == from:
+		if n.flag != flagYes {
+			k = nil
+		}
+		i := slices.IndexFunc(b.waiting, func(c *command) bool { return c.asked[len(c.asked)-1] == n.cell })
+		if i >= 0 {
+			b.granted(b.waiting[i], k)
+		} else if k != nil {
+			b.report(k, flagSent) // too late: not taken
+		}
+	}
+}
+
+// ask draws a cell for the command and has its keeper say where in it there is room.
+func (b *Balancer) ask(c *command) bool {
+	if c.asking > 0 || b.now < c.askedAt+recheck {
+		return false
+	}
+	c.asked = c.asked[:0]
+	return b.askOn(c)
+}
+
+func (b *Balancer) askOn(c *command) bool {
+	k := b.pick(c, false)
+	if k == nil || len(c.asked) >= asksMost {
+		return false
+	}
+	cell := uint16(k.Cell)
+	c.askedAt, c.asked = b.now, append(c.asked, cell)
+	at := b.keeper(cell)
+	if at == b.place.Me {
+		b.granted(c, b.grant(cell, at, c.priority))
+		return true
+	}
+	b.host.Tell(at, note{kind: noteAsk, cell: cell, amount: byte(255 * c.priority)}.bytes())
+	b.asks++
+	n := b.asks
+	c.asking, b.waiting = n, append(b.waiting, c)
+	b.after(patience, func() {
+		if c.asking != n {
+			return
+		}
+		// No word in time: the message was lost, or the keeper is. The instance goes by what it knows alone.
+		b.answered(c)
+		c.asked = c.asked[:0]
+		if b.crowded(c) || !b.send(c) {
+			b.hold(c)
+		}
+	})
+	return true
+}
+
+// answered ends the wait for a keeper.
+func (b *Balancer) answered(c *command) {
+	c.asking = 0
+	b.waiting = slices.DeleteFunc(b.waiting, func(x *command) bool { return x == c })
+}
+
+// granted sends a command where its keeper said, or asks another, or holds it.
+func (b *Balancer) granted(c *command, k *backend) {
+	b.answered(c)
+	if k != nil && b.may(c, k) && !c.triedOn(k) {
+		b.release(c)
+		b.relay(c, k)
+		return
+	}
+	if k != nil {
+		b.report(k, flagSent) // not taken
+	}
+	if !b.askOn(c) {
+		b.hold(c)
+	}
+}
+
 // ---- Life of a command.
 
 type relay struct {
@@ -583,9 +708,9 @@
 	mayHaveRun            *backend // of the first relay that may have run
 	ranFrom               float64  // when that was sent
 	held, done, streaming bool
-	asked                 []int // cells whose keepers were asked
+	asked                 []uint16 // cells whose keepers were asked for it
 	askedAt               float64
-	asking                bool
+	asking                int // number of what was asked last, 0 while nothing is
 }
 
 func (c *command) triedOn(k *backend) bool {
@@ -627,6 +752,7 @@
 	meanSize      float64
 	longest       float64    // time limit of any verb
 	waiting       []*command // for what keepers say
+	asks          int
 	picks, window []*backend // window: those this instance keeps to
 	reach         float64    // width of the window
 	commands      map[uint64]*command
@@ -639,7 +765,9 @@
 
 	came, carried, answers decaying
 	usual                  float64 // median latency in seconds of a fleet at ease, 0 while not known
-	bound                          // commands out for each warm backend, by all instances
+	ended, endedLate       float64 // commands that ended, and late ones of them, fading
+	level                  float64 // commands out for each warm backend, by all instances
+	cutAt, settled         float64
 	relayed, late          decaying
 	retries                bucket
 	asking                 bool
@@ -649,7 +777,7 @@
 // New starts an instance that knows nothing yet; Turn must follow, before anything else.
 func New(host Host, seed uint64, now float64) *Balancer {
 	return &Balancer{
-		host: host, seed: seed, now: now, start: now, askWait: askFirst, bound: bound{level: boundFirst},
+		host: host, seed: seed, now: now, start: now, askWait: askFirst, level: boundFirst,
 		commands: map[uint64]*command{}, wakes: map[uint64]func(){},
 		retries: bucket{retryBurst, now}, anyDelay: newDelay(now),
 	}
@@ -743,7 +871,7 @@
 	c.out++
 	k.inFlight++
 	b.inFlight++
-	b.report(k, howOut)
+	b.report(k, flagSent)
 	k.budget.tokens-- // counts only while it is cold
 	b.relayed.add(b.now, slowSpan, 1)
 	if c.mayHaveRun == nil {
@@ -790,246 +918,6 @@
 	return b.late.read(b.now, slowSpan)-slowSlack > slowShare*b.relayed.read(b.now, slowSpan)
 }
 
-// Heard is told what a sibling had to say.
-func (b *Balancer) Heard(now float64, from int, text []byte) {
-	b.now = now
-	if !b.limits.Peers || float64(from) >= b.siblings() {
-		return
-	}
-	if from == b.place.Me || len(text) < noteHead || text[0] == noteAsk && len(text) != noteHead+1 {
-		return
-	}
-	cell := int(binary.LittleEndian.Uint16(text[1:]))
-	if text[0] == noteAsk {
-		if b.keeper(cell) == b.place.Me {
-			reply := b.note(noteGrant, cell)
-			if k := b.answer(cell, from, float64(text[3])/255); k != nil {
-				reply = binary.LittleEndian.AppendUint16(reply, k.tag())
-			}
-			b.host.Tell(from, reply)
-		}
-		return
-	}
-	var k *backend
-	if len(text) >= noteHead+2 {
-		tag := binary.LittleEndian.Uint16(text[noteHead:])
-		if i := slices.IndexFunc(b.fleet, func(k *backend) bool { return k.Cell == cell && k.tag() == tag }); i >= 0 {
-			k = b.fleet[i]
-		}
-	}
-	switch {
-	case text[0] == noteOut && k != nil && len(text) == noteSize && b.keeper(cell) == b.place.Me:
-		b.count(k, from, float64(text[5]), text[6])
-	case text[0] == noteGrant && b.keeper(cell) == from:
-		for _, c := range b.waiting {
-			if c.asked[len(c.asked)-1] == cell {
-				b.granted(c, k)
-				return
-			}
-		}
-		if k != nil {
-			b.report(k, howOut) // too late
-		}
-	}
-}
-
-// keeper is the instance that counts what all have out at the backends of a cell.
-func (b *Balancer) keeper(cell int) int {
-	return int(hash(binary.LittleEndian.AppendUint64(nil, uint64(cell))) % uint64(b.siblings()))
-}
-
-// report tells the backend's keeper what this instance has out there, and how a relay ended.
-func (b *Balancer) report(k *backend, how byte) {
-	if !b.limits.Peers {
-		return
-	}
-	if at := b.keeper(k.Cell); at == b.place.Me {
-		b.count(k, at, float64(k.inFlight), how)
-	} else {
-		text := binary.LittleEndian.AppendUint16(b.note(noteOut, k.Cell), k.tag())
-		b.host.Tell(at, append(text, byte(min(255, k.inFlight)), how))
-	}
-}
-
-func (b *Balancer) note(kind byte, cell int) []byte {
-	return binary.LittleEndian.AppendUint16([]byte{kind}, uint16(cell))
-}
-
-// answer is the keeper's: it gives an instance leave to send to the least busy backend of the cell that has room for
-// one more command of its priority. What it grants counts as out at once, since others ask before it is.
-func (b *Balancer) answer(cell, to int, priority float64) *backend {
-	var best *backend
-	least := 1.0
-	for _, k := range b.fleet {
-		if k.Cell == cell && k.State == Ready {
-			part := spareFirst + (1-spareFirst)*priority
-			if use := (b.load(k) + b.chance()*tiny) / (b.roomAt(k) * part); use < least {
-				best, least = k, use
-			}
-		}
-	}
-	if best != nil {
-		b.expect(best, to)
-	}
-	return best
-}
-
-// expect is the keeper's: it counts a command that an instance is about to send.
-func (b *Balancer) expect(k *backend, from int) {
-	t := k.counts[from]
-	if b.now >= t.till {
-		t.soon = 0
-	}
-	t.at, t.soon, t.till = b.now, t.soon+1, b.now+patience
-	b.kept(k)[from] = t
-}
-
-// kept is what the keeper has of a backend.
-func (b *Balancer) kept(k *backend) map[int]told {
-	if k.counts == nil {
-		k.counts, k.bound = map[int]told{}, bound{level: knownFirst}
-	}
-	return k.counts
-}
-
-// count is the keeper's: it notes what an instance has out at a backend.
-func (b *Balancer) count(k *backend, from int, out float64, how byte) {
-	b.kept(k)
-	if how != howOut {
-		late := 0.0
-		if how != howWell {
-			late = 1
-		}
-		if how == howFailed {
-			k.fails.add(b.now, failSpan, 1)
-		}
-		room, load := b.roomAt(k), b.load(k)
-		if !k.bound.settle(b.now, late, load >= inUse*room, (load+1)/room) && late == 0 && k.bound.level < knownFirst {
-			k.bound.level += knownGain
-		}
-	}
-	t := k.counts[from]
-	t.out, t.at = out, b.now
-	if how == howOut {
-		t.soon = max(0, t.soon-1)
-	}
-	if k.counts[from] = t; out == 0 && b.now >= t.till {
-		delete(k.counts, from)
-	}
-}
-
-// load is how many commands all instances have out at the backend. A note too old to be of a command that is still
-// open was lost or its sender is no more.
-func (b *Balancer) load(k *backend) float64 {
-
-	sum := failLoad * k.fails.read(b.now, failSpan)
-	for from, n := range k.counts {
-		if b.now-n.at > b.longest {
-			delete(k.counts, from)
-			continue
-		}
-		sum += n.out
-		if b.now < n.till {
-			sum += n.soon
-		}
-	}
-	return sum
-}
-
-// ask draws a cell for the command and has its keeper say where in it there is room.
-func (b *Balancer) ask(c *command) bool {
-	if c.asking || b.now < c.askedAt+recheck {
-		return false
-	}
-	c.asked = c.asked[:0]
-	return b.askOn(c)
-}
-
-func (b *Balancer) askOn(c *command) bool {
-	k := b.pick(c, false)
-	if k == nil || len(c.asked) >= asksMost {
-		return false
-	}
-	c.askedAt, c.asked = b.now, append(c.asked, k.Cell)
-	at := b.keeper(k.Cell)
-	if at == b.place.Me {
-		b.granted(c, b.answer(k.Cell, at, c.priority))
-		return true
-	}
-	b.host.Tell(at, append(b.note(noteAsk, k.Cell), byte(255*c.priority)))
-	c.asking = true
-	b.waiting = append(b.waiting, c)
-	asks, asked := len(c.asked), c.askedAt
-	b.after(patience, func() {
-		if !c.asking || c.askedAt != asked || len(c.asked) != asks {
-			return
-		}
-		// No word in time: the instance goes by what it knows alone.
-		b.answered(c)
-		if c.done {
-			return
-		}
-		if c.asked = c.asked[:0]; !b.crowded(c) {
-			if k := b.pick(c, false); k != nil {
-				b.release(c)
-				b.relay(c, k)
-				return
-			}
-		}
-		b.wait(c)
-	})
-	return true
-}
-
-func (b *Balancer) answered(c *command) {
-	b.waiting = slices.DeleteFunc(b.waiting, func(x *command) bool { return x == c })
-	c.asking = false
-}
-
-// granted sends a command where its keeper said, or asks on, or holds it.
-func (b *Balancer) granted(c *command, k *backend) {
-	b.answered(c)
-	usable := k != nil && !c.done && c.out == 0 && b.may(c, k) && !c.triedOn(k)
-	switch {
-	case usable:
-		b.release(c)
-		b.relay(c, k)
-		return
-	case k != nil:
-		b.report(k, howOut) // not taken
-	}
-	if !c.done && c.out == 0 && !b.askOn(c) {
-		b.wait(c)
-	}
-}
-
-// wait holds a command for which there is no room yet.
-func (b *Balancer) wait(c *command) {
-	if c.held {
-		b.after(recheck, b.dispatch)
-	} else {
-		b.hold(c)
-	}
-}
-
-// pull is how much more a backend is wanted for what it has met and for how near it is.
-func (b *Balancer) pull(k *backend, home int, ofHome, ofZone float64) float64 {
-	pull := 1.0
-	if k.Cell == home {
-		pull *= ofHome
-	}
-	if k.Zone == b.place.Zone && b.limits.Peers {
-		pull *= ofZone
-	}
-	return pull
-}
-
-// roomAt is how many commands all instances together may have out at the backend, by its keeper.
-func (b *Balancer) roomAt(k *backend) float64 {
-	k.bound.level = min(max(k.bound.level, knownMin), knownMost)
-	return k.bound.level * b.part(k) * k.Size / b.meanSize
-}
-
 // Started is told that a stream has begun: the command now belongs to that relay.
 func (b *Balancer) Started(now float64, id uint64, n int) {
 	b.now = now
@@ -1064,14 +952,11 @@
 		v.losers--
 	}
 	b.judge(r, result, took)
-	how := howWell
-	switch {
-	case result != Answered && result != Cancelled && result != Moot:
-		how = howFailed
-	case took > b.slow(v):
-		how = howLate
+	flag := flagNone
+	if result != Answered && result != Cancelled && result != Moot {
+		flag = flagFailed
 	}
-	b.report(r.to, how)
+	b.report(r.to, flag)
 	winner := !c.done && result != Cancelled && result != Moot
 	if winner && (result == Answered || c.out == 0) {
 		v.breaker.outcome(now, result != Answered)
@@ -1186,6 +1071,7 @@
 	}
 	c.done = true
 	b.release(c)
+	b.answered(c)
 	b.cancelOthers(c, -1)
 	b.forget(c)
 }
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -77,6 +77,61 @@
 	return both.GetValueAtQuantile(q)
 }
 
+// tally is what each instance said that it has out at a backend, and what has failed there lately.
+type tally struct {
+	by    map[int]told
+	fails decaying
+}
+
+type told struct {
+	out, at    float64
+	soon, till float64 // what it was granted and has not sent yet, and until when that counts
+}
+
+// note takes in what an instance says it has out; sent uses up a grant.
+func (t *tally) note(now float64, from int, out float64, sent bool) {
+	x := t.by[from]
+	x.out, x.at = out, now
+	if sent {
+		x.soon = max(0, x.soon-1)
+	}
+	if t.put(from, x); out == 0 && (x.soon == 0 || now >= x.till) {
+		delete(t.by, from)
+	}
+}
+
+// grant counts a command that an instance is about to send.
+func (t *tally) grant(now float64, from int, till float64) {
+	x := t.by[from]
+	if now >= x.till {
+		x.soon = 0
+	}
+	x.at, x.soon, x.till = now, x.soon+1, till
+	t.put(from, x)
+}
+
+func (t *tally) put(from int, x told) {
+	if t.by == nil {
+		t.by = map[int]told{}
+	}
+	t.by[from] = x
+}
+
+// sum is what all have out. What was said longer ago than any command lasts was lost, or who said it is no more.
+func (t *tally) sum(now, longest float64) (sum float64) {
+	for from, x := range t.by {
+		if now-x.at > longest {
+			delete(t.by, from)
+			continue
+		}
+		sum += x.out // whole numbers: the order does not matter
+		if now < x.till {
+			sum += x.soon
+		}
+	}
+	return sum
+}
+
 // hash spreads a few bytes over all bits: the high ones of FNV change little with the last bytes, so they are
 // stirred once more.
 func hash(text []byte) uint64 {
