--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -38,13 +38,12 @@
 	weightMin, weightMax = 0.1, 3.0 // no unit; a thirtieth of the best still learns when a backend mends
 	weightGain           = 0.1      // for each quick answer: ten make up for one halving at the mean
 	farSlack             = 0.5      // commands under the mean count from which it is skipped: queues stay even
-	asideFirst           = 2.0      // seconds left alone after a connection failed: it is down or full
-	asideLast            = 30.0     // seconds, longest such spell: as long as idle connections hold their place
+	asideFor             = 2.0      // seconds left alone after a connection failed: it is down or full
 	homePull             = 60.0     // times the weight of backends in the cell of a command's key
 	zonePull             = 3.0      // times the weight of backends in the own zone
 
 	// Keepers.
-	room               = 5.0      // commands out for each backend, by all instances: fewer idle it, more choke it
+	room               = 5.0      // commands out for each backend, by all: fewer idle it, more choke it
 	failLoad, failSpan = 2.0, 3.0 // commands that a failure counts for, and for how many seconds
 	asksMost           = 2        // cells asked for a command at a time: more only add to a flood
 	patience           = 0.04     // seconds for a keeper's word: twice the way there and back, and a few ticks
@@ -164,7 +163,6 @@
 	weight   float64
 	inFlight int
 	aside    float64 // no commands before this time
-	spell    float64 // length of the last such spell
 	budget   bucket  // commands that may go to it while it is cold
 
 	tally tally // what all instances have out here, at its keeper alone
@@ -178,7 +176,7 @@
 
 func (k *backend) quick() {
 	k.weight = min(weightMax, k.weight+weightGain)
-	k.aside, k.spell = 0, 0
+	k.aside = 0
 }
 
 // may tells whether the rules allow a relay of the command to the backend at all.
@@ -209,8 +207,7 @@
 		count += k.inFlight
 	}
 	far := max(float64(count)/max(1, float64(len(b.window)))-farSlack, farSlack)
-	// First those of the window that the weight rule and the skip leave, then any of the window, then any of the
-	// fleet that is not set aside, then any at all.
+	// First what the weight rule and the skip leave of the window, then any of it, then any of the fleet.
 	home := b.home(c)
 	from, share := b.window, func(k *backend) float64 {
 		s := k.weight * k.near
@@ -222,15 +219,15 @@
 		}
 		return s
 	}
-	for pass := range 4 {
+	for pass := range 3 {
 		if pass == 2 {
 			from, share = b.fleet, func(k *backend) float64 { return k.weight * k.Size }
 		}
 		total := 0.0
 		b.picks = b.picks[:0]
 		for _, k := range from {
-			if b.may(c, k) && !slices.Contains(c.asked, uint16(k.Cell)) && b.coldAllows(k) && (pass > 2 || !c.triedOn(k) && k.aside <= b.now) &&
-				(pass > 0 || float64(k.inFlight) <= far) {
+			if b.may(c, k) && !slices.Contains(c.asked, uint16(k.Cell)) && b.coldAllows(k) && !c.triedOn(k) &&
+				k.aside <= b.now && (pass > 0 || float64(k.inFlight) <= far) {
 				b.picks = append(b.picks, k)
 				total += share(k)
 			}
@@ -248,8 +245,8 @@
 	return nil
 }
 
-// home is the cell that the command's key belongs to, the same at every instance and by size, or -1. A cell that
-// comes or goes moves only its own keys. Once that cell had no room, another may be as good as any.
+// home is the cell that the command's key belongs to, the same at every instance, or -1: that of a backend
+// drawn by key and size, so that a change moves few keys. Once it had no room, any other will do.
 func (b *Balancer) home(c *command) int {
 	best, home := math.Inf(1), -1
 	if c.key == 0 || !b.limits.Keys || len(c.asked) > 0 {
@@ -257,11 +254,11 @@
 	}
 	var text [16]byte
 	binary.LittleEndian.PutUint64(text[:], c.key)
-	for _, c := range b.cells {
-		binary.LittleEndian.PutUint64(text[8:], uint64(c.number))
+	for _, k := range b.window {
+		binary.LittleEndian.PutUint64(text[8:], k.spot)
 		u := (float64(hash(text[:])>>11) + 1) / (1 << 53)
-		if at := -math.Log(u) / c.size; at < best {
-			best, home = at, c.number
+		if at := -math.Log(u) / k.Size; at < best {
+			best, home = at, k.Cell
 		}
 	}
 	return home
@@ -306,7 +303,7 @@
 		if e.State == Ready && (k.State == Gone || k.Started != e.Started) {
 			// A new process: nothing learned of the old one holds. Its budget starts at chance, or all
 			// instances would send their first command at once and push it over together.
-			k.weight, k.aside, k.spell = mean, 0, 0
+			k.weight, k.aside = mean, 0
 			k.budget = bucket{b.chance(), now}
 		}
 		k.Entry, k.listed = e, b.lists
@@ -325,12 +322,6 @@
 	b.dispatch()
 }
 
-// cell is a set of backends that share what keys they have met.
-type cell struct {
-	number int
-	size   float64
-}
-
 // arrange lays this instance's window on the ring of usable backends. Of hundreds of instances each then
 // knows a few backends well, uses connections again, and each backend lies in its share of windows.
 func (b *Balancer) arrange() {
@@ -344,7 +335,6 @@
 	at := 0.0
 	b.window, b.reach = b.window[:0], max(width, tiny)
 	b.meanSize = total / max(1, count)
-	b.cells = b.cells[:0]
 	for _, k := range b.fleet {
 		k.near = 0
 		if k.State == Ready {
@@ -352,11 +342,6 @@
 				k.near += max(0, min(at+k.Size+turn, from+width)-max(at+turn, from))
 			}
 			at += k.Size
-			i, known := slices.BinarySearchFunc(b.cells, k.Cell, func(c cell, n int) int { return cmp.Compare(c.number, n) })
-			if !known {
-				b.cells = slices.Insert(b.cells, i, cell{number: k.Cell})
-			}
-			b.cells[i].size += k.Size
 		}
 		if k.near > 0 {
 			b.window = append(b.window, k)
@@ -418,10 +403,7 @@
 	share := b.share()
 	chance := boundRoot * min(share, math.Sqrt(share*max(0, 1-fewInstances/b.siblings())))
 	limit := (share + chance) * (spareFirst + (1-spareFirst)*c.priority)
-	if b.level >= boundFirst {
-		limit = max(1, limit) // nothing speaks against one
-	}
-	return float64(b.inFlight)+c.luck >= limit
+	return float64(b.inFlight) >= limit
 }
 
 // settle moves the bound with the part of commands that end late or fail, since a lower tier that is crowded
@@ -545,15 +527,15 @@
 	return int(hash([]byte{byte(cell), byte(cell >> 8)}) % uint64(b.siblings()))
 }
 
-// load is for its keeper how much a backend has to do, by the commands that it may have.
+// load is for its keeper how much a backend has to do, as a part of what it may have. What failed there lately
+// counts for a while, or a backend that fails at once would look idle to everybody.
 func (b *Balancer) load(k *backend) float64 {
 	out := k.tally.sum(b.now, b.longest) + failLoad*k.tally.fails.read(b.now, failSpan)
 	return out / (room * b.part(k) * k.Size / b.meanSize)
 }
 
-// grant is the keeper's: it names the least busy backend of the cell, if one has room for a command of the priority.
-// The command counts as out from now on, since others ask before it is. What has failed lately counts for a
-// while, or a backend that fails at once would look idle to everybody.
+// grant is the keeper's: it names the least busy backend of the cell that has room for a command of the
+// priority. That counts as out from now on, since others ask before it is.
 func (b *Balancer) grant(cell uint16, to int, priority float64) (best *backend) {
 	least := spareFirst + (1-spareFirst)*priority
 	for _, k := range b.fleet {
@@ -577,14 +559,7 @@
 	} else if at != b.place.Me {
 		b.host.Tell(at, n.bytes())
 	} else {
-		b.count(k, at, n)
-	}
-}
-
-func (b *Balancer) count(k *backend, from int, n note) {
-	k.tally.note(b.now, from, float64(n.amount), n.flag == flagSent)
-	if n.flag == flagFailed {
-		k.tally.fails.add(b.now, failSpan, 1)
+		k.tally.note(b.now, at, n, failSpan)
 	}
 }
 
@@ -609,7 +584,7 @@
 		}
 		b.host.Tell(from, reply.bytes())
 	case n.kind == noteOut && at == b.place.Me && k != nil:
-		b.count(k, from, n)
+		k.tally.note(now, from, n, failSpan)
 	case n.kind == noteGrant && at == from:
 		if n.flag != flagYes {
 			k = nil
@@ -702,7 +677,6 @@
 	key                   uint64 // what it is about, 0 if nothing is said
 	came, expires         float64
 	priority              float64 // its utility against the highest, 0 to 1
-	luck                  float64 // 0 to 1, of the bound's last part
 	relays                []relay
 	out                   int
 	mayHaveRun            *backend // of the first relay that may have run
@@ -717,20 +691,6 @@
 	return slices.ContainsFunc(c.relays, func(r relay) bool { return r.to == k })
 }
 
-// verb is a kind of command as the settings have it; learnt is what outlives them.
-type verb struct {
-	Verb
-	*learnt
-}
-
-type learnt struct {
-	delay   delay
-	calls   decaying
-	copies  bucket
-	losers  int // losing relays that are still out
-	breaker breaker
-}
-
 // Balancer is one instance. Make it with New.
 type Balancer struct {
 	host             Host
@@ -748,7 +708,6 @@
 	service       breaker
 	anyDelay      delay      // of all verbs together
 	fleet         []*backend // by id
-	cells         []cell
 	meanSize      float64
 	longest       float64    // time limit of any verb
 	waiting       []*command // for what keepers say
@@ -759,6 +718,7 @@
 	held          []*command
 	wakes         map[uint64]func()
 	tokens        uint64
+	seq           uint64
 	lists         int // lists seen
 	inFlight      int
 	topUtil       float64
@@ -774,64 +734,6 @@
 	askWait                float64
 }
 
-// New starts an instance that knows nothing yet; Turn must follow, before anything else.
-func New(host Host, seed uint64, now float64) *Balancer {
-	return &Balancer{
-		host: host, seed: seed, now: now, start: now, askWait: askFirst, level: boundFirst,
-		commands: map[uint64]*command{}, wakes: map[uint64]func(){},
-		retries: bucket{retryBurst, now}, anyDelay: newDelay(now),
-	}
-}
-
-// Turn has the instance go by these settings from now on. What was learned stays, also of a verb or customer that
-// goes on under another number; a command that is open keeps the verb it came with.
-func (b *Balancer) Turn(now, tick float64, place Place, verbs []Verb, customers []Customer,
-	overage float64, limits Limits, cold Cold, mustAsk bool) {
-	ask := mustAsk && !b.mustAsk
-	b.now, b.tick, b.place, b.overage, b.limits, b.cold = now, tick, place, overage, limits, cold
-	b.mustAsk, b.topUtil = mustAsk, 0
-	oldVerbs, oldShares := b.verbs, b.shares
-	b.verbs, b.customers, b.shares = nil, customers, nil
-	for _, v := range verbs {
-		l := &learnt{copies: bucket{0, now}, delay: newDelay(now)}
-		if v.Was >= 0 && v.Was < len(oldVerbs) {
-			l = oldVerbs[v.Was].learnt
-		}
-		b.topUtil, b.longest = max(b.topUtil, v.Utility), max(b.longest, v.TimeLimit)
-		b.verbs = append(b.verbs, &verb{v, l})
-	}
-	for _, c := range customers {
-		share := bucket{max(1, c.Allowance*shareBurst), now}
-		if c.Was >= 0 && c.Was < len(oldShares) {
-			share = oldShares[c.Was]
-		}
-		b.shares = append(b.shares, share)
-	}
-	b.arrange()
-	if ask {
-		b.ListFailed(now)
-	}
-	b.dispatch()
-}
-
-// Verbs is the number of verbs it was started with.
-func (b *Balancer) Verbs() int { return len(b.verbs) }
-
-func (b *Balancer) after(seconds float64, what func()) {
-	b.tokens++
-	b.wakes[b.tokens] = what
-	b.host.WakeAfter(max(0, seconds), b.tokens)
-}
-
-// Wake is told that a time asked for has come.
-func (b *Balancer) Wake(now float64, token uint64) {
-	b.now = now
-	if what, ok := b.wakes[token]; ok {
-		delete(b.wakes, token)
-		what()
-	}
-}
-
 // Command is told of a command that is now owed exactly one final answer before it expires.
 func (b *Balancer) Command(now float64, id uint64, verb, customer int, expires float64, key uint64) {
 	b.now = now
@@ -839,7 +741,8 @@
 		return
 	}
 	v := b.verbs[verb]
-	c := &command{id: id, luck: b.chance(), seq: b.draws, verb: v, key: key, came: now, expires: expires}
+	b.seq++
+	c := &command{id: id, seq: b.seq, verb: v, key: key, came: now, expires: expires}
 	c.priority = v.Utility / max(b.topUtil, tiny)
 	if b.over(customer) {
 		c.priority *= b.overage
@@ -995,8 +898,7 @@
 	case Unconnected:
 		// Down, or out of connections: each try costs the whole connect limit, so it is left alone a while.
 		r.to.slowed()
-		r.to.spell = min(asideLast, max(asideFirst, 2*r.to.spell))
-		r.to.aside = b.now + r.to.spell
+		r.to.aside = b.now + asideFor
 	}
 }
 
--- /dev/null
+++ b/balance/instance.go
@@ -0,0 +1,75 @@
+// This file owns how an instance starts, the settings that it goes by and its timers. It must never decide what becomes
+// of a command, nor forget what was learned when the settings change.
+package balance
+
+// verb is a kind of command as the settings have it; learnt is what outlives them.
+type verb struct {
+	Verb
+	*learnt
+}
+
+type learnt struct {
+	delay   delay
+	calls   decaying
+	copies  bucket
+	losers  int // losing relays that are still out
+	breaker breaker
+}
+
+// New starts an instance that knows nothing yet; Turn must follow, before anything else.
+func New(host Host, seed uint64, now float64) *Balancer {
+	return &Balancer{
+		host: host, seed: seed, now: now, start: now, askWait: askFirst, level: boundFirst,
+		commands: map[uint64]*command{}, wakes: map[uint64]func(){},
+		retries: bucket{retryBurst, now}, anyDelay: newDelay(now),
+	}
+}
+
+// Turn has the instance go by these settings from now on. What was learned stays, also of a verb or customer that
+// goes on under another number; a command that is open keeps the verb it came with.
+func (b *Balancer) Turn(now, tick float64, place Place, verbs []Verb, customers []Customer,
+	overage float64, limits Limits, cold Cold, mustAsk bool) {
+	ask := mustAsk && !b.mustAsk
+	b.now, b.tick, b.place, b.overage, b.limits, b.cold = now, tick, place, overage, limits, cold
+	b.mustAsk, b.topUtil = mustAsk, 0
+	oldVerbs, oldShares := b.verbs, b.shares
+	b.verbs, b.customers, b.shares = nil, customers, nil
+	for _, v := range verbs {
+		l := &learnt{copies: bucket{0, now}, delay: newDelay(now)}
+		if v.Was >= 0 && v.Was < len(oldVerbs) {
+			l = oldVerbs[v.Was].learnt
+		}
+		b.topUtil, b.longest = max(b.topUtil, v.Utility), max(b.longest, v.TimeLimit)
+		b.verbs = append(b.verbs, &verb{v, l})
+	}
+	for _, c := range customers {
+		share := bucket{max(1, c.Allowance*shareBurst), now}
+		if c.Was >= 0 && c.Was < len(oldShares) {
+			share = oldShares[c.Was]
+		}
+		b.shares = append(b.shares, share)
+	}
+	b.arrange()
+	if ask {
+		b.ListFailed(now)
+	}
+	b.dispatch()
+}
+
+// Verbs is the number of verbs it was started with.
+func (b *Balancer) Verbs() int { return len(b.verbs) }
+
+func (b *Balancer) after(seconds float64, what func()) {
+	b.tokens++
+	b.wakes[b.tokens] = what
+	b.host.WakeAfter(max(0, seconds), b.tokens)
+}
+
+// Wake is told that a time asked for has come.
+func (b *Balancer) Wake(now float64, token uint64) {
+	b.now = now
+	if what, ok := b.wakes[token]; ok {
+		delete(b.wakes, token)
+		what()
+	}
+}
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -88,14 +88,17 @@
 	soon, till float64 // what it was granted and has not sent yet, and until when that counts
 }
 
-// note takes in what an instance says it has out; sent uses up a grant.
-func (t *tally) note(now float64, from int, out float64, sent bool) {
+// note takes in what an instance says it has out; span is for how long failures count.
+func (t *tally) note(now float64, from int, n note, span float64) {
 	x := t.by[from]
-	x.out, x.at = out, now
-	if sent {
+	x.out, x.at = float64(n.amount), now
+	switch n.flag {
+	case flagSent:
 		x.soon = max(0, x.soon-1)
+	case flagFailed:
+		t.fails.add(now, span, 1)
 	}
-	if t.put(from, x); out == 0 && (x.soon == 0 || now >= x.till) {
+	if t.put(from, x); n.amount == 0 && (x.soon == 0 || now >= x.till) {
 		delete(t.by, from)
 	}
 }
