--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -527,8 +527,8 @@
 	return int(hash([]byte{byte(cell), byte(cell >> 8)}) % uint64(b.siblings()))
 }
 
-// load is for its keeper how much a backend has to do, as a part of what it may have. What failed there lately
-// counts for a while, or a backend that fails at once would look idle to everybody.
+// load is for its keeper how much a backend has to do, as a part of what it may have. What failed lately
+// there counts for a while, or a backend that fails at once would look idle to everybody.
 func (b *Balancer) load(k *backend) float64 {
 	out := k.tally.sum(b.now, b.longest) + failLoad*k.tally.fails.read(b.now, failSpan)
 	return out / (room * b.part(k) * k.Size / b.meanSize)
--- a/balance/host.go
+++ b/balance/host.go
@@ -20,13 +20,10 @@
 	WakeAfter(seconds float64, token uint64)
 	// Watch subscribes to changes of the list; Fleet or ListFailed follows.
 	Watch()
-	// Tell sends a few bytes to a sibling by its number, or to all of them; they may be lost.
+	// Tell sends a few bytes to a sibling by its number; they may be lost.
 	Tell(to int, text []byte)
 }
 
-// Everybody is whom Tell reaches when all siblings are to hear.
-const Everybody = -1
-
 // Effect says what a second run of a command would do.
 type Effect int
 
--- /dev/null
+++ b/balance/keeper_test.go
@@ -0,0 +1,221 @@
+package balance
+
+import (
+	"slices"
+	"testing"
+)
+
+// beside starts instances that may tell one another, over the list given.
+func beside(t *testing.T, instances int, list []Entry) []*fakeHost {
+	return fleetOf(t, instances, list, setup{limits: Limits{Relays: 4, SecondCopies: true, Cancel: true, Peers: true, Keys: true}})
+}
+
+// carry brings what was told to whom it is for, until nobody has more to say; each message may be lost.
+func carry(hosts []*fakeHost, lost func(n note) bool) {
+	for more := true; more; {
+		more = false
+		for from, h := range hosts {
+			told := h.told
+			h.told = nil
+			for _, m := range told {
+				if n, ok := readNote(m.text); ok && lost != nil && lost(n) {
+					continue
+				}
+				more = true
+				hosts[m.to].b.Heard(hosts[m.to].now, from, m.text)
+			}
+		}
+	}
+}
+
+func relays(hosts []*fakeHost) (n int) {
+	for _, h := range hosts {
+		n += len(h.relays)
+	}
+	return n
+}
+
+// Thirty commands once asked within the time that a note takes, and all were sent to the backend that was idle before.
+func TestGrantsCountAtOnce(t *testing.T) {
+	hosts := beside(t, 60, ready(1))
+	for i, h := range hosts {
+		h.b.Command(h.now, uint64(i), 1, 0, h.now+6, 0)
+	}
+	carry(hosts, func(n note) bool { return n.kind == noteOut }) // no word yet of what is out
+	if n := relays(hosts); n < 3 || n > room {
+		t.Errorf("%d of 60 commands at one backend", n)
+	}
+	for _, h := range hosts { // and what found no room is declined soon, not held
+		h.until(h.now + 0.5)
+		if len(h.relays) == 0 && len(h.declined) == 0 {
+			carry(hosts, nil)
+		}
+	}
+	for i, h := range hosts {
+		if h.until(h.now + 0.5); len(h.relays) == 0 && len(h.declined) == 0 {
+			t.Errorf("instance %d still holds its command", i)
+		}
+	}
+}
+
+// A backend that hung turned everything away at once, looked idle to everybody, and got a third of all relays.
+func TestFailuresAreToldOn(t *testing.T) {
+	hosts := beside(t, 20, ready(2))
+	bad := 0
+	for round := range 20 {
+		for i, h := range hosts {
+			id := uint64(round*100 + i)
+			h.b.Command(h.now, id, 0, 0, h.now+6, 0)
+			carry(hosts, nil)
+			for n, to := range h.toOf(id) {
+				if to == id0() {
+					bad++
+					h.outcome(id, n, Full)
+				}
+			}
+			carry(hosts, nil)
+			for n, to := range h.toOf(id) {
+				if to != id0() {
+					h.outcome(id, n, Answered)
+				}
+			}
+			carry(hosts, nil)
+		}
+		for _, h := range hosts {
+			h.until(h.now + 0.05)
+		}
+		carry(hosts, nil)
+	}
+	if bad > 60 {
+		t.Errorf("%d of 400 commands went to the one that fails", bad)
+	}
+}
+
+func id0() BackendID { return id(0) }
+
+func TestWithoutMessages(t *testing.T) {
+	all := func(note) bool { return true }
+	t.Run("a command goes out though no keeper has a word", func(t *testing.T) {
+		hosts := beside(t, 40, ready(6))
+		for i, h := range hosts {
+			h.b.Command(h.now, uint64(i), 0, 0, h.now+6, 0)
+			h.until(h.now + 0.1)
+		}
+		if carry(hosts, all); relays(hosts) < 40 {
+			t.Errorf("%d of 40 commands relayed", relays(hosts))
+		}
+	})
+	t.Run("a command that has ended meanwhile does not", func(t *testing.T) {
+		for i, h := range beside(t, 40, ready(6)) {
+			h.b.Command(h.now, uint64(i), 0, 0, h.now+6, 0)
+			sent := len(h.relays)
+			h.b.Departed(h.now, uint64(i))
+			if h.until(h.now + 1); len(h.relays) > sent {
+				t.Fatal("relayed after its end")
+			}
+		}
+	})
+	t.Run("a grant that comes too late is given back", func(t *testing.T) {
+		hosts := beside(t, 2, ready(30))
+		for i := range uint64(20) {
+			h := hosts[0]
+			h.b.Command(h.now, i, 0, 0, h.now+6, 0)
+			h.b.Departed(h.now, i)
+		}
+		carry(hosts, nil)
+		for _, k := range hosts[1].b.fleet {
+			if n := k.tally.sum(hosts[1].now, 6); n != 0 {
+				t.Errorf("%v still counts as out", n)
+			}
+		}
+	})
+	t.Run("what was said long ago is forgotten", func(t *testing.T) {
+		var k tally
+		k.note(100, 3, note{amount: 4}, 3)
+		if k.sum(101, 6) != 4 || k.sum(107, 6) != 0 {
+			t.Error("a sender that is no more still counts, or one that is does not")
+		}
+	})
+}
+
+// An instance whose sibling keeps no cell of its own list: bytes of any kind must neither stop it nor be believed.
+func FuzzHeard(f *testing.F) {
+	f.Add(1, note{noteOut, 0, 1, 200, flagFailed}.bytes())
+	f.Add(1, note{kind: noteAsk, amount: 255}.bytes())
+	f.Add(0, note{kind: noteGrant, flag: flagYes}.bytes())
+	f.Add(7, []byte{0x12})
+	f.Fuzz(func(t *testing.T, from int, text []byte) {
+		h := start(t, setup{place: Place{Siblings: 3}, limits: Limits{Relays: 3, Peers: true}})
+		h.b.Command(h.now, 1, 0, 0, h.now+6, 0)
+		h.b.Heard(h.now, from, text)
+		if h.until(h.now + 7); !h.ended[1] {
+			t.Error("no final answer")
+		}
+	})
+}
+
+func TestKeysAndZones(t *testing.T) {
+	list := ready(30)
+	for i := range list {
+		list[i].Zone = i / 10
+	}
+	cells := func(list []Entry, key uint64) (found []int) {
+		for _, h := range beside(t, 40, list) {
+			if home := h.b.home(&command{key: key}); !slices.Contains(found, home) {
+				found = append(found, home)
+			}
+		}
+		return found
+	}
+	moved := 0
+	for key := uint64(1); key < 20; key++ {
+		whole := cells(list, key)
+		if len(whole) != 1 || whole[0] < 0 {
+			t.Errorf("key %d is at home in %v", key, whole)
+		}
+		if less := cells(list[1:], key); whole[0] != less[0] {
+			moved++
+		}
+	}
+	if moved > 4 {
+		t.Errorf("%d of 19 keys moved with one backend of 30", moved)
+	}
+	near := 0
+	for i, h := range beside(t, 200, list) {
+		if k := h.b.pick(&command{id: uint64(i), verb: h.b.verbs[0]}, false); k.Zone == 0 {
+			near++
+		}
+	}
+	if near < 100 || near > 150 {
+		t.Errorf("%d of 200 draws in the own zone, a third of the fleet", near)
+	}
+}
+
+func TestTurn(t *testing.T) {
+	h := start(t, setup{})
+	h.serve(1, 100, 0.1)
+	delay, _ := h.b.delay(h.b.verbs[0])
+	h.b.Command(h.now, 500, 0, 0, h.now+6, 0)
+	turn := func(was int) {
+		h.b.Turn(h.now, 0.005, Place{Siblings: 1}, []Verb{{Effect: Effectful, Goal: 1, TimeLimit: 2, Utility: 1, Was: -1},
+			{Goal: 2.5, TimeLimit: 6, Utility: 1, Was: was}}, nil, 0.1, Limits{Relays: 4, SecondCopies: true, Cancel: true, Peers: was == 0},
+			Cold{Share: 0.2, Span: 10, Multiple: 3}, false)
+	}
+	turn(0)
+	if d, learned := h.b.delay(h.b.verbs[1]); !learned || d != delay {
+		t.Errorf("its delay was %v, and is %v under another number", delay, d)
+	}
+	h.outcome(500, 0, Errored) // pure when it came: it may run again
+	if len(h.toOf(500)) != 2 {
+		t.Error("an open command has lost its verb")
+	}
+	h.b.Command(h.now, 501, 0, 0, h.now+2, 0)
+	h.outcome(501, 0, Errored)
+	if !slices.Contains(h.terminated, 501) {
+		t.Error("a new command goes by the old verb")
+	}
+	turn(1)
+	if h.outcome(500, 1, Answered); !h.ended[500] {
+		t.Error("lost on the way back")
+	}
+}
--- a/internal/benchwire/wire.go
+++ b/internal/benchwire/wire.go
@@ -36,8 +36,6 @@
 	outDefer   = 265
 	outAbandon = 266
 
-	everybody = 1<<32 - 1 // who hears a message to all
-
 	maxFrame  = 1 << 30 // bytes; a longer frame is taken for garbage
 	entrySize = 25      // bytes of a line of the list
 )
@@ -100,11 +98,7 @@
 
 func (h *host) Tell(to int, text []byte) {
 	h.record(outSignal, 6+len(text))
-	peer := uint32(to)
-	if to == balance.Everybody {
-		peer = everybody
-	}
-	*h.reply = binary.LittleEndian.AppendUint32(*h.reply, peer)
+	*h.reply = binary.LittleEndian.AppendUint32(*h.reply, uint32(to))
 	*h.reply = binary.LittleEndian.AppendUint16(*h.reply, uint16(len(text)))
 	*h.reply = append(*h.reply, text...)
 }
--- /dev/null
+++ b/internal/loop/datagrams.go
@@ -0,0 +1,70 @@
+// This file owns the one socket on which short messages go between siblings. It must never wait: a message that can't
+// leave or is longer than allowed is lost, and its owner must be able to do without it.
+package loop
+
+import (
+	"fmt"
+	"net/netip"
+
+	"golang.org/x/sys/unix"
+)
+
+const datagramsTurn = 256 // messages taken in one turn, so that the others get theirs
+
+// Datagrams is a UDP socket.
+type Datagrams struct {
+	loop *Loop
+	fd   int
+	in   []byte // one byte more than allowed
+	take func(from netip.AddrPort, text []byte)
+}
+
+// Datagrams opens the socket; take gets each message of up to so many bytes, in a buffer that is soon used again.
+func (l *Loop) Datagrams(at netip.AddrPort, most int, take func(netip.AddrPort, []byte)) (*Datagrams, error) {
+	domain := unix.AF_INET
+	if at.Addr().Is6() {
+		domain = unix.AF_INET6
+	}
+	fd, err := unix.Socket(domain, unix.SOCK_DGRAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("socket: %w", err)
+	}
+	d := &Datagrams{loop: l, fd: fd, in: make([]byte, most+1), take: take}
+	if err = unix.Bind(fd, sockaddr(at)); err == nil {
+		err = l.add(fd, d, unix.EPOLLIN)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("messages at %s: %w", at, err)
+	}
+	return d, nil
+}
+
+func (d *Datagrams) event(uint32) {
+	for range datagramsTurn {
+		if d.fd < 0 {
+			return // closed by what the last message led to
+		}
+		n, from, err := unix.Recvfrom(d.fd, d.in, 0)
+		if err == unix.EINTR || err == unix.ECONNREFUSED {
+			continue // the latter tells of an earlier message that nobody took
+		}
+		if err != nil {
+			return
+		}
+		if n < len(d.in) {
+			d.take(addrPort(from), d.in[:n])
+		}
+	}
+}
+
+// Send has a message leave now or never.
+func (d *Datagrams) Send(to netip.AddrPort, text []byte) { unix.Sendto(d.fd, text, 0, sockaddr(to)) }
+
+// Close gives the socket back.
+func (d *Datagrams) Close() {
+	if d.fd >= 0 {
+		d.loop.drop(d.fd)
+		d.fd = -1
+	}
+}
--- a/internal/loop/listener.go
+++ b/internal/loop/listener.go
@@ -56,7 +56,12 @@
 
 // address is what a socket is bound to.
 func address(fd int) netip.AddrPort {
-	switch a, _ := unix.Getsockname(fd); a := a.(type) {
+	a, _ := unix.Getsockname(fd)
+	return addrPort(a)
+}
+
+func addrPort(a unix.Sockaddr) netip.AddrPort {
+	switch a := a.(type) {
 	case *unix.SockaddrInet4:
 		return netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port))
 	case *unix.SockaddrInet6:
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"container/list"
 	"errors"
+	"hash/fnv"
 	"math"
 	"strconv"
 	"strings"
@@ -282,7 +283,20 @@
 	p.clients.owed++
 	p.commands[cmd.id] = cmd
 	cmd.timer = p.loop.After(cmd.expires-p.loop.Now(), func() { p.timeOut(cmd) })
-	p.balancer.Command(p.loop.Now(), cmd.id, verb, customer, cmd.expires, 0)
+	p.balancer.Command(p.loop.Now(), cmd.id, verb, customer, cmd.expires, keyOf(c.msg.Get(in, "Req-Extra")))
+}
+
+// keyOf is a number for what a command is about, the same at every proxy, 0 if nothing is said.
+func keyOf(extra []byte) uint64 {
+	for part := range bytes.SplitSeq(extra, []byte(",")) {
+		name, value, _ := bytes.Cut(bytes.TrimSpace(part), []byte("="))
+		if string(name) == "resource" && len(value) > 0 {
+			h := fnv.New64a()
+			h.Write(value)
+			return max(1, h.Sum64())
+		}
+	}
+	return 0
 }
 
 var phrases = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
--- a/internal/proxy/helper_test.go
+++ b/internal/proxy/helper_test.go
@@ -114,18 +114,25 @@
 	ended chan error
 }
 
-// launch makes a proxy that knows the list given; discovery may be nil.
-func launch(t *testing.T, sockets int, known string, discovery net.Listener) *Proxy {
-	t.Helper()
+// config is a configuration; discovery may be nil.
+func config(known string, discovery net.Listener, settings string) *Launch {
 	at := "127.0.0.1:1" // nobody listens there
 	if discovery != nil {
 		at = discovery.Addr().String()
 	}
-	l := &Launch{Name: "n0", Listen: "127.0.0.1:0", Discovery: at, Seed: "8c1f", Settings: json.RawMessage(settingsText)}
+	l := &Launch{Name: "n0", Listen: "127.0.0.1:0", Discovery: at, Seed: "8c1f", Settings: json.RawMessage(settings)}
 	if known != "" {
 		l.Known = json.RawMessage(known)
 	}
-	l.Limits.Sockets, l.Limits.MemoryMB = sockets, 192
+	l.Limits.Sockets, l.Limits.MemoryMB = 200, 192
+	return l
+}
+
+// launch makes a proxy that knows the list given.
+func launch(t *testing.T, sockets int, known string, discovery net.Listener) *Proxy {
+	t.Helper()
+	l := config(known, discovery, settingsText)
+	l.Limits.Sockets = sockets
 	p, err := New(l)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -63,6 +63,3 @@
 // Watch has nothing to do: the watch on the list is kept up from the start, since the agent that answers it is on
 // the proxy's own machine.
 func (p *Proxy) Watch() {}
-
-// Tell has nobody to tell yet.
-func (p *Proxy) Tell(int, []byte) {}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -4,6 +4,7 @@
 package proxy
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
@@ -12,7 +13,9 @@
 	"log"
 	"net/netip"
 	"runtime/metrics"
+	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 
 	"sandpass/balance"
@@ -45,6 +48,7 @@
 		MemoryMB int `json:"memory_mb"`
 		Sockets  int `json:"sockets"`
 	} `json:"limits"`
+	Peers    []string        `json:"peers"` // addresses of all siblings by number, this one's too, for messages
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 }
@@ -66,11 +70,13 @@
 	verbs     map[string]int
 	customers map[string]int
 	links     settings.Links
+	launch    *Launch // as it was started
 
 	listener *loop.Listener
 	clients  clients
 	backends backends
 	watch    watch
+	peers    peers
 
 	commands map[uint64]*command
 	ids      map[string]*command // the same by their Req-Id
@@ -112,6 +118,9 @@
 	if known != nil {
 		p.take(known)
 	}
+	if err = p.join(p.peers); err != nil {
+		return nil, err
+	}
 	p.listener, err = p.loop.Listen(at, http1.MaxMessage, p.roomForClient, p.accept, p.starved)
 	return p, err
 }
@@ -149,6 +158,10 @@
 	for i, c := range p.names.Customers {
 		p.customers[c] = i
 	}
+	if p.peers, err = named(l.Peers, p.links); err != nil {
+		return nil, nil, err
+	}
+	p.launch = l
 	if p.seed, err = strconv.ParseUint(l.Seed, 16, 64); err != nil {
 		return nil, nil, fmt.Errorf("seed: %q is not a hexadecimal number", l.Seed)
 	}
@@ -192,15 +205,62 @@
 	p.Ring()
 }
 
-// reload takes what can change while commands are open: where discovery is. The list, the clients and what was learned
-// stay; for the rest of the configuration the process is started anew.
+// reload turns to a configuration while commands are open: settings, the siblings' addresses and where discovery is. The
+// list, open commands, clients and what was learned stay; for the rest the process is started anew.
 func (p *Proxy) reload(l *Launch) {
-	at, err := netip.ParseAddrPort(l.Discovery)
+	if err := p.turnWhole(l); err != nil {
+		log.Printf("msg=reload_not_taken error=%q", err)
+		return
+	}
+	log.Printf("msg=reloaded discovery=%s siblings=%d messages=%t keys=%t needs_start=%q", p.watch.at, p.links.Siblings,
+		p.links.Peers, p.links.Keys, p.needsStart(l))
+}
+
+func (p *Proxy) turnWhole(l *Launch) error {
+	next, _, err := prepare(l)
 	if err != nil {
-		return // Check has seen it
+		return err
+	}
+	// Names keep the numbers under which they are known here: open commands and listed backends have them.
+	own := -1
+	if len(next.names.Zones) > 0 {
+		own = p.zone(next.names.Zones[next.names.Zone])
+	}
+	verbsWere, customersWere := []int{}, []int{}
+	for _, v := range next.names.Verbs {
+		verbsWere = append(verbsWere, slices.IndexFunc(p.names.Verbs, func(w settings.Verb) bool { return w.Name == v.Name }))
+	}
+	for _, c := range next.names.Customers {
+		customersWere = append(customersWere, slices.Index(p.names.Customers, c))
+	}
+	before := p.peers
+	if err := p.join(next.peers); err != nil {
+		return err
+	}
+	if _, err := settings.Turn(p.balancer, p.loop.Now(), l.Settings, verbsWere, customersWere, own); err != nil {
+		p.join(before)
+		return err
+	}
+	p.names.Verbs, p.names.Customers = next.names.Verbs, next.names.Customers
+	p.verbs, p.customers, p.links = next.verbs, next.customers, next.links
+	p.turnTo(next.watch.at)
+	return nil
+}
+
+// needsStart names what differs from the start and stays as it was.
+func (p *Proxy) needsStart(l *Launch) (names string) {
+	for _, x := range []struct {
+		name    string
+		differs bool
+	}{
+		{"listen", l.Listen != p.launch.Listen}, {"limits", l.Limits != p.launch.Limits},
+		{"seed", l.Seed != p.launch.Seed}, {"known", !bytes.Equal(l.Known, p.launch.Known)},
+	} {
+		if x.differs {
+			names = strings.TrimSpace(names + " " + x.name)
+		}
 	}
-	log.Printf("msg=reloaded discovery=%s", at)
-	p.turnTo(at)
+	return names
 }
 
 // Run serves until it was asked to end, by signal, and all that was taken has its answer.
@@ -293,10 +353,11 @@
 func (p *Proxy) summary() {
 	metrics.Read(p.memory[:])
 	log.Printf("msg=summary came=%d answered=%d declined=%d no_room=%d terminated=%d departed=%d bad=%d relays=%d open=%d "+
-		"clients=%d links=%d backends=%d memory_mb=%d", p.came, p.answered, p.declined, p.noRoom, p.terminated, p.departed,
-		p.bad, p.relays, len(p.commands), p.clients.count, len(p.backends.links), p.backends.usable,
+		"clients=%d links=%d backends=%d told=%d heard=%d memory_mb=%d", p.came, p.answered, p.declined, p.noRoom, p.terminated, p.departed,
+		p.bad, p.relays, len(p.commands), p.clients.count, len(p.backends.links), p.backends.usable, p.peers.told, p.peers.took,
 		p.memory[0].Value.Uint64()>>20)
 	p.came, p.answered, p.declined, p.noRoom, p.terminated, p.departed, p.bad, p.relays = 0, 0, 0, 0, 0, 0, 0, 0
+	p.peers.told, p.peers.took = 0, 0
 }
 
 // chance is a number in [0, 1) from the seed and a counter, for jitter.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -598,7 +598,9 @@
 		"listen": {`"127.0.0.1:0"`, `"here"`}, "discovery": {`"127.0.0.1:1"`, `"localhost"`}, "seed": {`"1f"`, `"x"`},
 		"limits": {`"sockets": 100`, `"sockets": 3`}, "connect_timeout_ms": {`"connect_timeout_ms"`, `"y"`},
 		"effect": {`"at_most_once"`, `"perhaps"`}, "verbs[0].name": {`{"name": "look"`, `{"title": "look"`},
-		"known": {`"seed"`, `"known": 7, "seed"`}, "azs": {`"azs"`, `"z"`},
+		"known": {`"seed"`, `"known": 7, "seed"`}, "azs": {`"azs"`, `"z"`}, "zone": {`"azs"`, `"zone": 2, "azs"`},
+		"peers[0]": {`"seed"`, `"peers": ["here"], "seed"`}, "comes twice": {`"seed"`, `"peers": ["127.0.0.1:7", "127.0.0.1:7"], "seed"`},
+		"0 addresses for 1": {`"cancel"`, `"peers": true, "cancel"`},
 	} {
 		l, err := Read([]byte(strings.Replace(good, change[0], change[1], 1)))
 		if err == nil {
@@ -713,7 +715,7 @@
 			}
 		}
 		ask()
-		p.Reload(&Launch{Discovery: second.Addr().String()})
+		p.Reload(config("", second, settingsText))
 		select {
 		case <-left:
 		case <-time.After(time.Second):
--- /dev/null
+++ b/internal/proxy/turn_test.go
@@ -0,0 +1,165 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+)
+
+// freeUDP is a loopback address that nobody has.
+func freeUDP(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	return c.LocalAddr().String()
+}
+
+// moved are settings of the other layout: messages, keys, another own zone, verbs in another order and a new one.
+func moved(siblings string) string {
+	text := strings.NewReplacer(`"siblings": 1`, `"siblings": `+siblings+`, "zone": 1, "family_info": {"warm_keys": true}`,
+		`"azs": ["a", "b"]`, `"azs": ["b", "a", "c"]`, `"cancel": true`, `"cancel": true, "peers": true`).Replace(settingsText)
+	at := strings.Index(text, `"verbs": [`) + len(`"verbs": [`)
+	return text[:at] + `{"name": "scan", "effect": "at_most_once", "key_scope": "all", "window_ms": 5000,
+		"response_goal_ms": 2500, "time_limit_ms": 3000, "utility": 2, "overdue_utility": 0.5, "stream": false},` + text[at:]
+}
+
+// An operator moves a running proxy to the new layout and back: what was open then has its one answer, and each
+// command goes by the settings that held when it came.
+func TestThereAndBack(t *testing.T) {
+	release := make(chan bool)
+	b := newToy(t, func(b *toy, c net.Conn, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/pay") {
+			<-release
+		}
+		ok(b, c, r)
+	})
+	known := listing(1, true, ready("s-b", b))
+	at := freeUDP(t)
+	old, new := config(known, nil, settingsText), config(known, nil, moved("1"))
+	new.Peers = []string{at}
+	p, err := New(old)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := run(t, p)
+	time.Sleep(600 * time.Millisecond) // the known list will do
+	open := func() *caller {
+		c := r.caller(t)
+		io.WriteString(c, text("pay", "Content-Length: 0\r\n"))
+		time.Sleep(50 * time.Millisecond)
+		return c
+	}
+	says := func(verb string, want int) {
+		t.Helper()
+		if status, body, _ := r.caller(t).ask(text(verb, "Content-Length: 0\r\n", "Req-Extra: resource=7\r\n")); status != want {
+			t.Errorf("%s: %d %s, want %d", verb, status, body, want)
+		}
+	}
+	turn := func(l *Launch) { r.Reload(l); time.Sleep(50 * time.Millisecond) }
+	listening := func(want bool) {
+		t.Helper()
+		c, err := net.ListenPacket("udp", at)
+		if err == nil {
+			c.Close()
+		}
+		if (err != nil) != want {
+			t.Errorf("messages are taken: %t, want %t", err != nil, want)
+		}
+	}
+	says("scan", 404)
+	first := open()
+	turn(new)
+	says("scan", 200)
+	says("look", 200)
+	listening(true)
+	second := open()
+	bad := config(known, nil, strings.Replace(moved("1"), `"at_most_once"`, `"perhaps"`, 1))
+	bad.Peers = new.Peers
+	turn(bad) // changes nothing, though it is past Check
+	says("scan", 200)
+	listening(true)
+	turn(old)
+	says("scan", 404)
+	says("look", 200)
+	listening(false)
+	third := open()
+	close(release)
+	for i, c := range []*caller{first, second, third} {
+		if status, body, _ := c.read(); status != 200 {
+			t.Errorf("open command %d: %d %s", i, status, body)
+		}
+	}
+	if n := b.commands.Load(); n != 7 {
+		t.Errorf("%d relays for 7 commands", n)
+	}
+}
+
+// A proxy and a stand-in for its one sibling: commands are answered though the sibling has no word for it, and the
+// proxy answers the sibling's questions on the cells that it keeps, but no stranger's.
+func TestMessages(t *testing.T) {
+	b := newToy(t, ok)
+	sibling, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sibling.Close()
+	var lines []line
+	for _, name := range []string{"s-a", "s-b", "s-c", "s-d", "s-e", "s-f", "s-g", "s-h"} {
+		l := ready(name, b)
+		l["group"] = len(lines)
+		lines = append(lines, l)
+	}
+	at := freeUDP(t)
+	l := config(listing(1, true, lines...), nil, moved("2"))
+	l.Peers = []string{at, sibling.LocalAddr().String()}
+	p, err := New(l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := run(t, p)
+	time.Sleep(600 * time.Millisecond)
+	for range 20 {
+		if status, body, _ := r.caller(t).ask(text("look")); status != 200 {
+			t.Errorf("%d %s", status, body)
+		}
+	}
+	read := func(c net.PacketConn) (texts []string) {
+		in := make([]byte, 1000)
+		for {
+			c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+			n, _, err := c.ReadFrom(in)
+			if err != nil {
+				return texts
+			}
+			texts = append(texts, string(in[:n]))
+		}
+	}
+	if asked := read(sibling); len(asked) == 0 {
+		t.Error("the sibling was never asked")
+	}
+	stranger, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	to := net.UDPAddrFromAddrPort(netip.MustParseAddrPort(at))
+	for _, c := range []net.PacketConn{sibling, stranger} {
+		c.WriteTo(make([]byte, 300), to) // longer than any message
+		for cell := range byte(8) {
+			c.WriteTo([]byte{0x12, cell, 0, 0, 0, 255, 0}, to)
+		}
+	}
+	if granted := read(sibling); len(granted) == 0 || len(granted) == 8 {
+		t.Errorf("%d of 8 questions were answered, and the sibling keeps some cells itself", len(granted))
+	}
+	if granted := read(stranger); len(granted) > 0 {
+		t.Errorf("a stranger got %d answers", len(granted))
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -93,13 +93,14 @@
 // Balancer starts an instance from its settings and names the fields of its load reports.
 func Balancer(h balance.Host, seed uint64, now float64, text []byte) (*balance.Balancer, []string, error) {
 	b := balance.New(h, seed, now)
-	fields, err := Turn(b, now, text, nil, nil)
+	fields, err := Turn(b, now, text, nil, nil, -1)
 	return b, fields, err
 }
 
 // Turn has an instance go by other settings from now on, or tells what is wrong with them and changes nothing. The
-// place that each verb and customer had before, or -1, may be left out where there was nothing before.
-func Turn(b *balance.Balancer, now float64, text []byte, verbsWere, customersWere []int) ([]string, error) {
+// place that each verb and customer had before, or -1, may be left out where there was nothing before; zone is the
+// front's number for the own one, -1 if it goes by the place in the settings.
+func Turn(b *balance.Balancer, now float64, text []byte, verbsWere, customersWere []int, zone int) ([]string, error) {
 	var l launch
 	if err := json.Unmarshal(text, &l); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -148,7 +149,10 @@
 	cold := balance.Cold{
 		Share: *l.Safety.ColdShare, Span: *l.Safety.ColdMs / 1000, Multiple: *l.Safety.FallMultiple,
 	}
-	place := balance.Place{Me: *l.Me, Siblings: *l.Siblings, Tier: *l.Tier, Zone: l.Zone}
+	if zone < 0 {
+		zone = l.Zone
+	}
+	place := balance.Place{Me: *l.Me, Siblings: *l.Siblings, Tier: *l.Tier, Zone: zone}
 	b.Turn(now, *l.TickMs/1000, place, verbs, customers, *l.Overage, limits, cold, *l.Discovery == "on_request")
 	return l.LoadInfo.Fields, nil
 }
@@ -166,20 +170,32 @@
 	Verbs     []Verb
 	Customers []string
 	Zones     []string
+	Zone      int // its own, a place in Zones
 }
 
-// Links bounds a front's connections.
+// Links bounds a front's connections, and says whether messages go to siblings.
 type Links struct {
-	Connect float64 // seconds in which a connection to a backend must be up
-	Idle    float64 // seconds of idleness after which a backend closes one
-	Open    int     // commands that may be open at once
+	Connect  float64 // seconds in which a connection to a backend must be up
+	Idle     float64 // seconds of idleness after which a backend closes one
+	Open     int     // commands that may be open at once
+	Peers    bool
+	Me       int // its number among the siblings
+	Siblings int
+	Keys     bool // backends do less for a key that their cell met lately
 }
 
 // Front decodes what a front on sockets needs beside the Balancer.
 func Front(text []byte) (names Names, links Links, err error) {
 	var l struct {
 		Zones  *[]string `json:"azs"`
-		Limits *struct {
+		Zone   int       `json:"zone"`
+		Family struct {
+			Keys bool `json:"warm_keys"`
+		} `json:"family_info"`
+		Me       *int `json:"me"`
+		Siblings *int `json:"siblings"`
+		Limits   *struct {
+			Peers   bool     `json:"peers"`
 			Connect *float64 `json:"connect_timeout_ms"`
 			Idle    *float64 `json:"conn_idle_ms"`
 			Open    *int     `json:"max_open"`
@@ -206,7 +222,11 @@
 	for _, r := range l.Realms {
 		names.Customers = append(names.Customers, *r.Name)
 	}
-	names.Zones = *l.Zones
-	links = Links{Connect: *l.Limits.Connect / 1000, Idle: *l.Limits.Idle / 1000, Open: *l.Limits.Open}
+	if l.Zone < 0 || l.Zone > 0 && l.Zone >= len(*l.Zones) {
+		return names, links, fmt.Errorf("settings: zone %d is not one of %d azs", l.Zone, len(*l.Zones))
+	}
+	names.Zones, names.Zone = *l.Zones, l.Zone
+	links = Links{Connect: *l.Limits.Connect / 1000, Idle: *l.Limits.Idle / 1000, Open: *l.Limits.Open,
+		Peers: l.Limits.Peers, Me: *l.Me, Siblings: *l.Siblings, Keys: l.Family.Keys}
 	return names, links, nil
 }
