Lost messages: notes count for 1 s and are repeated, another cell is asked after silence, else windows as before

Lines at fault: tally.sum kept a note for the longest time limit, so 9 of a backend's room of 5 were commands long ended; ask fell back at once to picks over the whole fleet, where an instance knows nobody.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -43,10 +43,11 @@
 	zonePull             = 3.0      // times the weight of backends in the own zone
 
 	// Keepers.
-	room               = 5.0      // commands out for each backend, by all: fewer idle it, more choke it
-	failLoad, failSpan = 2.0, 3.0 // commands that a failure counts for, and for how many seconds
-	asksMost           = 2        // cells asked for a command at a time: more only add to a flood
-	patience           = 0.04     // seconds for a keeper's word: twice the way there and back, and a few ticks
+	room                = 5.0      // commands out for each backend, by all: fewer idle it, more choke it
+	failLoad, failSpan  = 2.0, 3.0 // commands that a failure counts for, and for how many seconds
+	noteLife, noteAgain = 1.0, 0.8 // seconds that a note counts, and after which it is repeated
+	asksMost            = 2        // cells asked for a command at a time: more only add to a flood
+	patience            = 0.04     // seconds for a keeper's word: twice the way there and back, and a few ticks
 
 	// Fleet.
 	nearLeast         = 4.0      // backends in an instance's window: room for copies and for some that fail
@@ -98,9 +99,8 @@
 	return d.last
 }
 
-// delay is how long a relay of the verb may be out before it is late, and whether that was learned. While the
-// verb has few answers those of all verbs count, and while these are few, a part of the response goal: with
-// two commands a second it is new half the day, and hundreds of instances would copy a tenth of all at once.
+// delay is how long a relay may be out before it is late, and whether that is learned. While its verb has few
+// answers those of all count, and while these are few, a part of the goal: hundreds would copy at once.
 func (b *Balancer) delay(v *verb) (float64, bool) {
 	for _, d := range []*delay{&v.delay, &b.anyDelay} {
 		if d.answers >= warmupAnswers {
@@ -201,7 +201,7 @@
 }
 
 // pick draws a backend by weight, skipping those with far more of our commands than the mean, or nil.
-func (b *Balancer) pick(c *command, copying bool) *backend {
+func (b *Balancer) pick(c *command, copying, asking bool) *backend {
 	count := 0
 	for _, k := range b.window {
 		count += k.inFlight
@@ -209,15 +209,18 @@
 	far := max(float64(count)/max(1, float64(len(b.window)))-farSlack, farSlack)
 	// First what the weight rule and the skip leave of the window, then any of it, then any of the fleet.
 	home := b.home(c)
-	from, share := b.window, func(k *backend) float64 {
-		s := k.weight * k.near
-		if k.Cell == home {
-			s *= homePull
-		}
-		if b.limits.Peers && k.Zone == b.place.Zone {
-			s *= zonePull
+	from, share := b.window, func(k *backend) float64 { return k.weight * k.near }
+	if asking {
+		from, share = b.fleet, func(k *backend) float64 {
+			s := k.weight * k.Size
+			if k.Cell == home {
+				s *= homePull
+			}
+			if k.Zone == b.place.Zone {
+				s *= zonePull
+			}
+			return s
 		}
-		return s
 	}
 	for pass := range 3 {
 		if pass == 2 {
@@ -226,8 +229,8 @@
 		total := 0.0
 		b.picks = b.picks[:0]
 		for _, k := range from {
-			if b.may(c, k) && !slices.Contains(c.asked, uint16(k.Cell)) && b.coldAllows(k) && !c.triedOn(k) &&
-				k.aside <= b.now && (pass > 0 || float64(k.inFlight) <= far) {
+			if b.may(c, k) && !slices.Contains(c.asked, uint16(k.Cell)) && (asking || b.coldAllows(k)) &&
+				!c.triedOn(k) && k.aside <= b.now && (pass > 0 || float64(k.inFlight) <= far) {
 				b.picks = append(b.picks, k)
 				total += share(k)
 			}
@@ -254,7 +257,10 @@
 	}
 	var text [16]byte
 	binary.LittleEndian.PutUint64(text[:], c.key)
-	for _, k := range b.window {
+	for _, k := range b.fleet {
+		if k.State != Ready {
+			continue
+		}
 		binary.LittleEndian.PutUint64(text[8:], k.spot)
 		u := (float64(hash(text[:])>>11) + 1) / (1 << 53)
 		if at := -math.Log(u) / k.Size; at < best {
@@ -327,9 +333,7 @@
 func (b *Balancer) arrange() {
 	total, count := b.sum(func(k *backend) float64 { return k.Size }), b.usable()
 	width := min(1, (nearLeast+nearShared*count/b.siblings())/max(1, count)) * total
-	if b.limits.Peers {
-		width = total // what siblings learn is told: there is no need to keep to few
-	}
+
 	from := (float64(b.place.Me)+0.5)/b.siblings()*total - width/2
 	from -= math.Floor(from/max(total, tiny)) * total // the window may reach over the end of the ring
 	at := 0.0
@@ -394,16 +398,14 @@
 // only queue, and choke.
 func (b *Balancer) share() float64 { return b.level * b.warmth() / b.siblings() }
 
-// crowded tells that the command finds too many out here. One of many instances has few, which come by
-// chance: its bound lies above its share by roots of it, or all would decline while the fleet has room, but
-// by no more than a multiple, or a thousand instances with one each would be a flood. Its last part is given
-// by luck. What has little utility gets less, so that it is shed first.
+// crowded tells that the command finds too many out here. One of many instances has few, by chance:
+// its bound lies above its share by roots of it, or all would decline while there is room, but by no more
+// than a multiple, or a thousand with one each would be a flood. What has little utility is shed first.
 func (b *Balancer) crowded(c *command) bool {
 	b.level = max(b.level, boundMin)
 	share := b.share()
 	chance := boundRoot * min(share, math.Sqrt(share*max(0, 1-fewInstances/b.siblings())))
-	limit := (share + chance) * (spareFirst + (1-spareFirst)*c.priority)
-	return float64(b.inFlight) >= limit
+	return float64(b.inFlight) >= (share+chance)*(spareFirst+(1-spareFirst)*c.priority)
 }
 
 // settle moves the bound with the part of commands that end late or fail, since a lower tier that is crowded
@@ -461,14 +463,18 @@
 
 // try sends the command's first relay where there is room, or asks where there is, and tells whether it did.
 func (b *Balancer) try(c *command) bool {
-	if b.limits.Peers {
-		return b.ask(c)
+	if !b.limits.Peers {
+		return !b.crowded(c) && b.send(c)
 	}
-	return !b.crowded(c) && b.send(c)
+	if c.asking > 0 || b.now < c.askedAt+recheck {
+		return false
+	}
+	c.asked = c.asked[:0]
+	return b.ask(c)
 }
 
 func (b *Balancer) send(c *command) bool {
-	k := b.pick(c, false)
+	k := b.pick(c, false, false)
 	if k != nil {
 		b.release(c)
 		b.relay(c, k)
@@ -530,7 +536,7 @@
 // load is for its keeper how much a backend has to do, as a part of what it may have. What failed lately
 // there counts for a while, or a backend that fails at once would look idle to everybody.
 func (b *Balancer) load(k *backend) float64 {
-	out := k.tally.sum(b.now, b.longest) + failLoad*k.tally.fails.read(b.now, failSpan)
+	out := k.tally.sum(b.now, noteLife) + failLoad*k.tally.fails.read(b.now, failSpan)
 	return out / (room * b.part(k) * k.Size / b.meanSize)
 }
 
@@ -554,15 +560,21 @@
 // report tells the backend's keeper what this instance has out there.
 func (b *Balancer) report(k *backend, flag byte) {
 	n := note{noteOut, uint16(k.Cell), k.tag(), byte(min(255, k.inFlight)), flag}
-	if at := b.keeper(n.cell); !b.limits.Peers {
-		return
-	} else if at != b.place.Me {
+	if at := b.keeper(n.cell); b.limits.Peers && at != b.place.Me {
 		b.host.Tell(at, n.bytes())
-	} else {
+	} else if b.limits.Peers {
 		k.tally.note(b.now, at, n, failSpan)
 	}
 }
 
+// remind repeats what is out while a relay lasts: notes get lost, and a keeper soon forgets what it heard.
+func (b *Balancer) remind(c *command, n int) {
+	if r := &c.relays[n]; r.out && b.limits.Peers {
+		b.report(r.to, flagNone)
+		b.after(noteAgain, func() { b.remind(c, n) })
+	}
+}
+
 // Heard is told what a sibling had to say.
 func (b *Balancer) Heard(now float64, from int, text []byte) {
 	b.now = now
@@ -598,17 +610,9 @@
 	}
 }
 
-// ask draws a cell for the command and has its keeper say where in it there is room.
+// ask draws a cell for the command that was not asked yet, and has its keeper say where in it there is room.
 func (b *Balancer) ask(c *command) bool {
-	if c.asking > 0 || b.now < c.askedAt+recheck {
-		return false
-	}
-	c.asked = c.asked[:0]
-	return b.askOn(c)
-}
-
-func (b *Balancer) askOn(c *command) bool {
-	k := b.pick(c, false)
+	k := b.pick(c, false, true)
 	if k == nil || len(c.asked) >= asksMost {
 		return false
 	}
@@ -627,10 +631,11 @@
 		if c.asking != n {
 			return
 		}
-		// No word in time: the message was lost, or the keeper is. The instance goes by what it knows alone.
-		b.answered(c)
-		c.asked = c.asked[:0]
-		if b.crowded(c) || !b.send(c) {
+		// No word in time: a message was lost, or the keeper is. After the last the instance goes by what it knows.
+		if b.answered(c); b.ask(c) {
+			return
+		}
+		if c.asked = c.asked[:0]; b.crowded(c) || !b.send(c) {
 			b.hold(c)
 		}
 	})
@@ -654,7 +659,7 @@
 	if k != nil {
 		b.report(k, flagSent) // not taken
 	}
-	if !b.askOn(c) {
+	if !b.ask(c) {
 		b.hold(c)
 	}
 }
@@ -709,7 +714,6 @@
 	anyDelay      delay      // of all verbs together
 	fleet         []*backend // by id
 	meanSize      float64
-	longest       float64    // time limit of any verb
 	waiting       []*command // for what keepers say
 	asks          int
 	picks, window []*backend // window: those this instance keeps to
@@ -781,6 +785,9 @@
 		c.mayHaveRun, c.ranFrom = k, b.now
 	}
 	b.host.Relay(c.id, k.ID)
+	if b.limits.Peers {
+		b.after(noteAgain, func() { b.remind(c, n) })
+	}
 	if !v.Stream {
 		b.after(r.delay, func() { b.overdue(c, n) })
 	}
@@ -801,7 +808,7 @@
 	if c.done || c.streaming || c.out > 1 || !b.mayCopy(c, v) {
 		return
 	}
-	if k := b.pick(c, true); k != nil {
+	if k := b.pick(c, true, false); k != nil {
 		v.copies.tokens--
 		v.breaker.sent(b.now)
 		b.service.sent(b.now)
@@ -913,7 +920,7 @@
 	rate := retryShare * b.came.rate(b.now, callSpan, b.start)
 	if len(c.relays) < b.limits.Relays && c.expires > b.now+2*b.tick &&
 		b.retries.read(b.now, rate, max(retryBurst, rate)) >= 1 {
-		if k := b.pick(c, false); k != nil {
+		if k := b.pick(c, false, false); k != nil {
 			b.retries.tokens--
 			b.relay(c, k)
 			return
--- a/balance/instance.go
+++ b/balance/instance.go
@@ -39,7 +39,7 @@
 		if v.Was >= 0 && v.Was < len(oldVerbs) {
 			l = oldVerbs[v.Was].learnt
 		}
-		b.topUtil, b.longest = max(b.topUtil, v.Utility), max(b.longest, v.TimeLimit)
+		b.topUtil = max(b.topUtil, v.Utility)
 		b.verbs = append(b.verbs, &verb{v, l})
 	}
 	for _, c := range customers {
--- a/balance/keeper_test.go
+++ b/balance/keeper_test.go
@@ -182,7 +182,7 @@
 	}
 	near := 0
 	for i, h := range beside(t, 200, list) {
-		if k := h.b.pick(&command{id: uint64(i), verb: h.b.verbs[0]}, false); k.Zone == 0 {
+		if k := h.b.pick(&command{id: uint64(i), verb: h.b.verbs[0]}, false, true); k.Zone == 0 {
 			near++
 		}
 	}
@@ -219,3 +219,39 @@
 		t.Error("lost on the way back")
 	}
 }
+
+// With one message in ten lost, keepers counted commands for seconds that had long ended, and had no room to give.
+func TestLostNotesAreForgotten(t *testing.T) {
+	hosts := beside(t, 10, ready(1))
+	for round := range 30 {
+		for i, h := range hosts {
+			id := uint64(round*100 + i)
+			h.b.Command(h.now, id, 1, 0, h.now+6, 0)
+			carry(hosts, nil)
+			if len(h.toOf(id)) > 0 {
+				h.outcome(id, 0, Answered)
+			}
+			carry(hosts, func(n note) bool { return n.kind == noteOut }) // nobody hears that it has ended
+		}
+		for _, h := range hosts {
+			h.until(h.now + 1.5)
+		}
+		carry(hosts, nil)
+	}
+	if n := relays(hosts); n < 120 { // five at a time have room, thirty times
+		t.Errorf("%d of 300 commands were relayed", n)
+	}
+	h := hosts[0]
+	h.b.Command(h.now, 9000, 1, 0, h.now+6, 0)
+	carry(hosts, nil)
+	h.until(h.now + 2)
+	if carry(hosts, nil); len(h.toOf(9000)) > 0 {
+		sum := 0.0
+		for _, x := range hosts {
+			sum += x.b.fleet[0].tally.sum(h.now, noteLife)
+		}
+		if sum < 1 {
+			t.Error("a command that lasts is forgotten")
+		}
+	}
+}
