--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -613,7 +613,7 @@
 // ask draws a cell for the command that was not asked yet, and has its keeper say where in it there is room.
 func (b *Balancer) ask(c *command) bool {
 	k := b.pick(c, false, true)
-	if k == nil || len(c.asked) >= asksMost {
+	if k == nil || !b.limits.Peers || len(c.asked) >= asksMost {
 		return false
 	}
 	cell := uint16(k.Cell)
--- a/balance/keeper_test.go
+++ b/balance/keeper_test.go
@@ -129,6 +129,20 @@
 			}
 		}
 	})
+	t.Run("a turn to settings without messages ends the questions, and what waits goes out", func(t *testing.T) {
+		for i, h := range beside(t, 5, ready(6)) {
+			h.b.Command(h.now, 1, 0, 0, h.now+6, 0)
+			asked := len(h.told)
+			if len(h.relays) > 0 {
+				continue // it keeps the cell itself
+			}
+			h.b.Turn(h.now, 0.005, Place{Siblings: 5}, []Verb{{Goal: 2.5, TimeLimit: 6, Utility: 1, Was: 0}}, nil, 0.1,
+				Limits{Relays: 4}, Cold{Share: 0.2, Span: 10, Multiple: 3}, false)
+			if h.until(h.now + 0.1); len(h.told) != asked || len(h.relays) != 1 {
+				t.Errorf("instance %d: %d messages after, %d relays", i, len(h.told)-asked, len(h.relays))
+			}
+		}
+	})
 	t.Run("what was said long ago is forgotten", func(t *testing.T) {
 		var k tally
 		k.note(100, 3, note{amount: 4}, 3)
