--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -208,23 +208,23 @@
 	}
 	far := max(float64(count)/max(1, float64(len(b.window)))-farSlack, farSlack)
 	// First what the weight rule and the skip leave of the window, then any of it, then any of the fleet.
-	home := b.home(c)
-	from, share := b.window, func(k *backend) float64 { return k.weight * k.near }
-	if asking {
-		from, share = b.fleet, func(k *backend) float64 {
-			s := k.weight * k.Size
-			if k.Cell == home {
-				s *= homePull
-			}
-			if k.Zone == b.place.Zone {
-				s *= zonePull
-			}
-			return s
+	home, from, whole := b.home(c), b.window, asking
+	share := func(k *backend) float64 {
+		s := k.weight * k.near
+		if whole {
+			s = k.weight * k.Size
+		}
+		if k.Cell == home {
+			s *= homePull
+		}
+		if b.limits.Peers && k.Zone == b.place.Zone {
+			s *= zonePull
 		}
+		return s
 	}
 	for pass := range 3 {
-		if pass == 2 {
-			from, share = b.fleet, func(k *backend) float64 { return k.weight * k.Size }
+		if whole = asking || pass == 2; whole {
+			from = b.fleet
 		}
 		total := 0.0
 		b.picks = b.picks[:0]
