--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -1,7 +1,7 @@
 // Package balance decides where a command goes, when it gets a second copy, and when it is given up.
 //
 // A front makes one Balancer for each instance with New, calls one method for each thing that happens
-// (Command, Outcome, Started, Departed, Fleet, ListFailed, Wake), always with the clock in seconds,
+// (Command, Outcome, Started, Departed, Fleet, ListFailed, Heard, Wake, Turn), the clock always in seconds,
 // and carries out what the Balancer asks of its Host. Interface and plain types are in host.go; what the
 // mechanism is and where it is departed from is told in docs/design.md. Not safe for concurrent calls.
 package balance
