--- a/cmd/sandpass/main.go
+++ b/cmd/sandpass/main.go
@@ -31,6 +31,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if at := os.Getenv("NODE_OPS"); at != "" {
+		l.Ops = at
+	}
 	return l, nil
 }
 
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -318,7 +318,7 @@
 
 // reply answers what the Balancer has not seen.
 func (c *client) reply(status int, text string, keep bool) {
-	keep = keep && !c.p.leaving
+	keep = keep && !c.p.closes()
 	h := append(c.p.head(status, len(text), keep), "\r\n"...)
 	h = append(h, text...)
 	c.p.scratch = h
@@ -395,7 +395,7 @@
 		return
 	}
 	cmd.done, cmd.from = true, nil
-	keep := c.msg.Keep && !p.leaving
+	keep := c.msg.Keep && !p.closes()
 	var body []byte
 	if from != nil {
 		in := from.conn.In()
--- /dev/null
+++ b/internal/proxy/ops.go
@@ -0,0 +1,190 @@
+// This file owns the operators' door: its listener, its connections and what each call is answered. It must never wait
+// for clients, backends or memory, and never do by itself what a call asks for: each is one method elsewhere.
+package proxy
+
+import (
+	"container/list"
+	"errors"
+	"fmt"
+	"log"
+	"net/netip"
+	"net/url"
+	"strings"
+
+	"sandpass/internal/http1"
+	"sandpass/internal/loop"
+)
+
+const (
+	doorDescriptors = 16      // kept for the door: its listener, its connections and some that are being accepted
+	doorMost        = 12      // connections at the door
+	doorSilent      = 2.0     // seconds that a call may take to be said: an answer is due within 1 s of the whole call
+	doorLinger      = 0.5     // seconds for the caller to read its answer and close
+	doorBytes       = 4 << 10 // bytes of a call: a first read buffer, which no lack of memory keeps out
+	doorDrained     = 1 << 20 // bytes of more than a call that are thrown away, so that the answer is not reset
+)
+
+// door is where operators call.
+type door struct {
+	at       netip.AddrPort // invalid: there is none
+	listener *loop.Listener
+	calls    list.List // of *call, the oldest first
+}
+
+// doorAt decodes the address; without one there is no door.
+func doorAt(text string) (at netip.AddrPort, err error) {
+	if text != "" {
+		if at, err = netip.ParseAddrPort(text); err != nil {
+			err = fmt.Errorf("ops: %w", err)
+		}
+	}
+	return at, err
+}
+
+// openDoor has operators' calls come in.
+func (p *Proxy) openDoor() (err error) {
+	d := &p.door
+	if d.at.IsValid() {
+		always := func() bool { return true } // the door makes room itself, in accept
+		if d.listener, err = p.loop.Listen(d.at, doorBytes, always, p.called, p.starved); err != nil {
+			err = fmt.Errorf("ops: %w", err)
+		}
+	}
+	return err
+}
+
+// call is one connection at the door, which carries one call.
+type call struct {
+	p     *Proxy
+	conn  *loop.Conn
+	msg   http1.Message
+	place *list.Element
+	said  bool // is being answered
+	gone  bool
+}
+
+// called takes a connection. Callers that say nothing must not keep others out: the oldest of them goes first.
+func (p *Proxy) called(conn *loop.Conn) loop.Handler {
+	d := &p.door
+	c := &call{p: p, conn: conn}
+	c.place = d.calls.PushBack(c)
+	p.loop.After(doorSilent, func() {
+		if !c.gone && !c.said {
+			c.answer(408, "the call did not come in time")
+		}
+	})
+	for _, said := range [2]bool{false, true} {
+		for e := d.calls.Front(); e != nil && d.calls.Len() > doorMost; {
+			old := e.Value.(*call)
+			if e = e.Next(); old != c && old.said == said {
+				old.close()
+			}
+		}
+	}
+	return c
+}
+
+// close is the one place where a connection at the door is given back.
+func (c *call) close() {
+	if !c.gone {
+		c.gone = true
+		c.p.door.calls.Remove(c.place)
+		c.conn.Close()
+	}
+}
+
+func (c *call) Up(*loop.Conn) {}
+
+func (c *call) Flushed(*loop.Conn) {
+	if c.said {
+		c.conn.EndWriting()
+	}
+}
+
+func (c *call) Down(*loop.Conn, error) { c.close() }
+
+func (c *call) Data(*loop.Conn) {
+	if c.said {
+		return
+	}
+	for in := c.conn.In(); len(in) >= 2 && in[0] == '\r' && in[1] == '\n' && !c.msg.HeadWhole(); in = c.conn.In() {
+		c.conn.Consume(2)
+	}
+	in := c.conn.In()
+	if len(in) == 0 {
+		return
+	}
+	whole, err := c.msg.Command(in)
+	var f *http1.Fault
+	switch {
+	case errors.As(err, &f):
+		c.answer(f.Status, f.Text)
+	case whole:
+		c.carryOut(string(c.msg.Method(in)), string(c.msg.Target(in)))
+	case c.conn.Full():
+		c.answer(413, "the call is too large")
+	}
+}
+
+// answer ends the call; the status says yes or no.
+func (c *call) answer(status int, text string, fields ...string) {
+	if c.gone || c.said {
+		return
+	}
+	c.said = true
+	c.conn.Write(c.p.head(status, len(text)+1, false), []byte(strings.Join(fields, "")+"\r\n"+text+"\n"))
+	if !c.conn.Unsent() {
+		c.conn.EndWriting()
+	}
+	c.conn.Drain(doorDrained)
+	c.p.loop.After(doorLinger, c.close)
+}
+
+// carryOut does what a whole call asks for.
+func (c *call) carryOut(method, target string) {
+	path, _, _ := strings.Cut(target, "?")
+	rest, _ := strings.CutPrefix(path, "/admin/")
+	word, id, named := strings.Cut(rest, "/")
+	id, err := url.PathUnescape(id)
+	due := "POST"
+	if word == "health" {
+		due = "GET"
+	}
+	switch {
+	case rest == path || err != nil || named != (word == "cordon" || word == "uncordon") || phrase(word) == "":
+		c.answer(404, "no such call")
+		return
+	case method != due:
+		c.answer(405, "the call is a "+due, "Allow: "+due+"\r\n")
+		return
+	case word == "health" && !c.p.takesClients():
+		c.answer(503, "no clients are taken yet, or any more")
+		return
+	case word == "health":
+		c.answer(200, "clients are taken")
+		return
+	}
+	known := c.p.operate(word, id)
+	log.Printf("msg=ops call=%s id=%q known=%t", word, id, known)
+	if !known {
+		c.answer(404, "no backend has this id")
+		return
+	}
+	c.answer(200, phrase(word))
+}
+
+// phrase is what a yes to the call says, nothing where there is no such call.
+func phrase(word string) string {
+	return map[string]string{"health": "clients are taken", "quiesce": "clients are sent away", "resume": "the drain is over"}[word]
+}
+
+// operate carries out one call, or tells that nobody has the id.
+func (p *Proxy) operate(word, id string) bool {
+	switch word {
+	case "quiesce":
+		p.quiesce()
+	case "resume":
+		p.resume()
+	}
+	return true
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -43,6 +43,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Ops       string `json:"ops"` // where operators call, if they can
 	Seed      string `json:"seed"`
 	Limits    struct {
 		MemoryMB int `json:"memory_mb"`
@@ -77,6 +78,8 @@
 	backends backends
 	watch    watch
 	peers    peers
+	door     door
+	drain    drain
 
 	commands map[uint64]*command
 	ids      map[string]*command // the same by their Req-Id
@@ -121,8 +124,10 @@
 	if err = p.join(p.peers); err != nil {
 		return nil, err
 	}
-	p.listener, err = p.loop.Listen(at, http1.MaxMessage, p.roomForClient, p.accept, p.starved)
-	return p, err
+	if p.listener, err = p.loop.Listen(at, http1.MaxMessage, p.roomForClient, p.accept, p.starved); err != nil {
+		return nil, err
+	}
+	return p, p.openDoor()
 }
 
 // Check tells what is wrong with a configuration, if anything.
@@ -168,8 +173,11 @@
 	if p.watch.at, err = netip.ParseAddrPort(l.Discovery); err != nil {
 		return nil, nil, fmt.Errorf("discovery: %w", err)
 	}
-	if l.Limits.Sockets < 2*ownDescriptors {
-		return nil, nil, fmt.Errorf("limits: %d sockets are too few, %d are needed", l.Limits.Sockets, 2*ownDescriptors)
+	if p.door.at, err = doorAt(l.Ops); err != nil {
+		return nil, nil, err
+	}
+	if least := p.own() + ownDescriptors; l.Limits.Sockets < least {
+		return nil, nil, fmt.Errorf("limits: %d sockets are too few, %d are needed", l.Limits.Sockets, least)
 	}
 	if len(l.Known) > 0 {
 		known = &roster{}
@@ -183,10 +191,18 @@
 	return p, known, nil
 }
 
+// own is how many descriptors are for neither clients nor backends.
+func (p *Proxy) own() int {
+	if p.door.at.IsValid() {
+		return ownDescriptors + doorDescriptors
+	}
+	return ownDescriptors
+}
+
 // share parts the descriptors: one in spareShare for clients past their part, the rest half and half for clients and
 // backends. Each side reclaims its own idle ones first.
 func (p *Proxy) share(sockets int) {
-	all := sockets - ownDescriptors
+	all := sockets - p.own()
 	spare := max(1, all/spareShare)
 	p.backends.most = max(1, (all-spare)/2)
 	p.clients.part = max(1, all-spare-p.backends.most)
@@ -253,7 +269,7 @@
 		name    string
 		differs bool
 	}{
-		{"listen", l.Listen != p.launch.Listen}, {"limits", l.Limits != p.launch.Limits},
+		{"listen", l.Listen != p.launch.Listen}, {"ops", l.Ops != p.launch.Ops}, {"limits", l.Limits != p.launch.Limits},
 		{"seed", l.Seed != p.launch.Seed}, {"known", !bytes.Equal(l.Known, p.launch.Known)},
 	} {
 		if x.differs {
@@ -294,9 +310,12 @@
 // ready tells whether a command could be relayed: the list has somebody in it and is not merely the old one, unless
 // discovery stays silent.
 func (p *Proxy) ready() bool {
-	return !p.ending && p.backends.usable > 0 && (p.watch.heard || p.loop.Now() > p.freshBy)
+	return !p.ending && !p.drain.on && p.backends.usable > 0 && (p.watch.heard || p.loop.Now() > p.freshBy)
 }
 
+// takesClients tells whether connections are accepted; a drained proxy still takes those that come.
+func (p *Proxy) takesClients() bool { return !p.ending && !p.listener.Closed() }
+
 // end begins the planned end: connections are taken for a while yet, then what is open is finished.
 func (p *Proxy) end() {
 	p.ending = true
