--- a/internal/proxy/helper_test.go
+++ b/internal/proxy/helper_test.go
@@ -112,6 +112,7 @@
 	*Proxy
 	asked atomic.Bool
 	ended chan error
+	todo  chan func()
 }
 
 // config is a configuration; discovery may be nil.
@@ -142,8 +143,17 @@
 
 func run(t *testing.T, p *Proxy) *running {
 	t.Helper()
-	r := &running{Proxy: p, ended: make(chan error, 1)}
-	go func() { r.ended <- p.Run(r.asked.Load) }()
+	r := &running{Proxy: p, ended: make(chan error, 1), todo: make(chan func(), 1)}
+	go func() {
+		r.ended <- p.Run(func() bool {
+			select {
+			case f := <-r.todo:
+				f()
+			default:
+			}
+			return r.asked.Load()
+		})
+	}()
 	t.Cleanup(func() { r.end(); <-r.ended })
 	return r
 }
@@ -151,6 +161,14 @@
 // end asks the proxy to end, as SIGTERM does.
 func (r *running) end() { r.asked.Store(true); r.Ring() }
 
+// do has f run on the proxy's own loop.
+func (r *running) do(f func()) {
+	done := make(chan bool)
+	r.todo <- func() { f(); close(done) }
+	r.Ring()
+	<-done
+}
+
 // caller is a client's connection.
 type caller struct {
 	net.Conn
--- a/internal/proxy/ops.go
+++ b/internal/proxy/ops.go
@@ -164,27 +164,31 @@
 		c.answer(200, "clients are taken")
 		return
 	}
-	known := c.p.operate(word, id)
-	log.Printf("msg=ops call=%s id=%q known=%t", word, id, known)
-	if !known {
+	if named && !c.p.knows(id) {
 		c.answer(404, "no backend has this id")
 		return
 	}
+	log.Printf("msg=ops call=%s id=%q", word, id)
+	c.p.operate(word, id)
 	c.answer(200, phrase(word))
 }
 
 // phrase is what a yes to the call says, nothing where there is no such call.
 func phrase(word string) string {
-	return map[string]string{"health": "clients are taken", "quiesce": "clients are sent away", "resume": "the drain is over"}[word]
+	return map[string]string{"health": "clients are taken", "quiesce": "clients are sent away", "resume": "the drain is over",
+		"cordon": "nothing new goes there", "uncordon": "it is used again, cold"}[word]
 }
 
-// operate carries out one call, or tells that nobody has the id.
-func (p *Proxy) operate(word, id string) bool {
+// operate carries out one call that stands.
+func (p *Proxy) operate(word, id string) {
 	switch word {
+	case "cordon":
+		p.leaveOut(id)
+	case "uncordon":
+		p.callBack(id)
 	case "quiesce":
 		p.quiesce()
 	case "resume":
 		p.resume()
 	}
-	return true
 }
--- a/internal/proxy/ops_test.go
+++ b/internal/proxy/ops_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"sandpass/balance"
 )
 
 // inService is a running proxy with a door.
@@ -188,3 +190,75 @@
 		}
 	})
 }
+
+// Discovery and operators speak of the same backends: the stricter word holds, whatever the list does meanwhile.
+func TestLeftOut(t *testing.T) {
+	t.Run("nothing new goes there until it is called back, through lists that say otherwise", func(t *testing.T) {
+		t.Parallel()
+		one, two := newToy(t, ok), newToy(t, ok)
+		both := listing(1, true, ready("s-1", one), ready("s-2", two))
+		p := inService(t, both, nil)
+		c := p.caller(t)
+		look := func(n int) {
+			for range n {
+				if status, _, _ := c.ask(text("look")); status != 200 {
+					t.Errorf("status %d", status)
+				}
+				time.Sleep(2 * time.Millisecond)
+			}
+		}
+		look(20)
+		if one.commands.Load() == 0 || two.commands.Load() == 0 {
+			t.Fatal("one of two gets nothing")
+		}
+		p.want(t, 404, "POST", "/admin/cordon/s-3")
+		p.want(t, 404, "POST", "/admin/uncordon/s-3")
+		p.want(t, 200, "POST", "/admin/uncordon/s-1") // was not left out: nothing changes
+		p.want(t, 200, "POST", "/admin/cordon/s%2D1")
+		p.want(t, 200, "POST", "/admin/cordon/s-1")
+		before := one.commands.Load()
+		tell := func(text string) {
+			l := decode(t, text)
+			p.do(func() { p.take(l) })
+		}
+		anew := ready("s-1", one)
+		anew["since_ms"] = 5000.0
+		for _, list := range []string{both, listing(2, false, ready("s-1", one)), listing(3, true, ready("s-2", two)),
+			listing(4, false, anew)} {
+			tell(list)
+			look(10)
+		}
+		if n := one.commands.Load() - before; n != 0 {
+			t.Errorf("%d commands went to a backend left out", n)
+		}
+		p.want(t, 200, "POST", "/admin/uncordon/s-1")
+		tell(listing(5, false, anew))
+		var state balance.State
+		var started, now float64
+		p.do(func() {
+			e := p.settle(p.backends.byName["s-1"])
+			state, started, now = e.State, e.Started, p.loop.Now()
+		})
+		if state != balance.Ready || now-started > 1 {
+			t.Errorf("back as %v, started %.1f s ago: it is cold", state, now-started)
+		}
+		// At low traffic too it is used within 5 s.
+		for began := time.Now(); one.commands.Load() == before; time.Sleep(150 * time.Millisecond) {
+			if look(1); time.Since(began) > 5*time.Second {
+				t.Fatal("unused for 5 s after the call back")
+			}
+		}
+	})
+	t.Run("a connection under way at the call carries nothing", func(t *testing.T) {
+		t.Parallel()
+		b := newToy(t, ok)
+		p := launch(t, 200, listing(1, true, ready("s-1", b)), nil)
+		p.start(&relay{cmd: &command{id: 1, out: 1}, to: p.backends.byName["s-1"], sent: p.loop.Now()})
+		p.leaveOut("s-1")
+		run(t, p)
+		time.Sleep(100 * time.Millisecond)
+		if b.conns.Load() != 1 || b.commands.Load() != 0 {
+			t.Errorf("%d connections, %d commands", b.conns.Load(), b.commands.Load())
+		}
+	})
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -81,19 +81,20 @@
 	door     door
 	drain    drain
 
-	commands map[uint64]*command
-	ids      map[string]*command // the same by their Req-Id
-	lastID   uint64
-	scratch  []byte // heads are put together here
-	ending   bool
-	leaving  bool // open connections are closed with their next answer
-	endBy    float64
-	freshBy  float64                // until when the first word of discovery is waited for
-	signal   func() bool            // tells that the end was asked for
-	reloaded atomic.Pointer[Launch] // a configuration to turn to
-	seed     uint64
-	draws    uint64
-	memory   [1]metrics.Sample
+	maintenance maintenance
+	commands    map[uint64]*command
+	ids         map[string]*command // the same by their Req-Id
+	lastID      uint64
+	scratch     []byte // heads are put together here
+	ending      bool
+	leaving     bool // open connections are closed with their next answer
+	endBy       float64
+	freshBy     float64                // until when the first word of discovery is waited for
+	signal      func() bool            // tells that the end was asked for
+	reloaded    atomic.Pointer[Launch] // a configuration to turn to
+	seed        uint64
+	draws       uint64
+	memory      [1]metrics.Sample
 
 	came, answered, declined, terminated, departed, bad int // since the last summary
 	relays, noRoom                                      int
@@ -372,8 +373,8 @@
 func (p *Proxy) summary() {
 	metrics.Read(p.memory[:])
 	log.Printf("msg=summary came=%d answered=%d declined=%d no_room=%d terminated=%d departed=%d bad=%d relays=%d open=%d "+
-		"clients=%d links=%d backends=%d told=%d heard=%d not_heard=%d memory_mb=%d", p.came, p.answered, p.declined, p.noRoom, p.terminated, p.departed,
-		p.bad, p.relays, len(p.commands), p.clients.count, len(p.backends.links), p.backends.usable, p.peers.told, p.peers.took, p.peers.bad,
+		"clients=%d links=%d backends=%d left_out=%d told=%d heard=%d not_heard=%d memory_mb=%d", p.came, p.answered, p.declined, p.noRoom, p.terminated, p.departed,
+		p.bad, p.relays, len(p.commands), p.clients.count, len(p.backends.links), p.backends.usable, len(p.maintenance.Out), p.peers.told, p.peers.took, p.peers.bad,
 		p.memory[0].Value.Uint64()>>20)
 	p.came, p.answered, p.declined, p.noRoom, p.terminated, p.departed, p.bad, p.relays = 0, 0, 0, 0, 0, 0, 0, 0
 	p.peers.told, p.peers.took, p.peers.bad = 0, 0, 0
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -210,20 +210,53 @@
 			t.at = at
 		}
 		named[e.Name] = true
-		p.turn(t, state)
-		entries = append(entries, balance.Entry{ID: t.id, Zone: p.zone(e.Zone),
-			Cell: e.Group, State: state, Size: e.Weight, Started: e.SinceMs / 1000})
+		t.said = balance.Entry{ID: t.id, Zone: p.zone(e.Zone), Cell: e.Group, State: state, Size: e.Weight, Started: e.SinceMs / 1000}
+		entries = append(entries, p.settle(t))
 	}
 	if l.Snapshot {
 		for name, t := range s.byName {
 			if !named[name] {
-				p.turn(t, balance.Gone)
+				t.said.State = balance.Gone
+				p.settle(t)
 			}
 		}
+		p.maintenance.forget(func(name string) bool { return named[name] })
 	}
 	p.balancer.Fleet(p.loop.Now(), l.Snapshot, entries)
 }
 
+// settle is where discovery's word and the operators' become the one that counts.
+func (p *Proxy) settle(t *target) balance.Entry {
+	e := p.maintenance.over(t.name, t.said)
+	p.turn(t, e.State)
+	return e
+}
+
+// knows tells whether a backend is listed or left out now; all other names are nobody's.
+func (p *Proxy) knows(name string) bool {
+	t := p.backends.byName[name]
+	return t != nil && t.said.State != balance.Gone || p.maintenance.Out[name]
+}
+
+// leaveOut has nothing new go to a backend until it is called back.
+func (p *Proxy) leaveOut(name string) {
+	p.maintenance.leave(name)
+	p.retell(name)
+}
+
+// callBack has a backend used again, as one that has just started.
+func (p *Proxy) callBack(name string) {
+	p.maintenance.call(name, p.loop.Now())
+	p.retell(name)
+}
+
+// retell has what counts of a backend brought up to date.
+func (p *Proxy) retell(name string) {
+	if t := p.backends.byName[name]; t != nil && t.said.State != balance.Gone {
+		p.balancer.Fleet(p.loop.Now(), false, []balance.Entry{p.settle(t)})
+	}
+}
+
 // zone is the number of a zone; one that the settings don't name gets one of its own.
 func (p *Proxy) zone(name string) int {
 	n := slices.Index(p.names.Zones, name)
