--- a/cmd/sandpass/main.go
+++ b/cmd/sandpass/main.go
@@ -34,6 +34,7 @@
 	if at := os.Getenv("NODE_OPS"); at != "" {
 		l.Ops = at
 	}
+	l.Socket = os.Getenv("NODE_SOCKET_FD")
 	return l, nil
 }
 
@@ -43,9 +44,6 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1)
-	if l.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(l.Limits.MemoryMB) * memoryPart * (1 << 20)))
-	}
 	// Each kind has a channel of its own: one that comes while another waits must not be dropped.
 	ends, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
@@ -54,6 +52,7 @@
 	if err != nil {
 		return err
 	}
+	p.OnMemory(func(bytes int64) { debug.SetMemoryLimit(int64(memoryPart * float64(bytes))) })
 	var asked atomic.Bool
 	go func() {
 		for {
--- a/internal/loop/listener.go
+++ b/internal/loop/listener.go
@@ -24,6 +24,7 @@
 	room    func() bool
 	accept  func(*Conn) Handler
 	starved func()
+	held    bool // accepts nothing
 }
 
 // Listen opens the socket. Before a connection is taken, room tells whether there is any for it; accept gets each and
@@ -70,7 +71,11 @@
 	return netip.AddrPort{}
 }
 
-func (s *Listener) event(uint32) { s.take(acceptsTurn) }
+func (s *Listener) event(uint32) {
+	if !s.held {
+		s.take(acceptsTurn)
+	}
+}
 
 // take accepts up to so many connections and tells whether the backlog is empty.
 func (s *Listener) take(most int) bool {
@@ -103,12 +108,23 @@
 func (s *Listener) pause() {
 	s.loop.change(s.fd, 0)
 	s.loop.After(acceptPause, func() {
-		if s.fd >= 0 {
+		if s.fd >= 0 && !s.held {
 			s.loop.change(s.fd, unix.EPOLLIN)
 		}
 	})
 }
 
+// Hold leaves what comes to others who have the socket; Take accepts it again.
+func (s *Listener) Hold() { s.hold(true, 0) }
+func (s *Listener) Take() { s.hold(false, unix.EPOLLIN) }
+
+func (s *Listener) hold(held bool, mask uint32) {
+	if s.fd >= 0 {
+		s.held = held
+		s.loop.change(s.fd, mask)
+	}
+}
+
 // Closed tells that Close has done its work.
 func (s *Listener) Closed() bool { return s.fd < 0 }
 
@@ -121,7 +137,16 @@
 	if !s.take(backlog) {
 		return false
 	}
-	s.loop.drop(s.fd)
-	s.fd = -1
+	s.Leave()
 	return true
 }
+
+// Leave gives the descriptor back and what still waits with it, to others if they have the socket too. The loop is told
+// first: as long as others have it, its events would go on.
+func (s *Listener) Leave() {
+	if s.fd >= 0 {
+		unix.EpollCtl(s.loop.epoll, unix.EPOLL_CTL_DEL, s.fd, nil)
+		s.loop.drop(s.fd)
+		s.fd = -1
+	}
+}
--- /dev/null
+++ b/internal/proxy/handover.go
@@ -0,0 +1,411 @@
+// This file owns the upgrade: the meeting of the running process and the one that takes its place, what they tell each
+// other, and what each does when the other is gone. It must never accept clients in a process that can't serve them, nor
+// believe that the other lives once their connection has ended.
+package proxy
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	"sandpass/balance"
+	"sandpass/internal/loop"
+)
+
+const (
+	handoverVersion = 1
+	meetWithin      = 1.5  // seconds for the running process to hand over: the yes is due 6 s after the start
+	serveWithin     = 3.0  // seconds after which a new process serves though nobody is listed: no list may come
+	takeOverWithin  = 10.0 // seconds after its hello in which a new process must serve, or counts as gone
+	tellWithin      = 0.5  // seconds for the other process to do what operators said: their answer is due within 1 s
+	meetLine        = 4 << 20
+	shedFrom        = 0.3 // seconds after the successor serves, from which what rests is closed: most go with an answer first
+	shedTo          = 1.5 // and by which it is closed: the kill comes no sooner than 3.7 s after that
+	stayLeast       = 0.5 // seconds that the old process stays, for what was accepted last
+	pairMemory      = 0.5 // of the memory for each of two processes
+	lookEvery       = 0.05
+)
+
+// word is a line between two processes. Unknown fields are passed over; a larger version says that others mean otherwise.
+type word struct {
+	Version     int          `json:"v"`
+	Say         string       `json:"say"` // hello, state, serving, holds, call, done
+	Discovery   string       `json:"discovery,omitempty"`
+	List        *roster      `json:"list,omitempty"`
+	Maintenance *maintenance `json:"maintenance,omitempty"`
+	Drained     bool         `json:"drained,omitempty"`
+	Sockets     int          `json:"sockets,omitempty"`
+	Number      int          `json:"number,omitempty"`
+	Call        string       `json:"call,omitempty"`
+	ID          string       `json:"id,omitempty"`
+}
+
+// handover is where this process stands between the one before and the one after.
+type handover struct {
+	path      string         // of the Unix socket; empty where there is no inherited listener
+	listener  *loop.Listener // where the next version comes
+	before    *mate          // the process whose place this one takes, while it lives
+	after     *mate          // the one that takes this one's place, while it lives
+	met       bool           // nothing is handed over any more
+	serving   bool           // clients are accepted, or were
+	succeeded bool           // the one after serves
+	since     float64        // when that began
+	asked     int            // calls told to the other
+	waits     map[int]func() // for what it has done of these
+	setMemory func(bytes int64)
+}
+
+// mate is the other process.
+type mate struct {
+	p    *Proxy
+	conn *loop.Conn
+	up   bool
+}
+
+// inherited decodes what names the descriptor of the listener, -1 if nothing does.
+func inherited(text string) (int, error) {
+	if text == "" {
+		return -1, nil
+	}
+	fd, err := strconv.Atoi(text)
+	if err != nil || fd < 0 {
+		return -1, fmt.Errorf("socket: %q is no descriptor", text)
+	}
+	return fd, nil
+}
+
+// OnMemory has f told how much memory the process may use, now and when that changes; before Run.
+func (p *Proxy) OnMemory(f func(bytes int64)) {
+	p.handover.setMemory = f
+	p.useMemory(1)
+}
+
+// useMemory has the process keep to a part of the memory that the configuration allows.
+func (p *Proxy) useMemory(part float64) {
+	if bytes := part * float64(p.launch.Limits.MemoryMB) * (1 << 20); bytes > 0 {
+		p.loop.Most = int(bufferPart * bytes)
+		if p.handover.setMemory != nil {
+			p.handover.setMemory(int64(bytes))
+		}
+	}
+}
+
+// meet looks for a running process. Without one, or where it has nothing to say, this one serves at once.
+func (p *Proxy) meet() {
+	h := &p.handover
+	if h.path == "" {
+		h.met, h.serving = true, true
+		return
+	}
+	m := &mate{p: p}
+	conn, err := p.loop.DialAt(h.path, m, meetLine)
+	if err != nil {
+		log.Printf("msg=alone error=%q", err)
+		p.handed()
+		p.serve()
+		return
+	}
+	m.conn, h.before = conn, m
+	p.useMemory(pairMemory)
+	p.loop.After(meetWithin, func() {
+		if h.before == m && !h.met {
+			log.Printf("msg=handover_silent")
+			m.lost(errors.New("no handover in time"))
+		}
+	})
+}
+
+// handed ends the wait for a handover.
+func (p *Proxy) handed() {
+	h := &p.handover
+	if h.met {
+		return
+	}
+	h.met = true
+	began := p.loop.Now()
+	if h.before != nil {
+		p.serveSoon(began)
+	}
+}
+
+// serveSoon accepts as soon as what comes can be relayed, or by the time that somebody must.
+func (p *Proxy) serveSoon(began float64) {
+	if now := p.loop.Now(); p.handover.before != nil && !p.listed() && now < began+serveWithin {
+		p.loop.After(soon, func() { p.serveSoon(began) })
+		return
+	}
+	p.serve()
+}
+
+// serve accepts clients and tells the process before, if it lives; the next version comes here from now on.
+func (p *Proxy) serve() {
+	h := &p.handover
+	if p.listener.Closed() || h.serving {
+		return
+	}
+	h.serving = true
+	p.listener.Take()
+	p.expectNext()
+	if h.before != nil {
+		p.useSockets(p.launch.Limits.Sockets / 2)
+		h.before.say(word{Say: "serving"})
+	}
+	log.Printf("msg=accepting successor=%t ready=%t", h.before != nil, p.ready())
+	p.joinAgain()
+}
+
+// joinAgain takes the address for messages once the process before has let it go.
+func (p *Proxy) joinAgain() {
+	if len(p.peers.at) > 0 && p.peers.sock == nil && !p.handover.succeeded && p.join(p.peers) != nil {
+		p.loop.After(lookEvery, p.joinAgain)
+	}
+}
+
+// expectNext has the next version come here.
+func (p *Proxy) expectNext() {
+	h := &p.handover
+	var err error
+	h.listener, err = p.loop.ListenAt(h.path, meetLine, func(conn *loop.Conn) loop.Handler {
+		return &mate{p: p, conn: conn, up: true}
+	})
+	if err != nil {
+		log.Printf("msg=no_handover error=%q", err) // the proxy serves all the same
+	}
+}
+
+// useSockets has the process keep to so many descriptors.
+func (p *Proxy) useSockets(n int) { p.share(max(n, p.own()+ownDescriptors)) }
+
+func (m *mate) say(w word) {
+	w.Version = handoverVersion
+	text, _ := json.Marshal(w)
+	m.conn.Write(append(text, '\n'))
+}
+
+func (m *mate) Up(*loop.Conn) {
+	m.up = true
+	m.say(word{Say: "hello"})
+}
+
+func (m *mate) Flushed(*loop.Conn) {}
+
+func (m *mate) Down(_ *loop.Conn, err error) { m.lost(err) }
+
+// lost says that the other process is gone, or is to count as that: all that was shared falls to this one.
+func (m *mate) lost(err error) {
+	p, h := m.p, &m.p.handover
+	m.conn.Close()
+	switch m {
+	case h.before:
+		h.before = nil
+		log.Printf("msg=predecessor_gone error=%q", err)
+		p.handed()
+		p.serve()
+	case h.after:
+		h.after = nil
+		log.Printf("msg=successor_gone error=%q served=%t", err, h.succeeded)
+		if h.succeeded && !p.ending {
+			h.succeeded = false
+			p.listener.Take()
+			p.expectNext()
+			p.joinAgain()
+		}
+	default:
+		return
+	}
+	for n, f := range h.waits {
+		delete(h.waits, n)
+		f()
+	}
+	if h.before == nil && h.after == nil {
+		p.useMemory(1)
+		p.useSockets(p.launch.Limits.Sockets)
+	}
+}
+
+func (m *mate) Data(c *loop.Conn) {
+	for {
+		end := bytes.IndexByte(c.In(), '\n')
+		if end < 0 {
+			if c.Full() {
+				m.lost(errors.New("a line without end"))
+			}
+			return
+		}
+		var w word
+		err := json.Unmarshal(c.In()[:end], &w)
+		if err == nil && w.Version != handoverVersion {
+			err = fmt.Errorf("version %d is unknown", w.Version)
+		}
+		if err != nil {
+			m.lost(err)
+			return
+		}
+		c.Consume(end + 1)
+		if m.heard(&w); m.p.handover.before != m && m.p.handover.after != m {
+			return
+		}
+	}
+}
+
+// heard does what the other process says.
+func (m *mate) heard(w *word) {
+	p, h := m.p, &m.p.handover
+	switch w.Say {
+	case "hello":
+		if h.after != nil {
+			h.after.lost(errors.New("another came"))
+		}
+		h.after = m
+		p.useMemory(pairMemory)
+		m.say(p.state())
+		p.loop.After(takeOverWithin, func() {
+			if h.after == m && !h.succeeded {
+				m.lost(errors.New("it does not serve"))
+			}
+		})
+	case "state":
+		p.takeOver(w)
+	case "serving":
+		p.giveWay(m)
+	case "holds":
+		p.useSockets(p.launch.Limits.Sockets - w.Sockets)
+	case "call":
+		p.operate(w.Call, w.ID)
+		m.say(word{Say: "done", Number: w.Number})
+	case "done":
+		if f := h.waits[w.Number]; f != nil {
+			delete(h.waits, w.Number)
+			f()
+		}
+	}
+}
+
+// state is what the next version must know to keep the rules.
+func (p *Proxy) state() word {
+	names := map[balance.State]string{}
+	for name, s := range states {
+		names[s] = name
+	}
+	l := &roster{Index: p.watch.index, Snapshot: true}
+	for _, t := range p.backends.byName {
+		if t.said.State != balance.Gone {
+			l.Endpoints = append(l.Endpoints, endpoint{Name: t.name, Address: t.at.String(), Zone: p.names.Zones[t.said.Zone],
+				Group: t.said.Cell, Status: names[t.said.State], Weight: t.said.Size, SinceMs: t.since})
+		}
+	}
+	slices.SortFunc(l.Endpoints, func(a, b endpoint) int { return strings.Compare(a.Name, b.Name) })
+	return word{Say: "state", Discovery: p.watch.at.String(), List: l, Maintenance: &p.maintenance, Drained: p.drain.on}
+}
+
+// takeOver goes on from what the process before said. The list's index counts only with the discovery that it is from.
+func (p *Proxy) takeOver(w *word) {
+	if w.Maintenance != nil {
+		p.maintenance = *w.Maintenance
+	}
+	if w.List != nil && !p.watch.heard {
+		p.take(w.List)
+		p.watch.has = w.Discovery == p.watch.at.String()
+	} else {
+		for _, name := range slices.Sorted(maps.Keys(p.backends.byName)) {
+			p.retell(name)
+		}
+	}
+	if w.Drained {
+		p.quiesce()
+	}
+	log.Printf("msg=handed_over backends=%d left_out=%d drained=%t", p.backends.usable, len(p.maintenance.Out), w.Drained)
+	p.handed()
+}
+
+// giveWay leaves new connections to the process after. What is open here is finished.
+func (p *Proxy) giveWay(m *mate) {
+	h := &p.handover
+	if h.after != m || h.succeeded {
+		return
+	}
+	h.succeeded, h.since = true, p.loop.Now()
+	p.listener.Hold()
+	if h.listener != nil {
+		h.listener.Leave()
+		h.listener = nil
+	}
+	if p.peers.sock != nil {
+		p.peers.sock.Close()
+		p.peers.sock = nil
+	}
+	log.Printf("msg=succeeded open=%d clients=%d", len(p.commands), p.clients.count)
+	p.giveWayOn(m)
+}
+
+// giveWayOn closes what rests and leaves once nothing is open.
+func (p *Proxy) giveWayOn(m *mate) {
+	h := &p.handover
+	if h.after != m || p.leaving {
+		return
+	}
+	t := p.loop.Now() - h.since
+	p.shed(t, shedFrom, shedTo)
+	p.backends.most = min(p.backends.most, max(p.clients.count, len(p.backends.links), 1))
+	m.say(word{Say: "holds", Sockets: p.own() + p.clients.count + p.backends.most})
+	if t > stayLeast && p.clients.count == 0 && len(p.commands) == 0 {
+		log.Printf("msg=left")
+		p.loop.Stop()
+		return
+	}
+	p.loop.After(lookEvery, func() { p.giveWayOn(m) })
+}
+
+// others are the processes that must do what operators say as well.
+func (p *Proxy) others() (all []*mate) {
+	for _, m := range []*mate{p.handover.before, p.handover.after} {
+		if m != nil && m.up {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
+// operateAll carries out a call here and in the other process, and calls back once it holds in both. One that says
+// nothing has stopped, and sends nothing new either.
+func (p *Proxy) operateAll(what, id string, then func()) {
+	h := &p.handover
+	p.operate(what, id)
+	all := p.others()
+	if len(all) == 0 {
+		then()
+		return
+	}
+	left := len(all)
+	done := func() {
+		if left--; left == 0 {
+			then()
+		}
+	}
+	if h.waits == nil {
+		h.waits = map[int]func(){}
+	}
+	for _, m := range all {
+		h.asked++
+		n := h.asked
+		h.waits[n] = done
+		m.say(word{Say: "call", Number: n, Call: what, ID: id})
+		p.loop.After(tellWithin, func() {
+			if h.waits[n] != nil {
+				delete(h.waits, n)
+				done()
+			}
+		})
+	}
+}
+
+// meetAt is the path of the Unix socket for the proxy that listens at this address.
+func meetAt(listen string) string { return filepath.Join(os.TempDir(), "sandpass-"+listen+".sock") }
--- a/internal/proxy/ops.go
+++ b/internal/proxy/ops.go
@@ -151,7 +151,7 @@
 		due = "GET"
 	}
 	switch {
-	case rest == path || err != nil || named != (word == "cordon" || word == "uncordon") || phrase(word) == "":
+	case rest == path || err != nil || named != (id != "") || named != (word == "cordon" || word == "uncordon") || phrase(word) == "":
 		c.answer(404, "no such call")
 		return
 	case method != due:
@@ -164,13 +164,23 @@
 		c.answer(200, "clients are taken")
 		return
 	}
-	if named && !c.p.knows(id) {
+	c.operate(word, id, c.p.loop.Now()+tellWithin)
+}
+
+// operate carries out a call on this proxy, in all its processes. One that is about to be handed what counts waits for it.
+func (c *call) operate(word, id string, until float64) {
+	p := c.p
+	switch {
+	case !p.handover.met && p.loop.Now() < until:
+		p.loop.After(soon, func() { c.operate(word, id, until) })
+	case !p.handover.met:
+		c.answer(503, "the process before this one has not handed over yet")
+	case id != "" && !p.knows(id):
 		c.answer(404, "no backend has this id")
-		return
+	default:
+		log.Printf("msg=ops call=%s id=%q", word, id)
+		p.operateAll(word, id, func() { c.answer(200, phrase(word)) })
 	}
-	log.Printf("msg=ops call=%s id=%q", word, id)
-	c.p.operate(word, id)
-	c.answer(200, phrase(word))
 }
 
 // phrase is what a yes to the call says, nothing where there is no such call.
@@ -179,7 +189,7 @@
 		"cordon": "nothing new goes there", "uncordon": "it is used again, cold"}[word]
 }
 
-// operate carries out one call that stands.
+// operate carries out one call that stands, in this process.
 func (p *Proxy) operate(word, id string) {
 	switch word {
 	case "cordon":
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -18,6 +18,8 @@
 	"strings"
 	"sync/atomic"
 
+	"golang.org/x/sys/unix"
+
 	"sandpass/balance"
 	"sandpass/internal/http1"
 	"sandpass/internal/loop"
@@ -44,6 +46,7 @@
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
 	Ops       string `json:"ops"` // where operators call, if they can
+	Socket    string `json:"-"`   // the inherited descriptor that listens, if there is one
 	Seed      string `json:"seed"`
 	Limits    struct {
 		MemoryMB int `json:"memory_mb"`
@@ -81,6 +84,7 @@
 	door     door
 	drain    drain
 
+	handover    handover
 	maintenance maintenance
 	commands    map[uint64]*command
 	ids         map[string]*command // the same by their Req-Id
@@ -113,21 +117,30 @@
 	if p.loop, err = loop.New(); err != nil {
 		return nil, err
 	}
-	if l.Limits.MemoryMB > 0 {
-		p.loop.Most = int(bufferPart * float64(l.Limits.MemoryMB) * (1 << 20))
-	}
+	p.useMemory(1)
 	if p.balancer, _, err = settings.Balancer(p, p.seed, p.loop.Now(), l.Settings); err != nil {
 		return nil, err
 	}
 	if known != nil {
 		p.take(known)
 	}
-	if err = p.join(p.peers); err != nil {
+	fd, err := inherited(l.Socket)
+	if err != nil {
 		return nil, err
 	}
-	if p.listener, err = p.loop.Listen(at, http1.MaxMessage, p.roomForClient, p.accept, p.starved); err != nil {
+	if fd < 0 {
+		p.listener, err = p.loop.Listen(at, http1.MaxMessage, p.roomForClient, p.accept, p.starved)
+	} else if p.listener, err = p.loop.Adopt(fd, at, http1.MaxMessage, p.roomForClient, p.accept, p.starved); err == nil {
+		p.handover.path = meetAt(p.listener.At.String())
+	} else {
+		err = fmt.Errorf("socket: %w", err)
+	}
+	if err != nil {
 		return nil, err
 	}
+	if err = p.join(p.peers); err != nil && (fd < 0 || !errors.Is(err, unix.EADDRINUSE)) {
+		return nil, err // a process before this one may still have the address for messages
+	}
 	return p, p.openDoor()
 }
 
@@ -144,7 +157,9 @@
 		return err
 	}
 	defer p.loop.Close()
-	_, _, err = settings.Balancer(p, p.seed, p.loop.Now(), l.Settings)
+	if _, err = inherited(l.Socket); err == nil {
+		_, _, err = settings.Balancer(p, p.seed, p.loop.Now(), l.Settings)
+	}
 	return err
 }
 
@@ -284,6 +299,7 @@
 func (p *Proxy) Run(signal func() bool) error {
 	p.signal = signal
 	p.freshBy = p.loop.Now() + freshFor
+	p.meet()
 	p.connect()
 	p.every(sweepEvery, p.sweep)
 	p.every(summaryEvery, p.summary)
@@ -308,14 +324,21 @@
 	})
 }
 
-// ready tells whether a command could be relayed: the list has somebody in it and is not merely the old one, unless
+// listed tells whether a command could be relayed: the list has somebody in it and is not merely the old one, unless
 // discovery stays silent.
+func (p *Proxy) listed() bool {
+	return p.backends.usable > 0 && (p.watch.heard || p.loop.Now() > p.freshBy)
+}
+
+// ready tells whether clients are to come: to this process or, while that lives, to the one after it.
 func (p *Proxy) ready() bool {
-	return !p.ending && !p.drain.on && p.backends.usable > 0 && (p.watch.heard || p.loop.Now() > p.freshBy)
+	return !p.drain.on && p.listed() && (!p.ending || p.handover.succeeded)
 }
 
 // takesClients tells whether connections are accepted; a drained proxy still takes those that come.
-func (p *Proxy) takesClients() bool { return !p.ending && !p.listener.Closed() }
+func (p *Proxy) takesClients() bool {
+	return p.handover.serving && !p.handover.succeeded && !p.ending
+}
 
 // end begins the planned end: connections are taken for a while yet, then what is open is finished.
 func (p *Proxy) end() {
@@ -330,8 +353,12 @@
 	})
 }
 
-// closeDoor takes the last connections, as soon as there is room for them.
+// closeDoor takes the last connections, as soon as there is room for them. With a successor they are its own.
 func (p *Proxy) closeDoor() {
+	if p.handover.succeeded {
+		p.listener.Leave()
+		return
+	}
 	if !p.listener.Close() {
 		p.loop.After(soon, p.closeDoor)
 	}
