--- a/internal/http1/chunks.go
+++ b/internal/http1/chunks.go
@@ -3,7 +3,7 @@
 
 import "bytes"
 
-const maxLine = 1 << 10 // bytes of a chunk's first line or of a trailer
+const maxLine = 4 << 10 // bytes of a chunk's first line or of a trailer
 
 // Chunks reads a chunked body piece by piece. The zero value is at its start.
 type Chunks struct {
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -10,17 +10,18 @@
 
 const (
 	MaxHead = 16 << 10 // bytes of a head; common servers take 8 to 16 KiB
-	MaxBody = 64 << 10 // bytes of a command's body, by the protocol
-	// MaxAnswer is how many bytes an answer's body may have: some have several times what the protocol says, and whoever
-	// asked can use them.
-	MaxAnswer = 1 << 20
+	MaxBody = 32 << 20 // bytes of any body
+	// Held is how many bytes of an answer's body are kept together before any go on.
+	Held = 64 << 10
+	// HeldCommand is the same for a command's.
+	HeldCommand = 256 << 10
 	// Report is the field in which a backend tells its load.
 	Report   = "Srv-Load"
 	nameMost = 64 // bytes in which a line's beginning is judged before it is whole
-	// MaxMessage is what a buffer must hold: chunks come with their own lines.
-	MaxMessage = MaxHead + 2*MaxBody
-	// MaxWhole is the same for an answer.
-	MaxWhole = MaxHead + 2*MaxAnswer
+	// MaxMessage is what a buffer must hold for a command; one whose chunks take more goes on as it comes.
+	MaxMessage = MaxHead + HeldCommand
+	// MaxWhole is the same for an answer: chunks come with their own lines.
+	MaxWhole = MaxHead + 2*Held
 )
 
 // Fault is what is wrong with a message and the status that says so to a client.
@@ -47,7 +48,6 @@
 	method  span
 	target  span
 	fields  []field
-	most    int  // bytes that the body may have
 	begun   bool // the first line has been read
 	old     bool // HTTP/1.0
 	at      int  // where the line starts that is being read
@@ -63,9 +63,41 @@
 // Reset forgets the message.
 func (m *Message) Reset() { *m = Message{fields: m.fields[:0]} }
 
-// Size is how many bytes the whole message took.
+// Size is how many bytes of the message have been read, of a whole one all that it took.
 func (m *Message) Size() int { return m.raw }
 
+// Length is how many bytes the body has, -1 where that is not said.
+func (m *Message) Length() int {
+	if m.chunked {
+		return -1
+	}
+	return m.length
+}
+
+// Decoded is how many bytes of the body have been read.
+func (m *Message) Decoded() int { return m.body }
+
+// Old tells a message of HTTP/1.0, whose sender knows no chunks.
+func (m *Message) Old() bool { return m.old }
+
+// Rest reads on in a body whose head and first part, Size bytes, have been consumed: the next piece of it at the start of
+// in, how many bytes are done with, and whether the body is whole. With nothing used it needs more bytes.
+func (m *Message) Rest(in []byte) (data []byte, used int, done bool, err error) {
+	switch {
+	case m.chunked:
+		data, used, done, err = m.chunks.Next(in)
+	case m.length < 0:
+		data, used = in, len(in)
+	default:
+		used = min(m.length-m.body, len(in))
+		data, done = in[:used], m.body+used == m.length
+	}
+	if m.body += len(data); m.body > MaxBody && err == nil {
+		err = fault(413, "the body is too large")
+	}
+	return data, used, done, err
+}
+
 // Begun tells whether any of the message is there, interim answers apart.
 func (m *Message) Begun(in []byte) bool { return m.begun || len(in) > m.at }
 
@@ -134,7 +166,6 @@
 
 // Command reads a command from the bytes that begin with it and tells whether it is whole.
 func (m *Message) Command(in []byte) (bool, error) {
-	m.most = MaxBody
 	if m.head == 0 {
 		whole, err := m.readHead(in, false)
 		if !whole || err != nil {
@@ -160,7 +191,6 @@
 // AnswerHead reads an answer's head alone, for a body that is used as it comes. Interim answers (1xx) are passed
 // over by taking their bytes for part of the head.
 func (m *Message) AnswerHead(in []byte) (bool, error) {
-	m.most = MaxAnswer
 	for m.head == 0 {
 		if whole, err := m.readHead(in, true); !whole || err != nil {
 			return false, err
@@ -215,7 +245,7 @@
 		case !m.begun:
 			err = m.firstOfCommand(text, at)
 		case len(text) > 0:
-			err = m.readField(text, at)
+			err = m.readField(text, at, answer)
 		default:
 			return true, m.framing()
 		}
@@ -297,7 +327,7 @@
 }
 
 // readField reads a field's line, and what it says of body and connection.
-func (m *Message) readField(text []byte, at int) error {
+func (m *Message) readField(text []byte, at int, answer bool) error {
 	colon := bytes.IndexByte(text, ':')
 	if colon <= 0 || !token(text[:colon]) {
 		return fault(400, "malformed field")
@@ -308,8 +338,8 @@
 	switch name := text[:colon]; {
 	case is(name, "Content-Length"):
 		n, ok := number(value, 10)
-		if !ok || m.length >= 0 {
-			return fault(400, "malformed or repeated Content-Length")
+		if !ok || m.length >= 0 && (!answer || n != m.length) {
+			return fault(400, "malformed or repeated Content-Length") // an answer's may be said twice alike
 		}
 		m.length = n
 	case is(name, "Transfer-Encoding"):
@@ -332,7 +362,7 @@
 	if m.chunked && m.length >= 0 {
 		return fault(400, "both Content-Length and Transfer-Encoding")
 	}
-	if m.length > m.most {
+	if m.length > MaxBody {
 		return fault(413, "the body is too large")
 	}
 	return nil
@@ -369,7 +399,7 @@
 			}
 			m.body += copy(in[m.head+m.body:], data)
 			m.raw += used
-			if m.body > m.most {
+			if m.body > MaxBody {
 				return false, fault(413, "the body is too large")
 			}
 			if done || used == 0 {
@@ -378,7 +408,7 @@
 		}
 	case m.length < 0:
 		m.raw, m.body = len(in), len(in)-m.head
-		if m.body > m.most {
+		if m.body > MaxBody {
 			return false, fault(413, "the body is too large")
 		}
 		return ended, nil
