--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -584,7 +584,7 @@
 	}
 	var k *backend
 	if i := slices.IndexFunc(b.fleet, func(k *backend) bool {
-		return uint16(k.Cell) == n.cell && k.tag() == n.tag
+		return uint16(k.Cell) == n.cell && k.tag() == n.tag && (n.kind != noteGrant || n.flag == flagYes)
 	}); i >= 0 {
 		k = b.fleet[i]
 	}
@@ -598,9 +598,6 @@
 	case n.kind == noteOut && at == b.place.Me && k != nil:
 		k.tally.note(now, from, n, failSpan)
 	case n.kind == noteGrant && at == from:
-		if n.flag != flagYes {
-			k = nil
-		}
 		i := slices.IndexFunc(b.waiting, func(c *command) bool { return c.asked[len(c.asked)-1] == n.cell })
 		if i >= 0 {
 			b.granted(b.waiting[i], k)
@@ -668,11 +665,11 @@
 
 type relay struct {
 	to                  *backend
-	sent                float64
-	delay               float64 // after which it is late
+	sent, delay         float64 // when, and after how long it is late
 	learned             bool    // that was learned
 	out, late, neverRan bool
 	loser               bool // its command has had its answer
+	counts              int  // 1, or 0 once it is a stream
 }
 
 type command struct {
@@ -772,7 +769,7 @@
 func (b *Balancer) relay(c *command, k *backend) {
 	v := c.verb
 	n := len(c.relays)
-	r := relay{to: k, sent: b.now, out: true}
+	r := relay{to: k, sent: b.now, out: true, counts: 1}
 	r.delay, r.learned = b.delay(v)
 	c.relays, c.asked = append(c.relays, r), c.asked[:0]
 	c.out++
@@ -797,7 +794,7 @@
 // hung one never answers, and a second copy goes out where that is allowed.
 func (b *Balancer) overdue(c *command, n int) {
 	r, v := &c.relays[n], c.verb
-	if !r.out || r.loser {
+	if !r.out || r.loser || c.streaming {
 		return
 	}
 	if r.learned {
@@ -805,7 +802,7 @@
 		r.to.slowed()
 		b.late.add(b.now, slowSpan, 1)
 	}
-	if c.done || c.streaming || c.out > 1 || !b.mayCopy(c, v) {
+	if c.done || c.out > 1 || !b.mayCopy(c, v) {
 		return
 	}
 	if k := b.pick(c, true, false); k != nil {
@@ -831,9 +828,13 @@
 // Started is told that a stream has begun: the command now belongs to that relay.
 func (b *Balancer) Started(now float64, id uint64, n int) {
 	b.now = now
-	if c, ok := b.commands[id]; ok && !c.done && n < len(c.relays) {
-		c.streaming = true
+	if c, ok := b.commands[id]; ok && !c.done && !c.streaming && n < len(c.relays) && c.relays[n].out {
+		r := &c.relays[n]
+		c.streaming, r.counts = true, 0 // what its client takes slowly is no work for the backend
+		r.to.inFlight--
+		b.inFlight--
 		b.cancelOthers(c, n)
+		b.dispatch()
 	}
 }
 
@@ -856,8 +857,8 @@
 	r, v := &c.relays[n], c.verb
 	r.out, r.neverRan = false, result.NeverRan()
 	c.out--
-	r.to.inFlight--
-	b.inFlight--
+	r.to.inFlight -= r.counts
+	b.inFlight -= r.counts
 	if r.loser {
 		v.losers--
 	}
@@ -877,13 +878,17 @@
 		b.forget(c)
 	case final || result == Answered:
 		if result == Answered {
+			b.answers.add(now, rateSpan, 1)
+			b.carried.add(now, callSpan, 1)
+		}
+		if result == Answered && !c.streaming { // how long a stream takes is its length's and the client's affair
 			// From the first relay on: a winning copy must not hide how slow the first one was.
 			v.delay.learn(now, now-c.relays[0].sent)
 			b.anyDelay.learn(now, now-c.relays[0].sent)
-			b.answers.add(now, rateSpan, 1)
-			b.carried.add(now, callSpan, 1)
 		}
-		b.settle(c, false)
+		if !c.streaming {
+			b.settle(c, false)
+		}
 		b.end(c)
 	case c.out == 0:
 		b.again(c)
@@ -900,22 +905,19 @@
 		} else if r.learned && !r.late {
 			r.to.slowed()
 		}
-	case Errored, Full, TimedOut, Reset:
-		r.to.slowed()
-	case Unconnected:
-		// Down, or out of connections: each try costs the whole connect limit, so it is left alone a while.
+	case Errored, Full, TimedOut, Reset, Unconnected:
 		r.to.slowed()
-		r.to.aside = b.now + asideFor
+		if result == Unconnected { // down, or out of connections: each try costs the whole connect limit
+			r.to.aside = b.now + asideFor
+		}
 	}
 }
 
 // again sends a command whose relays have all failed elsewhere, or gives it up.
 func (b *Balancer) again(c *command) {
 	c.mayHaveRun = nil
-	for i := range c.relays {
-		if r := &c.relays[i]; !r.neverRan && c.mayHaveRun == nil {
-			c.mayHaveRun, c.ranFrom = r.to, r.sent
-		}
+	if i := slices.IndexFunc(c.relays, func(r relay) bool { return !r.neverRan }); i >= 0 {
+		c.mayHaveRun, c.ranFrom = c.relays[i].to, c.relays[i].sent
 	}
 	rate := retryShare * b.came.rate(b.now, callSpan, b.start)
 	if len(c.relays) < b.limits.Relays && c.expires > b.now+2*b.tick &&
@@ -933,10 +935,8 @@
 // mayDecline tells whether trying again is harmless.
 func (b *Balancer) mayDecline(c *command) bool {
 	v := c.verb
-	if v.Effect == Pure || v.Effect == Receipted && v.Scope == ScopeAll {
-		return true
-	}
-	return !slices.ContainsFunc(c.relays, func(r relay) bool { return r.out || !r.neverRan })
+	return v.Effect == Pure || v.Effect == Receipted && v.Scope == ScopeAll ||
+		!slices.ContainsFunc(c.relays, func(r relay) bool { return r.out || !r.neverRan })
 }
 
 // giveUp ends a command at once, by declining it where that promise holds.
--- a/cmd/sandpass/upgrade_test.go
+++ b/cmd/sandpass/upgrade_test.go
@@ -282,7 +282,7 @@
 	if got := two.call("POST", "/admin/uncordon/s-1"); got != 200 || !strings.Contains(two.out.String(), "msg=handed_over") {
 		t.Errorf("called back: %d, %s", got, two.out)
 	}
-	one.Process.Kill() // without a word
+	one.Process.Kill()                                                                // without a word
 	for began, got := time.Now(), 0; got != 200; time.Sleep(200 * time.Millisecond) { // it is cold: not at once
 		if got = ask(); time.Since(began) > 5*time.Second {
 			t.Fatalf("%d, 5 s after the call back", got)
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	bufferFirst = 4 << 10 // bytes of a first read buffer: most messages fit
-	sparesKept  = 256     // first buffers kept at rest, 1 MiB
+	bufferFirst = 4 << 10   // bytes of a first read buffer: most messages fit
+	sparesKept  = 256       // first buffers kept at rest, 1 MiB
+	bufferWide  = 32 << 10  // bytes of a read buffer through which a long message passes
+	kernelSend  = 128 << 10 // bytes that the kernel may hold for an accepted connection: more hides whether they are taken
 )
 
 // ErrTooMuch ends a connection whose unread bytes pass what its owner allows.
@@ -40,7 +42,10 @@
 	mask     uint32
 	dialing  bool
 	paused   bool
-	down     bool // Down was called or is to be
+	held     bool    // as paused, but what comes with the end is still wanted
+	wide     bool    // keeps its buffer, a wide one
+	sentAt   float64 // when the kernel took something last
+	down     bool    // Down was called or is to be
 	accepted bool
 	drains   int // bytes that may still be thrown away, once Drain was called
 }
@@ -95,6 +100,9 @@
 		return
 	}
 	c.from, c.to = 0, 0
+	if c.wide {
+		return
+	}
 	if len(c.buffer) == bufferFirst && len(c.loop.spare) < sparesKept {
 		c.loop.spare = append(c.loop.spare, c.buffer)
 	}
@@ -108,11 +116,17 @@
 // next is the size that the buffer may have instead of its own, 0 if none: its owner and all buffers have a bound.
 func (c *Conn) next() int {
 	size := max(bufferFirst, min(c.most, 2*len(c.buffer)))
+	if c.wide && c.buffer == nil {
+		size = bufferWide
+	}
 	all := c.loop.Most
 	if c.accepted {
 		all /= 2 // what comes in must not keep out the answers to what has
 	}
 	if size <= len(c.buffer) || size > bufferFirst && c.loop.grown+size-max(bufferFirst, len(c.buffer)) > all {
+		if c.buffer == nil {
+			return bufferFirst
+		}
 		return 0
 	}
 	return size
@@ -128,6 +142,21 @@
 // Unsent tells whether some of what was to be written has not reached the kernel.
 func (c *Conn) Unsent() bool { return len(c.out) > 0 }
 
+// Backlog is how many bytes of what was to be written have not reached the kernel.
+func (c *Conn) Backlog() int { return len(c.out) }
+
+// SentAt is when the kernel last took something, by the loop's clock: where its own buffer is full, the other side took it.
+func (c *Conn) SentAt() float64 { return c.sentAt }
+
+// Widen readies the connection for a long message that is read as it comes; Narrow ends that.
+func (c *Conn) Widen() { c.wide = true }
+
+// Narrow gives the wide buffer back once it is empty.
+func (c *Conn) Narrow() {
+	c.wide = false
+	c.Consume(0)
+}
+
 // Quiet tells whether the other side has neither sent anything nor ended: only then may an idle connection be used,
 // since what is written after its end counts as sent.
 func (c *Conn) Quiet() bool {
@@ -139,12 +168,24 @@
 // Pause stops reading, so that In stays in place; that the other side is gone is still noticed.
 func (c *Conn) Pause() { c.paused = true; c.want() }
 
+// Hold stops reading for a while: the other side's end is noticed once all before it has been read.
+func (c *Conn) Hold() { c.held = true; c.want() }
+
 // Resume reads on.
-func (c *Conn) Resume() { c.paused = false; c.want() }
+func (c *Conn) Resume() { c.paused, c.held = false, false; c.want() }
+
+// Abort has Close reset the connection, for a message that would else look whole.
+func (c *Conn) Abort() {
+	if c.fd >= 0 {
+		unix.SetsockoptLinger(c.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	}
+}
 
 func (c *Conn) want() {
 	mask := uint32(unix.EPOLLRDHUP)
-	if !c.paused {
+	if c.held {
+		mask = 0
+	} else if !c.paused {
 		mask = reading
 	}
 	if c.dialing || len(c.out) > 0 {
@@ -168,7 +209,9 @@
 		if err != nil && err != unix.EAGAIN && err != unix.EINTR {
 			c.fail(err)
 		}
-		n = max(n, 0)
+		if n = max(n, 0); n > 0 {
+			c.sentAt = c.loop.turn
+		}
 	}
 	for _, p := range parts {
 		skip := min(n, len(p))
@@ -211,7 +254,7 @@
 	}
 	c.loop.drop(c.fd)
 	c.loop.grown -= len(c.out)
-	c.fd, c.out = -1, nil
+	c.fd, c.out, c.wide = -1, nil, false
 	c.Consume(c.to - c.from)
 }
 
@@ -238,6 +281,9 @@
 			c.end(err)
 			return
 		}
+		if n > 0 {
+			c.sentAt = c.loop.turn
+		}
 		c.out = c.out[:copy(c.out, c.out[max(n, 0):])]
 		c.loop.grown -= max(n, 0)
 		if len(c.out) == 0 {
@@ -251,6 +297,10 @@
 	}
 	const ended = unix.EPOLLRDHUP | unix.EPOLLHUP | unix.EPOLLERR
 	switch {
+	case c.held:
+		if mask&(unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+			c.end(io.ErrUnexpectedEOF)
+		}
 	case c.paused:
 		if mask&ended != 0 {
 			c.end(io.EOF)
@@ -297,7 +347,7 @@
 	}
 	held := c.to - c.from
 	switch {
-	case c.buffer == nil && len(c.loop.spare) > 0:
+	case c.buffer == nil && len(c.loop.spare) > 0 && !c.wide:
 		last := len(c.loop.spare) - 1
 		c.buffer = c.loop.spare[last]
 		c.loop.spare = c.loop.spare[:last]
--- a/internal/loop/listener.go
+++ b/internal/loop/listener.go
@@ -97,6 +97,7 @@
 			return true // EAGAIN: nothing waits
 		}
 		if c, err := s.loop.newConn(fd, nil, s.most, reading); err == nil {
+			unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, kernelSend)
 			c.accepted = true
 			c.handler = s.accept(c)
 		}
--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -23,7 +23,6 @@
 	idlePart = 0.7  // of the idle time in the settings, after which a connection is dropped: well before the backend
 	aired    = 0.01 // seconds after an answer before its connection carries more: what follows on it would pass for the next
 	gasp     = 0.5  // seconds in which an answer that has begun gets no further: it is spoilt
-	breath   = 2.0  // seconds from an answer's first byte to its last
 )
 
 type backends struct {
@@ -78,6 +77,7 @@
 	up    bool
 	begun float64 // when an answer began that is not whole, 0 if none
 	moved float64 // when the last of it came
+	waits bool    // is not read until the client has taken what there is
 	since float64 // when it became idle
 	timer *loop.Timer
 }
@@ -87,11 +87,14 @@
 	id      uint64
 	name    string  // its Req-Id
 	from    *client // nil once it has had its answer or its client is gone
+	wait    float64 // seconds that the client waits
 	expires float64
 	timer   *loop.Timer
 	relays  []*relay
 	out     int
 	done    bool
+	fed     bool  // passed on as it came, or answered so: it can't go anywhere else
+	stream  *link // passes the answer on
 }
 
 // relay is one sending of a command.
@@ -101,6 +104,7 @@
 	to   *target
 	link *link // nil once it has ended
 	sent float64
+	took float64 // until its answer began, where that is passed on as it comes
 	over bool
 }
 
@@ -214,11 +218,21 @@
 	h = c.msg.AppendFields(h, in, "Req-Deadline")
 	h = append(h, "Req-Deadline: "...)
 	h = strconv.AppendFloat(h, max(0.001, l.relay.cmd.expires-p.loop.Now()), 'f', 3, 64)
-	if len(body) > 0 || string(c.msg.Method(in)) != "GET" {
+	switch {
+	case c.coming && c.msg.Chunked():
+		h = append(h, "\r\nTransfer-Encoding: chunked"...)
+	case c.coming:
+		h = append(h, "\r\nContent-Length: "...)
+		h = strconv.AppendInt(h, int64(c.msg.Length()), 10)
+	case len(body) > 0 || string(c.msg.Method(in)) != "GET":
 		h = append(h, "\r\nContent-Length: "...)
 		h = strconv.AppendInt(h, int64(len(body)), 10)
 	}
 	p.scratch = append(h, "\r\n\r\n"...)
+	if c.coming {
+		c.feedTo(l, p.scratch)
+		return
+	}
 	l.conn.Write(p.scratch, body)
 }
 
@@ -228,7 +242,7 @@
 	l.up = true
 	l.timer.Stop()
 	r := l.relay
-	if r.cmd.done || l.to.state != balance.Ready {
+	if r.cmd.done || r.cmd.fed || l.to.state != balance.Ready {
 		r.link = nil
 		l.rest(true)
 		l.p.report(r, balance.Moot)
@@ -237,20 +251,30 @@
 	l.send()
 }
 
-func (l *link) Flushed(*loop.Conn) {}
+func (l *link) Flushed(*loop.Conn) {
+	if r := l.relay; r != nil && r.cmd.from != nil && r.cmd.from.feed == l {
+		r.cmd.from.feedMore()
+	}
+}
 
 func (l *link) Data(*loop.Conn) {
 	if l.relay == nil {
 		l.close() // nothing was asked
 		return
 	}
+	if l.relay.cmd.stream == l {
+		l.passOn()
+		return
+	}
 	whole, err := l.msg.Answer(l.conn.In(), false)
 	switch {
-	case err != nil || !whole && l.conn.Full():
+	case err == nil && whole:
+		l.answer(l.msg.Keep)
+	case err == nil && l.passes(l.p.loop.Now()):
+		l.pass()
+	case err != nil || l.conn.Full():
 		l.p.bad++
 		l.ended(l.broken())
-	case whole:
-		l.answer(l.msg.Keep)
 	case l.msg.Begun(l.conn.In()):
 		l.moved = l.p.loop.Now()
 		if l.begun == 0 {
@@ -260,11 +284,9 @@
 	}
 }
 
-// stalled ends a relay whose answer gets no further, or not to its end in time.
+// stalled ends a relay whose answer gets no further. One that moves has until its command's time limit.
 func (l *link) stalled() {
-	now := l.p.loop.Now()
-	left := min(l.moved+gasp, l.begun+breath) - now
-	if left > 0 {
+	if left := l.moved + gasp - l.p.loop.Now(); left > 0 {
 		l.timer = l.p.loop.After(left, l.stalled)
 		return
 	}
@@ -279,6 +301,12 @@
 		l.close()
 	case !l.up:
 		l.ended(balance.Unconnected)
+	case l.relay.cmd.stream == l:
+		if l.msg.Length() < 0 && !l.msg.Chunked() && err == io.EOF {
+			l.passed(false)
+		} else {
+			l.breakOff(balance.Reset)
+		}
 	default:
 		if whole, bad := l.msg.Answer(l.conn.In(), err == io.EOF); whole && bad == nil {
 			l.answer(false)
@@ -290,7 +318,7 @@
 
 // broken is the outcome of a connection that broke: before the last byte was written it can't have run.
 func (l *link) broken() balance.Result {
-	if l.conn.Unsent() {
+	if c := l.relay.cmd.from; l.conn.Unsent() || c != nil && c.feed == l {
 		return balance.Unconnected
 	}
 	return balance.Reset
@@ -310,6 +338,9 @@
 	r := l.relay
 	in := l.conn.In()
 	result := balance.Errored
+	if c := r.cmd.from; c != nil && c.feed == l {
+		keep = false // the command is not all written
+	}
 	l.timer.Stop()
 	l.begun = 0
 	switch status := l.msg.Status; status {
@@ -344,7 +375,11 @@
 	r.cmd.out--
 	now := p.loop.Now()
 	nothing := balance.Load{Active: -1, Waiting: -1, CPU: -1, Took: -1}
-	p.balancer.Outcome(now, r.cmd.id, r.n, result, now-r.sent, r.cmd.done, nothing)
+	took := now - r.sent
+	if r.took > 0 {
+		took = r.took
+	}
+	p.balancer.Outcome(now, r.cmd.id, r.n, result, took, r.cmd.done, nothing)
 	p.forget(r.cmd)
 }
 
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -11,15 +11,16 @@
 	"strconv"
 	"strings"
 
+	"sandpass/balance"
 	"sandpass/internal/http1"
 	"sandpass/internal/loop"
 )
 
 const (
-	opening   = 2.0      // seconds from connecting to a whole first command: within 3 all must hear or be closed
-	slowest   = 2.0      // seconds for any later command, from its first byte
-	unread    = 0.4      // seconds more for one of which something waits to be read
-	untaken   = 6.0      // seconds for an answer to be taken
+	opening   = 2.35     // seconds from connecting to a whole first head: it may take 2, and within 3 all must hear or be closed
+	slowest   = 2.35     // seconds for any later head, from its first byte
+	unread    = 0.3      // seconds more for one of which something waits to be read
+	untaken   = 6.0      // seconds in which nothing of an answer is taken
 	resting   = 30.0     // seconds that a connection may rest between commands; opening another costs little
 	settled   = 2.0      // seconds of rest after which a connection may go though others will soon be due
 	patience  = 0.1      // seconds that a connection has to send or to close, before it makes way where there is no room
@@ -61,6 +62,14 @@
 	since   float64       // when it entered the state; when it connected, until its first command is whole
 	invited bool          // was told to send the body
 	used    bool          // has had a whole command
+	headAt  float64       // when the head was whole, 0 while it is not
+	coming  bool          // its command is passed on as it comes and is not whole
+	feed    *link         // where it goes on to, nil before and after
+	passed  bool          // its bytes are consumed
+	holds   bool          // is not read until the backend has taken what there is
+	moved   float64       // when the last of it came
+	chunked bool          // its answer is passed on in chunks
+	keep    bool          // and the connection stays open after it
 	gone    bool          // closed
 }
 
@@ -134,18 +143,21 @@
 func (c *client) Up(*loop.Conn) {}
 
 func (c *client) Flushed(*loop.Conn) {
-	if c.state == closing {
+	switch {
+	case c.state == closing:
 		c.conn.EndWriting()
-	} else {
+	case c.cmd != nil && c.cmd.stream != nil:
+		c.cmd.stream.goOn()
+	default:
 		c.proceed()
 	}
 }
 
 // Down says that the client has gone away.
 func (c *client) Down(*loop.Conn, error) {
-	cmd := c.cmd
+	cmd, feed := c.cmd, c.feed
 	if cmd != nil {
-		c.cmd = nil
+		c.cmd, c.feed = nil, nil
 		c.p.clients.owed--
 		cmd.from, cmd.done = nil, true
 		c.p.departed++
@@ -153,12 +165,19 @@
 	c.close()
 	if cmd != nil {
 		c.p.balancer.Departed(c.p.loop.Now(), cmd.id)
+		if feed != nil {
+			feed.ended(balance.Moot) // not written to its end, so it never ran, and never will
+		}
 		c.p.forget(cmd)
 	}
 }
 
 func (c *client) Data(*loop.Conn) {
-	if c.state != closing {
+	switch {
+	case c.state == closing:
+	case c.feed != nil:
+		c.feedOn()
+	default:
 		c.next()
 	}
 }
@@ -177,14 +196,18 @@
 		c.enter(sending)
 	}
 	whole, err := c.msg.Command(in)
+	if c.headAt == 0 && c.msg.HeadWhole() {
+		c.headAt = c.p.loop.Now()
+	}
 	var f *http1.Fault
 	switch {
 	case errors.As(err, &f):
 		c.bad(f.Status, f.Text)
 	case whole:
 		c.command(in)
-	case c.conn.Full() && len(in) >= http1.MaxMessage:
-		c.bad(413, "the command is too large")
+	case c.tooLong():
+		c.coming = true
+		c.command(in)
 	case c.conn.Full():
 		c.p.noRoom++
 		c.reply(503, "no memory for more commands\n", false) // never relayed, so harmless to repeat
@@ -216,7 +239,7 @@
 		return no(404, "the verb is unknown, or not the same in path and Req-Kind")
 	}
 	v := &p.names.Verbs[verb]
-	if get := string(c.msg.Method(in)) == "GET"; get != v.Pure || get && len(c.msg.Body(in)) > 0 {
+	if get := string(c.msg.Method(in)) == "GET"; get != v.Pure || get && (c.coming || len(c.msg.Body(in)) > 0) {
 		return no(400, "a GET without a body is for verbs that may be repeated, a POST for the others")
 	}
 	id := c.msg.Get(in, "Req-Id")
@@ -276,7 +299,7 @@
 	}
 	c.conn.Pause() // the command stays where it is until it has its answer
 	p.lastID++
-	cmd := &command{id: p.lastID, name: string(c.msg.Get(in, "Req-Id")), from: c, expires: p.loop.Turn() + wait}
+	cmd := &command{id: p.lastID, name: string(c.msg.Get(in, "Req-Id")), from: c, wait: wait, expires: p.loop.Turn() + wait}
 	c.cmd, c.used = cmd, true
 	c.enter(busy)
 	p.ids[cmd.name] = cmd
@@ -305,11 +328,20 @@
 
 // head begins an answer in the scratch space.
 func (p *Proxy) head(status, length int, keep bool) []byte {
+	return p.headOf(status, length, false, keep)
+}
+
+// headOf is the same for an answer whose length may not be known, -1, and which then goes in chunks or ends by a close.
+func (p *Proxy) headOf(status, length int, chunked, keep bool) []byte {
 	h := append(p.scratch[:0], "HTTP/1.1 "...)
 	h = strconv.AppendInt(h, int64(status), 10)
 	h = append(append(h, ' '), phrases[status]...)
-	h = append(h, "\r\nContent-Length: "...)
-	h = strconv.AppendInt(h, int64(length), 10)
+	if length >= 0 {
+		h = append(h, "\r\nContent-Length: "...)
+		h = strconv.AppendInt(h, int64(length), 10)
+	} else if chunked {
+		h = append(h, "\r\nTransfer-Encoding: chunked"...)
+	}
 	if !keep {
 		h = append(h, "\r\nConnection: close"...)
 	}
@@ -318,7 +350,7 @@
 
 // reply answers what the Balancer has not seen.
 func (c *client) reply(status int, text string, keep bool) {
-	keep = keep && !c.p.closes()
+	keep = keep && !c.p.closes() && !c.coming
 	h := append(c.p.head(status, len(text), keep), "\r\n"...)
 	h = append(h, text...)
 	c.p.scratch = h
@@ -337,12 +369,14 @@
 	if c.cmd != nil {
 		c.p.clients.owed--
 	}
-	c.cmd = nil
+	c.cmd, c.feed = nil, nil
 	if keep {
 		c.enter(busy)
-		c.conn.Consume(c.msg.Size())
+		if !c.passed {
+			c.conn.Consume(c.msg.Size())
+		}
 		c.msg.Reset()
-		c.invited = false
+		c.invited, c.headAt, c.coming, c.passed = false, 0, false, false
 		c.p.loop.Post(c.proceed)
 		return
 	}
@@ -380,7 +414,7 @@
 // unread would reset the connection under the answer.
 func (c *client) lingerOn() {
 	c.p.loop.After(linger, func() {
-		if !c.gone && c.conn.Unsent() && c.p.loop.Now()-c.since < untaken {
+		if !c.gone && c.conn.Unsent() && c.p.loop.Now()-max(c.since, c.conn.SentAt()) < untaken {
 			c.lingerOn()
 			return
 		}
@@ -394,8 +428,12 @@
 	if c == nil || cmd.done {
 		return
 	}
+	if cmd.stream != nil {
+		p.cut(cmd)
+		return
+	}
 	cmd.done, cmd.from = true, nil
-	keep := c.msg.Keep && !p.closes()
+	keep := c.msg.Keep && !p.closes() && !c.coming
 	var body []byte
 	if from != nil {
 		in := from.conn.In()
@@ -421,7 +459,7 @@
 		for e := p.clients.in[s].Front(); e != nil; {
 			c := e.Value.(*client)
 			e = e.Next()
-			if stood := now - c.since; stood < most || c.cmd != nil || state(s) != busy && stood < most+unread && !c.conn.Quiet() {
+			if c.cmd != nil || now < c.until(most) || state(s) != busy && now < c.until(most)+unread && !c.conn.Quiet() {
 				continue
 			}
 			if state(s) == sending {
@@ -433,6 +471,18 @@
 	}
 }
 
+// until is when the connection has stood too long in a state in which it may stand so many seconds. What moves may go on: a
+// body at its least rate, an answer as long as some of it is taken.
+func (c *client) until(most float64) float64 {
+	switch {
+	case c.state == busy:
+		return max(c.since, c.conn.SentAt()) + most
+	case c.state == sending && c.headAt > 0:
+		return max(c.since+most, c.headAt+bodyGrace+float64(len(c.conn.In()))/leastRate)
+	}
+	return c.since + most
+}
+
 // each calls f for every connection; f may close it.
 func (s *clients) each(f func(*client)) {
 	for i := range s.in {
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -14,7 +14,7 @@
 	r := &relay{cmd: cmd, n: len(cmd.relays), to: p.backends.byID[to], sent: p.loop.Now()}
 	cmd.relays = append(cmd.relays, r)
 	cmd.out++
-	if cmd.from == nil || r.to == nil || r.to.state != balance.Ready {
+	if cmd.from == nil || cmd.fed || r.to == nil || r.to.state != balance.Ready {
 		p.later(r, balance.Moot)
 		return
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -100,8 +100,8 @@
 	draws       uint64
 	memory      [1]metrics.Sample
 
-	came, answered, declined, terminated, departed, bad int // since the last summary
-	relays, noRoom                                      int
+	came, answered, declined, terminated, departed, bad, broken int // since the last summary
+	relays, noRoom                                              int
 }
 
 // New makes a proxy from its configuration, listening and ready to run.
@@ -384,6 +384,7 @@
 func (p *Proxy) sweep() {
 	now := p.loop.Now()
 	p.sweepClients(now)
+	p.sweepBodies(now)
 	p.sweepLinks()
 	p.sweepWatch(now)
 }
@@ -399,11 +400,11 @@
 
 func (p *Proxy) summary() {
 	metrics.Read(p.memory[:])
-	log.Printf("msg=summary came=%d answered=%d declined=%d no_room=%d terminated=%d departed=%d bad=%d relays=%d open=%d "+
+	log.Printf("msg=summary came=%d answered=%d declined=%d no_room=%d terminated=%d departed=%d bad=%d broken_off=%d relays=%d open=%d "+
 		"clients=%d links=%d backends=%d left_out=%d told=%d heard=%d not_heard=%d memory_mb=%d", p.came, p.answered, p.declined, p.noRoom, p.terminated, p.departed,
-		p.bad, p.relays, len(p.commands), p.clients.count, len(p.backends.links), p.backends.usable, len(p.maintenance.Out), p.peers.told, p.peers.took, p.peers.bad,
+		p.bad, p.broken, p.relays, len(p.commands), p.clients.count, len(p.backends.links), p.backends.usable, len(p.maintenance.Out), p.peers.told, p.peers.took, p.peers.bad,
 		p.memory[0].Value.Uint64()>>20)
-	p.came, p.answered, p.declined, p.noRoom, p.terminated, p.departed, p.bad, p.relays = 0, 0, 0, 0, 0, 0, 0, 0
+	p.came, p.answered, p.declined, p.noRoom, p.terminated, p.departed, p.bad, p.broken, p.relays = 0, 0, 0, 0, 0, 0, 0, 0, 0
 	p.peers.told, p.peers.took, p.peers.bad = 0, 0, 0
 }
 
