--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -75,6 +75,9 @@
 // Post has f run on the next turn; only for the loop's own goroutine.
 func (l *Loop) Post(f func()) { l.posted = append(l.posted, f) }
 
+// Held is how many bytes beyond first buffers connections hold.
+func (l *Loop) Held() int { return l.grown }
+
 // Ring ends a wait from another goroutine, such as the one that receives signals.
 func (l *Loop) Ring() { unix.Write(l.bell, []byte{1, 0, 0, 0, 0, 0, 0, 0}) }
 
--- /dev/null
+++ b/internal/proxy/stream_test.go
@@ -0,0 +1,296 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// filling is a body whose every part tells its place.
+func filling(n int) []byte {
+	b := bytes.Repeat([]byte("0123456789abcdefghijklmnopqrstu\n"), n/32+1)[:n]
+	for i := 0; i+8 <= n; i += 4096 {
+		copy(b[i:], fmt.Sprintf("%08d", i))
+	}
+	return b
+}
+
+// answerBy writes a 200 with the body in one of the ways that there are; parts gets each piece before it is written.
+func answerBy(way string, body []byte, piece int, between func(sent int) bool) func(*toy, net.Conn, *http.Request) {
+	return func(_ *toy, c net.Conn, _ *http.Request) {
+		fmt.Fprint(c, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n")
+		switch way {
+		case "length":
+			fmt.Fprintf(c, "Content-Length: %d\r\nContent-Length: %d\r\n\r\n", len(body), len(body))
+		case "chunks":
+			fmt.Fprint(c, "Transfer-Encoding: chunked\r\n\r\n")
+		case "close":
+			fmt.Fprint(c, "\r\n")
+		}
+		for at := 0; at < len(body); at += piece {
+			part := body[at:min(at+piece, len(body))]
+			if between != nil && !between(at) {
+				c.Close()
+				return
+			}
+			if way == "chunks" {
+				fmt.Fprintf(c, "%x;a=\"b\"\r\n%s\r\n", len(part), part)
+			} else if _, err := c.Write(part); err != nil {
+				return
+			}
+		}
+		if way == "chunks" {
+			io.WriteString(c, "000\r\nX-Sum: 1\r\n\r\n")
+		} else if way == "close" {
+			c.Close()
+		}
+	}
+}
+
+func TestLargeAnswers(t *testing.T) {
+	body := filling(8 << 20)
+	sum := sha256.Sum256(body)
+	for _, way := range []string{"length", "chunks", "close"} {
+		t.Run("many at once go through with little memory, and are whole: "+way, func(t *testing.T) {
+			t.Parallel()
+			b := newToy(t, answerBy(way, body, 50000, nil))
+			l := launch(t, 200, listing(1, true, ready("s-1", b)), nil)
+			l.loop.Most = 8 << 20
+			p := run(t, l)
+			left := make(chan error, 6)
+			for range cap(left) {
+				c := p.caller(t)
+				go func() {
+					io.WriteString(c, text("look"))
+					rsp, err := http.ReadResponse(c.in, nil)
+					if err != nil {
+						left <- err
+						return
+					}
+					h := sha256.New()
+					if _, err = io.Copy(h, rsp.Body); err == nil && !bytes.Equal(h.Sum(nil), sum[:]) {
+						err = fmt.Errorf("other bytes")
+					}
+					left <- err
+				}()
+			}
+			for range cap(left) {
+				if err := <-left; err != nil {
+					t.Error(err)
+				}
+			}
+			p.do(func() {
+				if p.loop.Held() > 0 {
+					t.Errorf("%d bytes are still held", p.loop.Held())
+				}
+			})
+		})
+		t.Run("one that breaks off midway shows as not whole: "+way, func(t *testing.T) {
+			t.Parallel()
+			b := newToy(t, func(b *toy, c net.Conn, r *http.Request) {
+				answerBy(way, body, 50000, func(sent int) bool { return sent < 1<<20 })(b, c, r)
+				fall(b, c, r)
+			})
+			if way == "close" {
+				b = newToy(t, func(_ *toy, c net.Conn, _ *http.Request) {
+					c.Write(append([]byte("HTTP/1.1 200 OK\r\n\r\n"), body[:1<<20]...))
+					time.Sleep(50 * time.Millisecond)
+					fall(nil, c, nil)
+				})
+			}
+			c := run(t, launch(t, 200, listing(1, true, ready("s-1", b)), nil)).caller(t)
+			if status, got, _ := c.ask(text("pay", "Content-Length: 0\r\n")); status == 200 {
+				t.Errorf("%d bytes passed for whole", len(got))
+			}
+			if b.commands.Load() != 1 {
+				t.Errorf("sent %d times", b.commands.Load())
+			}
+		})
+	}
+	t.Run("a client that does not read slows its own backend connection only", func(t *testing.T) {
+		t.Parallel()
+		var sent atomic.Int64
+		b := newToy(t, func(b *toy, c net.Conn, r *http.Request) {
+			if r.URL.Query().Get("sid") == "1" {
+				ok(b, c, r)
+				return
+			}
+			answerBy("length", filling(32<<20), 50000, func(n int) bool { sent.Store(int64(n)); return true })(b, c, r)
+		})
+		p := run(t, launch(t, 200, listing(1, true, ready("s-1", b)), nil))
+		c := p.caller(t)
+		io.WriteString(c, strings.Replace(text("look"), "sid=1", "sid=2", 1))
+		c.in.ReadByte()
+		other := p.caller(t)
+		for range 20 {
+			if status, _, _ := other.ask(text("look")); status != 200 {
+				t.Errorf("another got %d", status)
+			}
+		}
+		time.Sleep(300 * time.Millisecond)
+		var held int
+		p.do(func() { held = p.loop.Held() })
+		if n := sent.Load(); n > 24<<20 || held > 1<<20 {
+			t.Errorf("%d bytes were taken from the backend, %d are held", n, held)
+		}
+		c.in.UnreadByte()
+		if status, got, _ := c.read(); status != 200 || len(got) != 32<<20 {
+			t.Errorf("in the end %d, %d bytes", status, len(got))
+		}
+	})
+	t.Run("a slow one that moves outlives its time limit, first bytes first, and a drain leaves it alone", func(t *testing.T) {
+		t.Parallel()
+		b := newToy(t, answerBy("chunks", filling(300<<10), 10<<10, func(int) bool { time.Sleep(120 * time.Millisecond); return true }))
+		p := inService(t, listing(1, true, ready("s-1", b)), nil)
+		c, began := p.caller(t), time.Now()
+		io.WriteString(c, text("pay", "Content-Length: 0\r\n"))
+		c.in.Peek(1)
+		if d := time.Since(began); d > 800*time.Millisecond {
+			t.Errorf("the first byte came after %v", d)
+		}
+		p.want(t, 200, "POST", "/admin/quiesce")
+		if status, got, _ := c.read(); status != 200 || len(got) != 300<<10 || time.Since(began) < 3*time.Second {
+			t.Errorf("%d, %d bytes after %v", status, len(got), time.Since(began))
+		}
+	})
+	t.Run("a client of HTTP/1.0 gets one of unknown length without chunks", func(t *testing.T) {
+		t.Parallel()
+		b := newToy(t, answerBy("chunks", filling(200<<10), 50000, nil))
+		c := run(t, launch(t, 200, listing(1, true, ready("s-1", b)), nil)).caller(t)
+		io.WriteString(c, strings.Replace(text("look"), "HTTP/1.1", "HTTP/1.0", 1))
+		all, err := io.ReadAll(c.in)
+		if _, got, _ := bytes.Cut(all, []byte("\r\n\r\n")); err != nil || !bytes.Equal(got, filling(200<<10)) {
+			t.Errorf("%d bytes, %v", len(got), err)
+		}
+	})
+}
+
+func TestLargeCommands(t *testing.T) {
+	body := filling(3 << 20)
+	for name, framing := range map[string]string{"length": fmt.Sprintf("Content-Length: %d\r\nExpect: 100-continue\r\n", len(body)),
+		"chunks": "Transfer-Encoding: chunked\r\n"} {
+		t.Run("one passes through in pieces, slowly, and the next on its connection too: "+name, func(t *testing.T) {
+			t.Parallel()
+			b := newToy(t, ok)
+			l := launch(t, 200, listing(1, true, ready("s-1", b)), nil)
+			l.loop.Most = 1 << 20
+			c := run(t, l).caller(t)
+			for range 2 {
+				io.WriteString(c, text("pay", framing))
+				if name == "length" {
+					if status, _, _ := c.read(); status != 100 {
+						t.Fatalf("not invited: %d", status)
+					}
+				}
+				go func() {
+					for at := 0; at < len(body); at += 100_003 {
+						part := body[at:min(at+100_003, len(body))]
+						if name == "chunks" {
+							fmt.Fprintf(c, "%x\r\n%s\r\n", len(part), part)
+						} else {
+							c.Write(part)
+						}
+						time.Sleep(10 * time.Millisecond)
+					}
+					if name == "chunks" {
+						io.WriteString(c, "0\r\n\r\n")
+					}
+				}()
+				if status, got, _ := c.read(); status != 200 || got != "echo:"+string(body) {
+					t.Fatalf("%d, %d bytes", status, len(got))
+				}
+			}
+			if b.commands.Load() != 2 {
+				t.Errorf("2 commands came %d times", b.commands.Load())
+			}
+		})
+	}
+	// What becomes of a command whose body was passed on goes by whether its last byte was written.
+	for name, c := range map[string]struct {
+		wait   time.Duration // from the client's first bytes until the backend breaks the connection
+		status int
+		whole  bool
+	}{"broken before its last byte is declined": {100 * time.Millisecond, 503, false},
+		"broken after it is not, and never sent again": {0, 502, true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { l.Close() })
+			var heads atomic.Int32
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					r, err := http.ReadRequest(bufio.NewReader(conn))
+					if err == nil {
+						heads.Add(1)
+						if c.whole {
+							io.Copy(io.Discard, r.Body)
+						}
+						time.Sleep(c.wait)
+					}
+					fall(nil, conn, nil)
+				}
+			}()
+			p := run(t, launch(t, 200, listing(1, true, ready("s-1", l), ready("s-2", l)), nil))
+			client := p.caller(t)
+			io.WriteString(client, text("pay", fmt.Sprintf("Content-Length: %d\r\n", len(body))))
+			client.Write(body[:1<<20])
+			if c.whole {
+				client.Write(body[1<<20:])
+			}
+			if status, _, h := client.read(); status != c.status || !c.whole && h.Get("Connection") != "close" {
+				t.Errorf("%d %v", status, h)
+			}
+			if heads.Load() != 1 {
+				t.Errorf("sent %d times", heads.Load())
+			}
+		})
+	}
+	t.Run("one that stands still is told so, and its backend connection goes", func(t *testing.T) {
+		t.Parallel()
+		b := newToy(t, ok)
+		p := run(t, launch(t, 200, listing(1, true, ready("s-1", b)), nil))
+		c := p.caller(t)
+		io.WriteString(c, text("pay", "Content-Length: 3000000\r\n"))
+		c.Write(body[:500_000])
+		if status, _, _ := c.read(); status != 408 || b.commands.Load() != 0 {
+			t.Errorf("%d, %d whole commands came", status, b.commands.Load())
+		}
+		p.do(func() {
+			if len(p.commands) != 0 || len(p.backends.links) != 0 {
+				t.Errorf("%d commands, %d connections are left", len(p.commands), len(p.backends.links))
+			}
+		})
+	})
+	t.Run("a body at the least rate of slow clients is waited for, a head of two seconds too", func(t *testing.T) {
+		t.Parallel()
+		p := run(t, launch(t, 200, listing(1, true, ready("s-1", newToy(t, ok))), nil))
+		c := p.caller(t)
+		head := text("pay", "Content-Length: 200000\r\n")
+		for i := 0; i < len(head); i += len(head)/20 + 1 {
+			io.WriteString(c, head[i:min(len(head), i+len(head)/20+1)])
+			time.Sleep(100 * time.Millisecond)
+		}
+		for at := 0; at < 200_000; at += 10_000 {
+			c.Write(body[at : at+10_000])
+			time.Sleep(156 * time.Millisecond)
+		}
+		if status, got, _ := c.read(); status != 200 || len(got) != 200_005 {
+			t.Errorf("%d, %d bytes", status, len(got))
+		}
+	})
+}
