What failed lately counts as out: a backend that fails at once no longer looks the emptiest

Ruled out: the upgrade (0 ended at the door, 4 handovers), calls (52, none wrong), the lower tier (its proxies terminated 0). A probe that logged each relay's end: one of four backends failed 85% of its commands and got 40% of all, though its weight was at the floor. Cause: pick's first pass takes only backends with no more in flight than the mean less a half; four backends with one or two commands out leave the one that fails at once.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -162,6 +162,7 @@
 	near     float64 // part of its arc that lies in this instance's window
 	weight   float64
 	inFlight int
+	failed   decaying
 	aside    float64 // no commands before this time
 	budget   bucket  // commands that may go to it while it is cold
 
@@ -172,6 +173,9 @@
 // tag names the backend in notes, within its cell.
 func (k *backend) tag() uint16 { return uint16(k.spot >> 20) }
 
+// busy is what it has of our commands. What failed lately counts, or one that fails at once looks idle.
+func (k *backend) busy(t float64) float64 { return float64(k.inFlight) + failLoad*k.failed.read(t, failSpan) }
+
 func (k *backend) slowed() { k.weight = max(weightMin, k.weight/2) }
 
 func (k *backend) quick() {
@@ -202,11 +206,11 @@
 
 // pick draws a backend by weight, skipping those with far more of our commands than the mean, or nil.
 func (b *Balancer) pick(c *command, copying, asking bool) *backend {
-	count := 0
+	count := 0.0
 	for _, k := range b.window {
-		count += k.inFlight
+		count += k.busy(b.now)
 	}
-	far := max(float64(count)/max(1, float64(len(b.window)))-farSlack, farSlack)
+	far := max(count/max(1, float64(len(b.window)))-farSlack, farSlack)
 	// First what the weight rule and the skip leave of the window, then any of it, then any of the fleet.
 	home, from, whole := b.home(c), b.window, asking
 	share := func(k *backend) float64 {
@@ -230,7 +234,7 @@
 		b.picks = b.picks[:0]
 		for _, k := range from {
 			if b.may(c, k) && !slices.Contains(c.asked, uint16(k.Cell)) && (asking || b.coldAllows(k)) &&
-				!c.triedOn(k) && k.aside <= b.now && (pass > 0 || float64(k.inFlight) <= far) {
+				!c.triedOn(k) && k.aside <= b.now && (pass > 0 || k.busy(b.now) <= far) {
 				b.picks = append(b.picks, k)
 				total += share(k)
 			}
@@ -291,10 +295,7 @@
 func (b *Balancer) Fleet(now float64, whole bool, entries []Entry) {
 	b.now = now
 	b.askWait = askFirst
-	mean := 1.0
-	if n := b.usable(); n > 0 {
-		mean = b.sum(func(k *backend) float64 { return k.weight }) / n
-	}
+	mean := cmp.Or(b.sum(func(k *backend) float64 { return k.weight })/max(1, b.usable()), 1)
 	b.lists++
 	for _, e := range entries {
 		spot := hash(e.ID[:])
@@ -313,9 +314,7 @@
 			k.budget = bucket{b.chance(), now}
 		}
 		k.Entry, k.listed = e, b.lists
-		if k.Size <= 0 {
-			k.Size = 1 // nothing said
-		}
+		k.Size = cmp.Or(max(0, k.Size), 1) // 0: nothing said
 	}
 	// What a whole list leaves out is gone; what is gone and holds none of our commands is forgotten.
 	b.fleet = slices.DeleteFunc(b.fleet, func(k *backend) bool {
@@ -907,6 +906,7 @@
 		}
 	case Errored, Full, TimedOut, Reset, Unconnected:
 		r.to.slowed()
+		r.to.failed.add(b.now, failSpan, 1)
 		if result == Unconnected { // down, or out of connections: each try costs the whole connect limit
 			r.to.aside = b.now + asideFor
 		}
