--- a/cmd/sandpass/main_test.go
+++ b/cmd/sandpass/main_test.go
@@ -80,7 +80,7 @@
 	at := free.Addr().String()
 	free.Close()
 	config := filepath.Join(t.TempDir(), "c.json")
-	changed := strings.NewReplacer("127.0.0.1:9000", at, "127.0.0.1:8500", "127.0.0.1:1").Replace(string(text))
+	changed := strings.NewReplacer("127.0.0.1:9000", at, "127.0.0.1:9100", "127.0.0.1:0", "127.0.0.1:8500", "127.0.0.1:1").Replace(string(text))
 	if err := os.WriteFile(config, []byte(changed), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -14,6 +14,7 @@
 
 const (
 	passMark    = 64 << 10 // bytes that may wait to be written on one side before the other is read on
+	passTight   = 4 << 10  // the same while more than half of the buffers' part of the memory is in use
 	passAfter   = 0.25     // seconds of an answer of unknown length after which it goes on as it comes, if it moves
 	answerStill = 10.0     // seconds that a backend may stand still in an answer that the client has begun to get
 	bodyStill   = 2.5      // seconds that a client may stand still in a body that is passed on: it is owed an answer within 3
@@ -30,6 +31,14 @@
 	return append(append(to, data...), "\r\n"...)
 }
 
+// mark is how many bytes may wait on one side before the other is read on: hundreds of slow ones fill any memory.
+func (p *Proxy) mark() int {
+	if p.loop.Held() > p.loop.Most/2 {
+		return passTight
+	}
+	return passMark
+}
+
 // ---- Answers.
 
 // passes tells whether an answer that is not whole is to go on as it comes.
@@ -105,7 +114,7 @@
 			break
 		}
 	}
-	if c.conn.Backlog() > passMark {
+	if c.conn.Backlog() > l.p.mark() {
 		l.conn.Hold()
 		l.waits = true
 	}
@@ -234,7 +243,7 @@
 			break
 		}
 	}
-	if l.conn.Backlog() > passMark {
+	if l.conn.Backlog() > c.p.mark() {
 		c.conn.Hold()
 		c.holds = true
 	}
