Hard cases of upgrade, list and door tested; strangers, losers and older news told apart

Found by reading and shown by tests: a stranger at the Unix socket could hand over a state; a loser that may not be called back would have cut the stream of the winner; a change older than the list known undid a newer one; the absolute form of a target was turned away.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -174,13 +174,14 @@
 func (k *backend) tag() uint16 { return uint16(k.spot >> 20) }
 
 // busy is what it has of our commands. What failed lately counts, or one that fails at once looks idle.
-func (k *backend) busy(t float64) float64 { return float64(k.inFlight) + failLoad*k.failed.read(t, failSpan) }
+func (k *backend) busy(t float64) float64 {
+	return float64(k.inFlight) + failLoad*k.failed.read(t, failSpan)
+}
 
 func (k *backend) slowed() { k.weight = max(weightMin, k.weight/2) }
 
 func (k *backend) quick() {
-	k.weight = min(weightMax, k.weight+weightGain)
-	k.aside = 0
+	k.weight, k.aside = min(weightMax, k.weight+weightGain), 0
 }
 
 // may tells whether the rules allow a relay of the command to the backend at all.
--- a/cmd/sandpass/upgrade_test.go
+++ b/cmd/sandpass/upgrade_test.go
@@ -153,7 +153,6 @@
 			defer wait.Done()
 			var c net.Conn
 			var in *bufio.Reader
-			fresh := false
 			for {
 				select {
 				case <-end:
@@ -169,7 +168,7 @@
 						broken.Add(1)
 						continue
 					}
-					in, fresh = bufio.NewReader(c), true
+					in = bufio.NewReader(c)
 				}
 				all.Add(1)
 				fmt.Fprintf(c, "POST /pay/x HTTP/1.1\r\nHost: a\r\nReq-Id: %d\r\nReq-Kind: pay\r\nContent-Length: 0\r\n\r\n",
@@ -179,12 +178,12 @@
 					_, err = io.Copy(io.Discard, rsp.Body)
 				}
 				switch {
-				case err != nil && fresh:
-					broken.Add(1) // on one that had rested, a close may cross the command
+				case err != nil:
+					broken.Add(1)
 				case err == nil && rsp.StatusCode != 200:
 					declined.Add(1)
 				}
-				if fresh = false; err != nil || rsp.Close {
+				if err != nil || rsp.Close {
 					c.Close()
 					c = nil
 				}
@@ -211,10 +210,15 @@
 	}
 	// Two versions in a row; what one learned of operators the next knows.
 	for i := range 2 {
+		if i == 1 { // commands that outlast the old one's SIGTERM
+			p.slow.Store(int64(900 * time.Millisecond))
+			time.Sleep(100 * time.Millisecond)
+		}
 		next := p.start()
 		next.takes(t)
 		old.Process.Signal(syscall.SIGTERM)
 		old.gone(t)
+		p.slow.Store(int64(5 * time.Millisecond))
 		for began := time.Now(); !strings.Contains(next.out.String(), "msg=predecessor_gone"); time.Sleep(5 * time.Millisecond) {
 			if time.Since(began) > time.Second {
 				t.Fatalf("version %d does not know that it is alone: %s", i+2, next.out)
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -298,6 +298,14 @@
 		}
 	}
 	m.method, m.target = span{at, at + one}, span{at + one + 1, at + two}
+	if scheme := "http://"; two-one > len(scheme) && strings.EqualFold(string(text[one+1:one+1+len(scheme)]), scheme) {
+		// The absolute form must be understood; what goes on is the path.
+		slash := bytes.IndexByte(text[one+1+len(scheme):two], '/')
+		if slash <= 0 {
+			return fault(400, "malformed target")
+		}
+		m.target.from += len(scheme) + slash
+	}
 	return m.version(text[two+1:])
 }
 
--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -341,6 +341,7 @@
 	if c := r.cmd.from; c != nil && c.feed == l {
 		keep = false // the command is not all written
 	}
+	taken := r.cmd.stream != nil // another's answer is under way to the client
 	l.timer.Stop()
 	l.begun = 0
 	switch status := l.msg.Status; status {
@@ -349,14 +350,16 @@
 		if status >= 400 && status < 500 {
 			// The command is at fault, anywhere: it ends here, and that says nothing of the backend.
 			result = balance.Moot
-			l.p.give(r.cmd, status, 0, nil)
+			if !taken {
+				l.p.give(r.cmd, status, 0, nil)
+			}
 		}
 	case 200:
 		result = balance.Answered
-		if !r.cmd.done {
+		if !r.cmd.done && !taken {
 			l.p.answered++
+			l.p.give(r.cmd, 200, 0, l)
 		}
-		l.p.give(r.cmd, 200, 0, l)
 	case 503, 504:
 		if string(l.msg.Get(in, "Srv-Declined")) == "1" {
 			result = balance.Full
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -22,16 +22,16 @@
 
 const (
 	handoverVersion = 1
-	meetWithin      = 1.5  // seconds for the running process to hand over: the yes is due 6 s after the start
-	serveWithin     = 3.0  // seconds after which a new process serves though nobody is listed: no list may come
-	takeOverWithin  = 10.0 // seconds after its hello in which a new process must serve, or counts as gone
-	tellWithin      = 0.5  // seconds for the other process to do what operators said: their answer is due within 1 s
-	meetLine        = 4 << 20
-	shedFrom        = 0.3 // seconds after the successor serves, from which what rests is closed: most go with an answer first
-	shedTo          = 1.5 // and by which it is closed: the kill comes no sooner than 3.7 s after that
-	stayLeast       = 0.5 // seconds that the old process stays, for what was accepted last
-	pairMemory      = 0.5 // of the memory for each of two processes
-	lookEvery       = 0.05
+	meetWithin      = 1.5     // seconds for the running process to hand over: the yes is due 6 s after the start
+	serveWithin     = 3.0     // seconds after which a new process serves though nobody is listed: no list may come
+	takeOverWithin  = 10.0    // seconds after its hello in which a new process must serve, or counts as gone
+	tellWithin      = 0.5     // seconds for the other process to do what operators said: their answer is due within 1 s
+	meetLine        = 4 << 20 // bytes of a line: thousands of backends
+	shedFrom        = 0.3     // seconds after the successor serves, from which what rests is closed: most go with an answer first
+	shedTo          = 1.5     // and by which it is closed: the kill comes no sooner than 3.7 s after that
+	stayLeast       = 0.5     // seconds that the old process stays, for what was accepted last
+	pairMemory      = 0.5     // of the memory for each of two processes
+	lookEvery       = 0.05    // seconds between looks at what is still open, and at whether an address is free
 )
 
 // word is a line between two processes. Unknown fields are passed over; a larger version says that others mean otherwise.
@@ -219,6 +219,7 @@
 			p.joinAgain()
 		}
 	default:
+		log.Printf("msg=stranger error=%q", err)
 		return
 	}
 	for n, f := range h.waits {
@@ -256,9 +257,13 @@
 	}
 }
 
-// heard does what the other process says.
+// heard does what the other process says. Whoever has not said hello, and was not called by this one, is a stranger.
 func (m *mate) heard(w *word) {
 	p, h := m.p, &m.p.handover
+	if m != h.before && m != h.after && w.Say != "hello" || m != h.before && (w.Say == "state" || w.Say == "holds") {
+		m.lost(fmt.Errorf("%q is not this process's to say", w.Say))
+		return
+	}
 	switch w.Say {
 	case "hello":
 		if h.after != nil {
@@ -279,6 +284,7 @@
 	case "holds":
 		p.useSockets(p.launch.Limits.Sockets - w.Sockets)
 	case "call":
+		log.Printf("msg=ops call=%s id=%q told=true", w.Call, w.ID)
 		p.operate(w.Call, w.ID)
 		m.say(word{Say: "done", Number: w.Number})
 	case "done":
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -313,6 +313,9 @@
 		}
 	})
 	p.summary()
+	for _, m := range p.others() {
+		m.conn.Close() // its end says that this process is gone
+	}
 	p.loop.Close()
 	return err
 }
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -59,7 +59,7 @@
 		l.answer(false) // its head says all that is wanted of it
 		return
 	}
-	if cmd.done || c == nil {
+	if cmd.done || c == nil || cmd.stream != nil { // a loser that may not be called back
 		l.ended(balance.Moot)
 		return
 	}
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -187,6 +187,10 @@
 // take brings the backends up to date and tells the Balancer.
 func (p *Proxy) take(l *roster) {
 	s := &p.backends
+	if !l.Snapshot && p.watch.has && l.Index < p.watch.index {
+		log.Printf("msg=old_news index=%d known=%d", l.Index, p.watch.index) // a later line may have said the contrary
+		return
+	}
 	p.watch.index, p.watch.has = l.Index, true
 	var entries []balance.Entry
 	named := map[string]bool{}
