--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -59,7 +59,7 @@
 	rateSpan     = 2.0   // seconds over which the rate of answers is counted: a few response times
 	spareFirst   = 0.7   // part of the bound open to commands of no utility; the rest goes by utility
 	boundMin     = 7.0   // commands out for each backend, by all instances, that are always allowed
-	boundFirst   = 10.0  // the same at the start: cut within seconds where it is too much
+	boundFirst   = 20.0  // the same at the start: cut within seconds where it is too much
 	boundRoot    = 1.7   // roots of its share, or shares, that an instance may have out beyond it
 	fewInstances = 4.0   // instances up to which one sees enough of the whole to keep to its share
 	lateFrom     = 0.4   // of the response goal from which an answer counts as late: half may be, with any tail
