--- a/cmd/sandpass/upgrade_test.go
+++ b/cmd/sandpass/upgrade_test.go
@@ -50,6 +50,14 @@
 		t.Fatal(err)
 	}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/pay/large" { // gives back as many bytes as it got
+			n, _ := io.Copy(io.Discard, r.Body)
+			w.Header().Set("Content-Length", fmt.Sprint(n))
+			for part := make([]byte, 1<<16); n > 0; n -= int64(len(part)) {
+				w.Write(part[:min(n, int64(len(part)))])
+			}
+			return
+		}
 		body, _ := io.ReadAll(r.Body)
 		p.mu.Lock()
 		p.ran[r.Header.Get("Req-Id")]++
@@ -299,7 +307,71 @@
 	}
 }
 
+// Bodies far over the memory limit together, both ways, some read slowly: the process keeps to its limit.
+func TestLargeWithLittleMemory(t *testing.T) {
+	const size, clients, limitKB = 32 << 20, 6, 64 << 10
+	p := newPlatform(t)
+	text, err := os.ReadFile(p.config)
+	if err == nil {
+		err = os.WriteFile(p.config, []byte(strings.Replace(string(text), `"memory_mb":192`, `"memory_mb":64`, 1)), 0o600)
+	}
+	if err != nil || !strings.Contains(string(text), `"memory_mb":192`) {
+		t.Fatalf("%v, %s", err, text)
+	}
+	v := p.start()
+	v.takes(t)
+	ended := make(chan error, clients)
+	for i := range clients {
+		go func() {
+			r, _ := http.NewRequest("POST", "http://"+p.at+"/pay/large", io.LimitReader(zeros{}, size))
+			if i%2 == 0 {
+				r.ContentLength = size
+			}
+			r.Header.Set("Req-Id", fmt.Sprint("large-", i))
+			r.Header.Set("Req-Kind", "pay")
+			rsp, err := (&http.Transport{}).RoundTrip(r)
+			if err != nil {
+				ended <- err
+				return
+			}
+			defer rsp.Body.Close()
+			time.Sleep(time.Duration(i) * 200 * time.Millisecond) // does not read for a while
+			n, err := io.Copy(io.Discard, rsp.Body)
+			if err == nil && (rsp.StatusCode != 200 || n != size) {
+				err = fmt.Errorf("status %d, %d bytes", rsp.StatusCode, n)
+			}
+			ended <- err
+		}()
+	}
+	for range clients {
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", v.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, peak, _ := strings.Cut(string(status), "VmHWM:")
+	var kB int
+	if _, err := fmt.Sscan(peak, &kB); err != nil || kB == 0 || kB > limitKB {
+		t.Errorf("%d kB at the peak of %d, %v", kB, limitKB, err)
+	}
+	t.Logf("peak %d kB for %d MB", kB, 2*clients*size>>20)
+}
+
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) { return len(b), nil }
+
 func TestBadSocket(t *testing.T) {
+	for name, env := range map[string]string{"ops: ": "NODE_OPS=nowhere", "socket: ": "NODE_SOCKET_FD=x"} {
+		cmd, out := sandpass("../../example/config.json", "check")
+		cmd.Env = append(cmd.Env, env)
+		if err := cmd.Run(); err == nil || strings.Count(out.String(), "\n") != 1 || !strings.Contains(out.String(), name) {
+			t.Errorf("check with %s: %v, %q", env, err, out)
+		}
+	}
 	for _, fd := range []string{"x", "-1", "77", "0"} {
 		cmd, out := sandpass("../../example/config.json", "serve")
 		cmd.Env = append(cmd.Env, "NODE_SOCKET_FD="+fd, "TMPDIR="+t.TempDir())
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -60,6 +60,14 @@
 	body    int // bytes of the body decoded so far
 }
 
+// Blank is how many bytes of blank lines stand before a command; they are let pass.
+func Blank(in []byte) (n int) {
+	for bytes.HasPrefix(in[n:], []byte("\r\n")) {
+		n += 2
+	}
+	return n
+}
+
 // Reset forgets the message.
 func (m *Message) Reset() { *m = Message{fields: m.fields[:0]} }
 
--- a/internal/http1/message_test.go
+++ b/internal/http1/message_test.go
@@ -190,3 +190,68 @@
 		}
 	}
 }
+
+// A body may be passed on from any byte on, and its rest come byte by byte: the pieces are the body, and its end is seen
+// where it is.
+func TestRest(t *testing.T) {
+	for name, rest := range map[string]string{
+		"length": "Content-Length: 11\r\n\r\nhello world",
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n2;x=\"y\"\r\nhe\r\n009\r\nllo world\r\n00\r\nTrail: er\r\n\r\n",
+	} {
+		text := good + rest
+		for cut := range len(text) {
+			var m Message
+			in := []byte(text[:cut])
+			whole, err := m.Command(in)
+			if err != nil {
+				t.Fatalf("%s, %d bytes: %v", name, cut, err)
+			}
+			if !m.HeadWhole() || whole {
+				continue
+			}
+			body, ended := string(m.Body(in)), -1
+			in = in[m.Size():]
+			for i := cut; i <= len(text) && ended < 0; i++ {
+				for len(in) > 0 {
+					data, used, done, err := m.Rest(in)
+					if err != nil {
+						t.Fatalf("%s from %d at %d: %v", name, cut, i, err)
+					}
+					body += string(data)
+					if in = in[used:]; done {
+						ended = i
+					}
+					if used == 0 || done {
+						break
+					}
+				}
+				if i < len(text) {
+					in = append(in, text[i])
+				}
+			}
+			if body != "hello world" || ended != len(text) {
+				t.Errorf("%s from %d: %q, ended at %d of %d", name, cut, body, ended, len(text))
+			}
+		}
+	}
+	var m Message
+	text := "HTTP/1.1 200 OK\r\n\r\nab"
+	if whole, err := m.Answer([]byte(text), false); whole || err != nil {
+		t.Errorf("one that ends with its connection: %t %v", whole, err)
+	}
+	if data, used, done, err := m.Rest([]byte("cd")); string(data) != "cd" || used != 2 || done || err != nil {
+		t.Errorf("%q %d %t %v", data, used, done, err)
+	}
+}
+
+func TestAbsoluteForm(t *testing.T) {
+	for target, want := range map[string]string{"http://a/buy?x=http://b/": "/buy?x=http://b/", "HTTP://a:1/": "/", "http:///x": "",
+		"http://a": "", "/http://a/b": "/http://a/b"} {
+		var m Message
+		text := "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n"
+		whole, err := m.Command([]byte(text))
+		if want == "" && err == nil || want != "" && (!whole || string(m.Target([]byte(text))) != want) {
+			t.Errorf("%s: %t %v", target, whole, err)
+		}
+	}
+}
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -184,11 +184,10 @@
 
 // next reads the command at hand, if it is whole.
 func (c *client) next() {
-	in := c.conn.In()
-	for len(in) >= 2 && in[0] == '\r' && in[1] == '\n' && !c.msg.HeadWhole() {
-		c.conn.Consume(2) // blank lines before a command are let pass
-		in = c.conn.In()
+	if !c.msg.HeadWhole() {
+		c.conn.Consume(http1.Blank(c.conn.In()))
 	}
+	in := c.conn.In()
 	if len(in) == 0 {
 		return
 	}
--- a/internal/proxy/ops.go
+++ b/internal/proxy/ops.go
@@ -107,8 +107,8 @@
 	if c.said {
 		return
 	}
-	for in := c.conn.In(); len(in) >= 2 && in[0] == '\r' && in[1] == '\n' && !c.msg.HeadWhole(); in = c.conn.In() {
-		c.conn.Consume(2)
+	if !c.msg.HeadWhole() {
+		c.conn.Consume(http1.Blank(c.conn.In()))
 	}
 	in := c.conn.In()
 	if len(in) == 0 {
--- a/internal/proxy/ops_test.go
+++ b/internal/proxy/ops_test.go
@@ -75,7 +75,14 @@
 				t.Errorf("%.20q: %d", noise, got)
 			}
 		}
-		p.want(t, 200, "GET", "/admin/health")
+		two := "GET /admin/health HTTP/1.1\r\nHost: a\r\n\r\nPOST /admin/quiesce HTTP/1.1\r\nHost: a\r\n\r\n"
+		c := p.dialDoor(t) // one call to a connection
+		if first, _, _ := c.ask(two); first != 200 {
+			t.Errorf("the first of two calls: %d", first)
+		}
+		if second, _, _ := c.read(); second != 0 {
+			t.Errorf("the second of two calls: %d", second)
+		}
 		time.Sleep(freshFor * 1.2e9) // discovery is silent
 		if status, _, _ := p.caller(t).ask("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"); status != 200 {
 			t.Errorf("ready says %d", status)
@@ -231,6 +238,11 @@
 		if n := one.commands.Load() - before; n != 0 {
 			t.Errorf("%d commands went to a backend left out", n)
 		}
+		p.Reload(config("", nil, settingsText)) // SIGHUP
+		look(10)
+		if n := one.commands.Load() - before; n != 0 {
+			t.Errorf("%d commands went there after a new configuration", n)
+		}
 		p.want(t, 200, "POST", "/admin/uncordon/s-1")
 		tell(listing(5, false, anew))
 		var state balance.State
