A deterministic world for the module: emulator, fault plans, judge and baselines

Change: internal/emulator plays tiers of backends, zones, a network, discovery, clients and hundreds of instances, each the very balance.Balancer through its Host, on a virtual clock; internal/faults is the plan of what goes wrong as data (27 kinds, several at once, drawn or written, cut down step by step); internal/judge holds the four rules by the world's facts and counts what was served and where the rest was lost; internal/baseline has five plain policies, the module without copies, and one that sees the true state. The module, its Host and the proxy are untouched.

Found on the way by the judge, all in the world and mended: a cancel that reached its backend was passed over once the instance had counted it; calls were made with no time left; work at an address that was taken over counted as if its sender could have known.

--- /dev/null
+++ b/internal/emulator/clients.go
@@ -0,0 +1,369 @@
+// This file owns clients: they come by themselves, in open loop, whatever became of those before, and try again by
+// the rules. It must never hold an arrival back because an instance is slow.
+
+package emulator
+
+import (
+	"math"
+	"slices"
+
+	"sandpass/balance"
+	"sandpass/internal/faults"
+	"sandpass/internal/judge"
+)
+
+const (
+	step  = 0.1  // seconds for which a rate of arrivals holds at most
+	least = 0.02 // seconds that must be left for another try
+)
+
+// answer is what a client gets.
+type answer int32
+
+const (
+	answered answer = iota
+	declined
+	failed
+	died      // the connection broke: its instance is no more
+	unreached // no connection came up
+	unheard   // nothing came before the try was given up
+)
+
+// operation is what a client wants done, over all its tries. It lives while an event or a command holds it.
+type operation struct {
+	holds          int
+	id, seed, key  uint64
+	verb, customer int
+	zone           int
+	due            float64
+	worth          float64
+	counts         bool // it came after the warm-up
+	done           bool
+	tries          int
+	try            uint32 // number of the latest try
+	first          float64
+	inst           *instance
+	command        uint64
+	loss           judge.Loss
+	mayHaveRun     bool // a try that ended without a promise
+}
+
+type bucket struct{ tokens, at float64 }
+
+func (b *bucket) take(now, rate, most float64) bool {
+	b.tokens = min(most, b.tokens+rate*(now-b.at))
+	b.at = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// front deals the clients of a zone out among the instances that it believes to be there.
+type front struct {
+	all []*instance
+	sum []float64
+}
+
+func (f *front) add(x *instance) {
+	f.all = append(f.all, x)
+	f.total()
+}
+
+func (f *front) remove(x *instance) {
+	f.all = slices.DeleteFunc(f.all, func(y *instance) bool { return x == y })
+	f.total()
+}
+
+func (f *front) total() {
+	f.sum = f.sum[:0]
+	s := 0.0
+	for _, x := range f.all {
+		s += x.weight
+		f.sum = append(f.sum, s)
+	}
+}
+
+func (f *front) choose(u float64) *instance {
+	if len(f.all) == 0 {
+		return nil
+	}
+	i, _ := slices.BinarySearch(f.sum, u*f.sum[len(f.sum)-1])
+	return f.all[min(i, len(f.all)-1)]
+}
+
+// openDoors starts the arrivals of each zone.
+func (d *Day) openDoors() {
+	for range d.w.Customers {
+		d.accounts = append(d.accounts, bucket{})
+	}
+	for z := range d.w.Zones {
+		d.arrivals = append(d.arrivals, d.stream("arrivals", z))
+		d.queue.push(onArrival, event{at: d.arrivals[z].Float64() * step, n: uint64(z)})
+	}
+}
+
+// rate is how many commands a second come in a zone now, in all and of floods alone.
+func (d *Day) rate(zone int) (all, flood float64) {
+	base := d.w.CommandRate() / float64(d.w.Zones)
+	level, shift, gets := 1+d.w.Swing*math.Sin(2*math.Pi*d.now/d.w.Wave), 1.0, 0.0
+	for i, f := range d.plan {
+		if !d.active[i] {
+			continue
+		}
+		switch hard := f.At(d.now); f.Kind {
+		case faults.Burst:
+			level += hard
+		case faults.Shift:
+			if f.Zone == zone {
+				gets += hard * float64(d.w.Zones-1)
+			} else {
+				shift *= 1 - hard
+			}
+		case faults.Flood:
+			flood += base * hard * d.share(f.Zone)
+		}
+	}
+	return base*level*(shift+gets) + flood, flood
+}
+
+func (d *Day) share(customer int) float64 {
+	sum := 0.0
+	for _, c := range d.w.Customers {
+		sum += c.Share
+	}
+	return d.w.Customers[customer].Share / max(sum, 1e-9)
+}
+
+// arrival is one command coming from a zone, or a moment to look at the rate again.
+func (d *Day) arrival(zone int) {
+	if d.now >= d.w.Length {
+		return
+	}
+	chance := d.arrivals[zone]
+	all, flood := d.rate(zone)
+	gap := chance.ExpFloat64() / max(all, 1e-9)
+	if gap > step { // memoryless: drawing again at the new rate is right
+		d.queue.push(onArrival, event{at: d.now + step, n: uint64(zone), a: 1})
+		return
+	}
+	at := d.now + gap
+	d.queue.push(onArrival, event{at: at, n: uint64(zone)})
+	if at >= d.w.Length {
+		return
+	}
+	o := d.newOperation()
+	o.seed, o.zone, o.due = chance.Uint64(), zone, at
+	o.id = d.opsMade
+	o.verb = weighted(draw(o.seed, 10), len(d.w.Verbs), func(i int) float64 { return d.w.Verbs[i].Share })
+	if flood > 0 && draw(o.seed, 11) < flood/all {
+		o.customer = d.flooder(draw(o.seed, 12))
+	} else if len(d.w.Customers) > 0 {
+		o.customer = weighted(draw(o.seed, 13), len(d.w.Customers), func(i int) float64 { return d.w.Customers[i].Share })
+	}
+	if k := d.w.Clients.Keys; k > 0 {
+		o.key = 1 + uint64(float64(k)*math.Pow(draw(o.seed, 14), 2)) // a few are asked for often
+	}
+	o.worth = d.w.Verbs[o.verb].Utility
+	if len(d.w.Customers) > 0 {
+		rate := d.w.Customers[o.customer].Allowance * d.w.CommandRate()
+		if !d.accounts[o.customer].take(at, rate, max(1, rate)) {
+			o.worth *= d.w.Clients.Over
+		}
+	}
+	if o.counts = at >= d.w.Warmup; o.counts {
+		d.judge.Asked(at, o.customer, o.worth)
+	}
+	o.holds++
+	d.queue.push(onTry, event{at: at, o: o})
+	early := d.w.Clients.Early
+	for i, f := range d.plan {
+		if d.active[i] && f.Kind == faults.Rude {
+			early += f.Hard
+		}
+	}
+	if draw(o.seed, 15) < early {
+		o.holds++
+		d.queue.push(onGiveUp, event{at: at + (0.1+0.9*draw(o.seed, 16))*d.w.Verbs[o.verb].Goal, o: o, a: 1})
+	}
+	d.drop(o)
+}
+
+func weighted(u float64, n int, of func(int) float64) int {
+	sum := 0.0
+	for i := range n {
+		sum += of(i)
+	}
+	u *= sum
+	for i := range n {
+		if u -= of(i); u < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
+
+// flooder is the customer of a command that a flood has brought.
+func (d *Day) flooder(u float64) int {
+	var who []int
+	var hard []float64
+	for i, f := range d.plan {
+		if d.active[i] && f.Kind == faults.Flood {
+			who, hard = append(who, f.Zone), append(hard, f.At(d.now)*d.share(f.Zone))
+		}
+	}
+	return who[weighted(u, len(who), func(i int) float64 { return hard[i] })]
+}
+
+func (d *Day) newOperation() *operation {
+	d.opsMade++
+	if n := len(d.ops); n > 0 {
+		o := d.ops[n-1]
+		d.ops = d.ops[:n-1]
+		*o = operation{holds: 1}
+		return o
+	}
+	return &operation{holds: 1}
+}
+
+func (d *Day) drop(o *operation) {
+	if o.holds--; o.holds == 0 {
+		d.ops = append(d.ops, o)
+	}
+}
+
+// client schedules something with an operation.
+func (d *Day) client(k kind, at float64, o *operation, a int32, n uint64) {
+	o.holds++
+	d.queue.push(k, event{at: at, o: o, gen: o.try, a: a, n: n})
+}
+
+// try sends an operation to an instance, as a new command.
+func (d *Day) try(o *operation) {
+	if o.done {
+		return
+	}
+	o.try++
+	o.tries++
+	x := d.fronts[o.zone].choose(d.clientChance.Float64())
+	for z := 1; x == nil && z < len(d.fronts); z++ { // a zone without any goes to the next that has some
+		x = d.fronts[(o.zone+z)%len(d.fronts)].choose(d.clientChance.Float64())
+	}
+	if x == nil {
+		o.loss = judge.Loss{How: judge.Unreached}
+		d.client(onReply, d.now+d.w.Net.Client, o, int32(unreached), 0)
+		return
+	}
+	v := &d.w.Verbs[o.verb]
+	at := min(d.now+d.w.Clients.TryShare*v.Limit, o.due+v.Limit)
+	d.client(onAccept, d.now+d.w.Net.Client, o, int32(x.serial), 0)
+	d.client(onGiveUp, at+2*d.w.Net.Client+d.w.Rules.Slack, o, 0, 0)
+}
+
+// accept is a try at its instance.
+func (d *Day) accept(o *operation, try uint32, x *instance) {
+	if o.done || o.try != try {
+		return
+	}
+	if !x.alive {
+		o.loss = judge.Loss{How: judge.Unreached}
+		d.client(onReply, d.now+d.w.Net.Client, o, int32(unreached), 0)
+		return
+	}
+	v := &d.w.Verbs[o.verb]
+	sent := d.now - d.w.Net.Client
+	c := d.newCommand(x)
+	c.verb, c.customer, c.op, c.try, c.opID = o.verb, o.customer, o, try, o.id
+	c.seed, c.key = o.seed, o.key
+	c.expires = max(d.now, min(sent+d.w.Clients.TryShare*v.Limit, o.due+v.Limit))
+	if o.first == 0 {
+		o.first = d.now
+	}
+	o.holds++
+	o.inst, o.command = x, c.id
+	d.take(c)
+}
+
+// answerClient sends a final answer on its way to the client.
+func (d *Day) answerClient(c *command, a answer, comeBack float64) {
+	o := c.op
+	o.holds++
+	d.queue.push(onReply, event{at: d.now + d.w.Net.Client, o: o, gen: c.try, a: int32(a), n: uint64(1000 * comeBack)})
+}
+
+// reply is an answer at the client. That of a try which was given up crosses the next one, and is not read.
+func (d *Day) reply(o *operation, try uint32, a answer, comeBack float64) {
+	if o.done || o.try != try {
+		return
+	}
+	v := &d.w.Verbs[o.verb]
+	if a == answered {
+		o.done = true
+		if !o.counts {
+			return
+		}
+		worth := o.worth
+		if d.now-o.due > v.Goal {
+			worth *= v.Late
+			d.judge.Lost(o.loss, o.worth-worth)
+		}
+		d.judge.Got(o.due, d.now, o.customer, worth)
+		return
+	}
+	d.again(o, a, comeBack)
+}
+
+// giveUp ends a try that had no answer, or the whole where the client leaves early.
+func (d *Day) giveUp(o *operation, try uint32, leaves bool) {
+	if o.done || !leaves && o.try != try {
+		return
+	}
+	if c := d.command(o.command); c != nil && c.op == o && !c.done {
+		if o.loss = d.where(c); leaves {
+			o.loss.How = judge.Left
+		} else {
+			o.loss.How = judge.Limit
+		}
+		if c.inst.alive && leaves {
+			d.hangUp(c.inst, c.id)
+		}
+	}
+	if leaves {
+		o.loss.How = judge.Left
+		d.end(o)
+		return
+	}
+	d.again(o, unheard, 0)
+}
+
+// again has the client try once more, if the rules and its patience let it.
+func (d *Day) again(o *operation, a answer, comeBack float64) {
+	v, w := &d.verbs[o.verb], &d.w.Clients
+	most, backoff := w.Retries, w.Backoff*math.Pow(2, float64(o.tries-1))*(0.5+draw(o.seed, uint64(20+o.tries)))
+	for i, f := range d.plan {
+		if d.active[i] && f.Kind == faults.Storm {
+			most += int(math.Ceil(f.Hard))
+			backoff /= 1 + f.Hard
+		}
+	}
+	o.mayHaveRun = o.mayHaveRun || a == failed || a == died || a == unheard
+	allowed := v.Effect == balance.Pure || !o.mayHaveRun ||
+		v.Effect == balance.Receipted && v.Scope == balance.ScopeAll && d.now < o.first+v.Window
+	if a == declined && draw(o.seed, uint64(40+o.tries)) < w.Follow {
+		backoff = max(backoff, comeBack)
+	}
+	if !allowed || o.tries > most || d.now+backoff+least > o.due+v.TimeLimit {
+		d.end(o)
+		return
+	}
+	o.try++ // an answer to the last one that still comes is not read
+	d.client(onTry, d.now+backoff, o, 0, 0)
+}
+
+func (d *Day) end(o *operation) {
+	o.done = true
+	if o.counts {
+		d.judge.Lost(o.loss, o.worth)
+	}
+}
--- /dev/null
+++ b/internal/emulator/discovery.go
@@ -0,0 +1,170 @@
+// This file owns what instances are told of backends, and when. It must never be right before its time.
+
+package emulator
+
+import (
+	"sandpass/balance"
+	"sandpass/internal/faults"
+)
+
+// change is a line of a tier's history.
+type change struct {
+	at      float64
+	b       *backend
+	state   balance.State
+	started float64
+}
+
+func (c change) entry() balance.Entry {
+	return balance.Entry{ID: c.b.id, Zone: c.b.zone, Cell: c.b.cell, State: c.state, Size: c.b.size, Started: c.started}
+}
+
+// announce lets discovery know; each instance hears of it when its time has come.
+func (d *Day) announce(b *backend, state balance.State) {
+	d.logs[b.tier] = append(d.logs[b.tier], change{d.now, b, state, b.started})
+	d.tellAll(b.tier, false)
+}
+
+func (d *Day) tellAll(tier int, whole bool) {
+	for _, x := range d.places[tier] {
+		if x != nil && x.alive {
+			x.whole = x.whole || whole
+			d.soon(x)
+		}
+	}
+}
+
+// soon asks for word to an instance after the usual lag.
+func (d *Day) soon(x *instance) {
+	if x.due || !x.watching {
+		return
+	}
+	x.due = true
+	lag := d.w.Discovery.Lag
+	at := d.now + lag[0] + (lag[1]-lag[0])*d.listChance.Float64()
+	for i, f := range d.plan {
+		if d.active[i] && f.Kind == faults.Lag {
+			at += f.Hard
+		}
+	}
+	d.queue.push(onList, event{at: at, n: uint64(x.serial)})
+}
+
+// inForce is the end of a fault of the kind that is in force, or 0.
+func (d *Day) inForce(k faults.Kind) (until float64, f faults.Fault) {
+	for i, x := range d.plan {
+		if d.active[i] && x.Kind == k && x.From+x.For > until {
+			until, f = x.From+x.For, x
+		}
+	}
+	return until, f
+}
+
+// list is the time for an instance to hear what changed.
+func (d *Day) list(x *instance) {
+	x.due = false
+	if !x.alive || !x.watching {
+		return
+	}
+	if until, _ := d.inForce(faults.Silent); until > d.now {
+		x.due = true
+		d.queue.push(onList, event{at: until + d.listChance.Float64()*d.w.Discovery.Lag[1], n: uint64(x.serial)})
+		return
+	}
+	d.tell(x)
+}
+
+// tell gives an instance what discovery has for it now.
+func (d *Day) tell(x *instance) {
+	log := d.logs[x.tier]
+	upTo, whole := len(log), x.whole
+	if until, f := d.inForce(faults.Silent); until > d.now { // only an instance that starts: it has an old list
+		for upTo > 0 && log[upTo-1].at > f.From {
+			upTo--
+		}
+	}
+	if until, f := d.inForce(faults.Stale); until > 0 {
+		whole = true
+		for upTo > 0 && log[upTo-1].at > max(0, d.now-f.Hard) {
+			upTo--
+		}
+	}
+	var entries []balance.Entry
+	if whole {
+		// The latest of each, in the order in which they first came; what is gone is left out.
+		latest := map[int]int{}
+		for i, c := range log[:upTo] {
+			latest[c.b.serial] = i
+		}
+		until, f := d.inForce(faults.Partial)
+		for i, c := range log[:upTo] {
+			if latest[c.b.serial] != i || c.state == balance.Gone {
+				continue
+			}
+			if until > 0 && f.Tier == x.tier && draw(f.Seed, uint64(c.b.serial)) < f.Hard {
+				continue
+			}
+			entries = append(entries, c.entry())
+		}
+		d.listedWhole(x, entries)
+	} else {
+		for _, c := range log[min(x.at, upTo):upTo] {
+			entries = append(entries, c.entry())
+		}
+	}
+	x.at, x.whole = upTo, false
+	for _, e := range entries {
+		d.judge.Listed(d.now, x.serial, d.named(e.ID).serial, e.State == balance.Ready, e.Started)
+	}
+	if len(entries) > 0 || whole {
+		x.policy.Fleet(d.now, whole, entries)
+	}
+}
+
+// listedWhole tells the judge of those that a whole list leaves out: that is word that they are gone.
+func (d *Day) listedWhole(x *instance, entries []balance.Entry) {
+	named := make([]bool, len(d.backends))
+	for _, e := range entries {
+		named[d.named(e.ID).serial] = true
+	}
+	for _, b := range d.backends[1:] {
+		if b.tier == x.tier && !named[b.serial] {
+			d.judge.Listed(d.now, x.serial, b.serial, false, 0)
+		}
+	}
+}
+
+// Watch is the policy's word: where discovery must be asked, a call that costs it work and may fail.
+func (x *instance) Watch() {
+	d := x.d
+	if !d.w.Discovery.Asked {
+		return
+	}
+	x.watching = false
+	until, _ := d.inForce(faults.Silent)
+	if until > d.now || d.busyList > d.now+queued {
+		d.later(d.now+silence, func() {
+			if x.alive {
+				x.policy.ListFailed(d.now)
+			}
+		})
+		return
+	}
+	d.busyList = max(d.busyList, d.now) + 1/d.w.Discovery.Serves
+	d.later(d.busyList+d.w.Net.Same, func() {
+		if x.alive && !x.watching {
+			x.watching, x.whole = true, true
+			d.tell(x)
+		}
+	})
+}
+
+// breakWatches ends all subscriptions, as a discovery does that goes down.
+func (d *Day) breakWatches() {
+	for _, x := range d.instances {
+		if x.alive && x.watching && d.w.Discovery.Asked {
+			x.watching = false
+			x.policy.ListFailed(d.now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/emulator/instances.go
@@ -0,0 +1,488 @@
+// This file owns instances and the commands that they hold: it is the Host that a policy speaks to, and it keeps the
+// world's word towards it. It must never decide for a policy, nor call one from within its own call.
+
+package emulator
+
+import (
+	"sandpass/balance"
+	"sandpass/internal/judge"
+)
+
+// closing marks the event that forgets a command which its policy has just ended.
+const closing = 1 << 63
+
+// instance is one running policy. A restart makes a new one.
+type instance struct {
+	d                        *Day
+	serial, tier, me, zone   int
+	weight                   float64
+	alive, leaving, watching bool
+	policy                   Policy
+	links                    []link // by backend
+	at                       int    // place in its tier's log up to which it was told
+	due                      bool   // word is under way
+	whole                    bool   // the next word is a whole list
+}
+
+// command is one that an instance took and has to answer.
+type command struct {
+	id              uint64
+	slot            uint32
+	age             uint32
+	inst            *instance
+	verb, customer  int
+	op              *operation // of the client, in the first tier
+	try             uint32
+	parent          *relay // whose work it is a part of, in the others
+	opID, seed, key uint64
+	came, expires   float64
+	done            bool
+	out             int
+	relays          []*relay
+}
+
+func (d *Day) newInstance(tier, me, zone int) *instance {
+	x := &instance{d: d, serial: len(d.instances), tier: tier, me: me, zone: zone, weight: 1, alive: true, watching: true}
+	d.instances = append(d.instances, x)
+	d.places[tier][me] = x
+	x.policy = d.maker(x, x, mix(d.seed, uint64(x.serial)), d.now)
+	var customers []balance.Customer
+	if tier == 0 {
+		rate := d.w.CommandRate()
+		for _, c := range d.w.Customers {
+			customers = append(customers, balance.Customer{Allowance: c.Allowance * rate, Was: -1})
+		}
+	}
+	r := &d.w.Rules
+	x.policy.Turn(d.now, d.w.Tick, balance.Place{Me: me, Siblings: len(d.places[tier]), Tier: tier, Zone: zone}, d.verbs,
+		customers, d.w.Clients.Over, d.limits, balance.Cold{Share: r.ColdShare, Span: r.ColdSpan, Multiple: r.ColdMultiple},
+		d.w.Discovery.Asked)
+	x.whole = true
+	d.tell(x)
+	return x
+}
+
+// kill ends an instance at once. What it held is its clients' affair.
+func (d *Day) kill(x *instance) {
+	if !x.alive {
+		return
+	}
+	x.alive = false
+	d.judge.Killed(x.serial)
+	if x.tier == 0 {
+		d.later(d.now+d.w.Clients.Notice, func() { d.fronts[x.zone].remove(x) })
+	}
+	for _, c := range d.commands {
+		if c.inst != x || c.id == 0 {
+			continue
+		}
+		if !c.done && c.op != nil {
+			d.lose(c, judge.Died)
+			d.answerClient(c, died, 0)
+		}
+		c.done = true
+		for _, r := range c.relays {
+			if !r.told {
+				r.told = true
+				d.closeConn(r)
+			}
+		}
+		c.out = 0
+		d.forget(c)
+	}
+	for serial, l := range x.links {
+		if b := d.backends[serial]; b != nil && l.idle > 0 && b.alive {
+			b.conns = max(0, b.conns-l.idle)
+		}
+	}
+	x.links = nil
+}
+
+func (d *Day) newCommand(x *instance) *command {
+	var c *command
+	if n := len(d.free); n > 0 {
+		c = d.commands[d.free[n-1]]
+		d.free = d.free[:n-1]
+		*c = command{slot: c.slot, age: c.age, relays: c.relays[:0]}
+	} else {
+		c = &command{slot: uint32(len(d.commands))}
+		d.commands = append(d.commands, c)
+	}
+	c.age++
+	c.id, c.inst, c.came = uint64(c.age)<<32|uint64(c.slot), x, d.now
+	return c
+}
+
+// command by its id, or nil if it is no more.
+func (d *Day) command(id uint64) *command {
+	slot := uint32(id)
+	if int(slot) >= len(d.commands) || d.commands[slot].id != id {
+		return nil
+	}
+	return d.commands[slot]
+}
+
+func (d *Day) forget(c *command) {
+	if !c.done || c.out > 0 {
+		return
+	}
+	for i, r := range c.relays {
+		c.relays[i] = nil
+		d.release(r)
+	}
+	if c.op != nil {
+		d.drop(c.op)
+	}
+	if c.parent != nil {
+		d.release(c.parent)
+	}
+	c.id, c.op, c.parent, c.inst = 0, nil, nil, nil
+	d.free = append(d.free, c.slot)
+}
+
+// take hands a command to its instance.
+func (d *Day) take(c *command) {
+	v := &d.verbs[c.verb]
+	d.judge.Taken(d.now, judge.Command{ID: c.id, Op: c.opID, Instance: c.inst.serial, Expires: c.expires,
+		Effect: judge.Effect(v.Effect), Scope: judge.Scope(v.Scope), Window: v.Window})
+	d.queue.push(onLimit, event{at: c.expires, n: c.id})
+	c.inst.policy.Command(d.now, c.id, c.verb, c.customer, c.expires, c.key)
+}
+
+// call is a backend's work asking the next tier.
+func (d *Day) call(b *backend, r *relay) {
+	c := d.newCommand(b.own)
+	c.verb, c.parent, c.opID = r.verb, r, c.id
+	c.seed, c.key, c.expires = mix(r.seed, uint64(r.calls)), r.key, r.expires
+	r.holds++
+	r.callID = c.id
+	d.take(c)
+}
+
+// called tells a backend's work what became of its call.
+func (d *Day) called(r *relay, id uint64, answered bool) {
+	if r.state != calling || r.callID != id {
+		return
+	}
+	b := r.b
+	b.calling--
+	if answered {
+		d.goOn(b, r)
+		return
+	}
+	d.leave(b, r, balance.Errored)
+	d.retake(b)
+}
+
+// hangUp takes a call back whose caller is no longer interested.
+func (d *Day) hangUp(x *instance, id uint64) {
+	c := d.command(id)
+	if x == nil || !x.alive || c == nil || c.done {
+		return
+	}
+	c.done = true
+	d.judge.Departed(id)
+	x.policy.Departed(d.now, id)
+	d.forget(c)
+}
+
+// limit is a command's time limit: what is still out has timed out.
+func (d *Day) limit(id uint64) {
+	if id&closing != 0 {
+		if c := d.command(id &^ closing); c != nil {
+			d.forget(c)
+		}
+		return
+	}
+	c := d.command(id)
+	if c == nil {
+		return
+	}
+	x := c.inst
+	for n := 0; n < len(c.relays) && c.id == id; n++ {
+		if r := c.relays[n]; !r.told {
+			r.told = true
+			r.blame, r.blamed = d.at(r), true
+			d.closeConn(r)
+			d.outcome(x, c, r, balance.TimedOut)
+		}
+	}
+}
+
+// answer is an outcome at the instance.
+func (d *Day) answer(r *relay, cancel bool) {
+	if r.told {
+		return
+	}
+	r.told = true
+	result := r.result
+	switch {
+	case cancel:
+		result = balance.Cancelled
+		r.blame, r.blamed = d.at(r), true
+		d.closeConn(r)
+	case result == balance.Answered || result == balance.Errored || result == balance.Full:
+		r.state = over
+		if r.inst.alive {
+			d.rest(r)
+		}
+	default:
+		r.state = over
+		if r.conn != nil {
+			r.conn.hangUp()
+			r.conn = nil
+		}
+	}
+	if c := d.command(r.command); c != nil && r.inst.alive {
+		d.outcome(r.inst, c, r, result)
+	}
+}
+
+func (b *backend) hangUp() { b.conns = max(0, b.conns-1) }
+
+// outcome is told to the policy.
+func (d *Day) outcome(x *instance, c *command, r *relay, result balance.Result) {
+	r.result = result
+	c.out--
+	d.judge.Told(c.id, r.n, result.NeverRan())
+	final := c.done
+	if result == balance.Answered && !c.done {
+		final = true
+		d.judge.Ended(d.now, c.id, false, true, r.made)
+		d.finish(c, answered, 0, d.slowest(c, r))
+	}
+	x.policy.Outcome(d.now, c.id, r.n, result, d.now-r.sent, final, balance.Load{Active: -1, Waiting: -1, CPU: -1, Took: -1})
+	d.forget(c)
+}
+
+// finish passes the final answer on to who waits for it.
+func (d *Day) finish(c *command, a answer, comeBack float64, l judge.Loss) {
+	c.done = true
+	if c.parent != nil {
+		if a != answered {
+			c.parent.blame, c.parent.blamed = l, true
+		}
+		ok := int32(0)
+		if a == answered {
+			ok = 1
+		}
+		c.parent.holds++
+		d.queue.push(onCalled, event{at: d.now, r: c.parent, n: c.id, a: ok})
+		return
+	}
+	if c.try == c.op.try {
+		c.op.loss = l
+	}
+	if a == declined && len(c.relays) == 0 && d.now-c.came > (c.expires-c.came)/2 && c.op.counts {
+		d.judge.LateNo(c.op.worth)
+	}
+	d.answerClient(c, a, comeBack)
+}
+
+func (d *Day) lose(c *command, how judge.How) {
+	if c.try == c.op.try {
+		l := d.where(c)
+		l.How = how
+		c.op.loss = l
+	}
+}
+
+// ---- Host
+
+// Relay is the policy's word.
+func (x *instance) Relay(id uint64, to balance.BackendID) {
+	d := x.d
+	b, c := d.named(to), d.command(id)
+	if b == nil || c == nil || c.inst != x {
+		d.judge.Sent(d.now, id, -1, -1, -1, false)
+		return
+	}
+	d.judge.Sent(d.now, id, b.serial, b.zone, b.cell, b.zone != x.zone)
+	r := d.newRelay()
+	d.opsMade++
+	r.holds, r.serial, r.command, r.n, r.inst, r.to = 1, d.opsMade, id, len(c.relays), x, b
+	r.op, r.seed, r.verb, r.sent, r.key, r.expires = c.opID, c.seed, c.verb, d.now, c.key, c.expires
+	r.work = d.workOf(c.seed, c.verb, x.tier)
+	c.relays = append(c.relays, r)
+	c.out++
+	if c.done || len(c.relays) > d.w.Rules.Relays || d.now >= c.expires {
+		r.state = over
+		d.answerAt(r, d.now, balance.Moot)
+		return
+	}
+	if l := x.link(b); l.idle > 0 {
+		l.idle--
+		r.conn = b
+		d.forth(r, onArrive, 1)
+		return
+	}
+	r.state = connecting
+	d.forth(r, onConnect, 1)
+}
+
+// Cancel is the policy's word.
+func (x *instance) Cancel(id uint64, n int) {
+	c := x.d.command(id)
+	if c == nil || n < 0 || n >= len(c.relays) || c.relays[n].told {
+		return
+	}
+	r := c.relays[n]
+	r.holds++
+	x.d.queue.push(onAnswer, event{at: x.d.now, r: r, gen: 1})
+}
+
+// Decline is the policy's word.
+func (x *instance) Decline(id uint64, comeBack float64) { x.no(id, declined, comeBack) }
+
+// Terminate is the policy's word.
+func (x *instance) Terminate(id uint64) { x.no(id, failed, 0) }
+
+func (x *instance) no(id uint64, a answer, comeBack float64) {
+	d := x.d
+	c := d.command(id)
+	if c == nil || c.done || c.inst != x {
+		return
+	}
+	d.judge.Ended(d.now, id, a == declined, false, false)
+	l := d.where(c)
+	switch {
+	case a == declined:
+		l.How = judge.Declined
+	case d.now >= c.expires-2*d.w.Tick:
+		l.How = judge.Limit
+	default:
+		l.How = judge.Terminated
+	}
+	d.finish(c, a, comeBack, l)
+	if c.out == 0 {
+		// Not from within the policy's call: it may go on to speak of this command.
+		d.queue.push(onLimit, event{at: d.now, n: closing | c.id})
+	}
+}
+
+// WakeAfter is the policy's word.
+func (x *instance) WakeAfter(seconds float64, token uint64) {
+	x.d.queue.push(onTimer, event{at: x.d.now + max(0, seconds), n: token, a: int32(x.serial)})
+}
+
+// Tell is the policy's word.
+func (x *instance) Tell(to int, text []byte) {
+	d := x.d
+	d.judge.Message()
+	if to < 0 || to >= len(d.places[x.tier]) || len(text) > 256 {
+		return
+	}
+	y := d.places[x.tier][to]
+	if y == nil || !d.passes(x.zone, y.zone) {
+		return
+	}
+	at := d.way(x.zone, y.zone)
+	if at >= d.w.Net.Again { // a datagram that is lost does not come again
+		return
+	}
+	n := len(d.notes)
+	if k := len(d.spare); k > 0 {
+		n, d.spare = d.spare[k-1], d.spare[:k-1]
+	} else {
+		d.notes, d.noteTo = append(d.notes, nil), append(d.noteTo, noteWay{})
+	}
+	d.notes[n] = append(d.notes[n][:0], text...)
+	d.noteTo[n] = noteWay{x.me, y}
+	d.queue.push(onNote, event{at: d.now + at, n: uint64(n)})
+}
+
+type noteWay struct {
+	from int
+	to   *instance
+}
+
+func (d *Day) noted(n int) {
+	w := d.noteTo[n]
+	if w.to.alive {
+		w.to.policy.Heard(d.now, w.from, d.notes[n])
+	}
+	d.spare = append(d.spare, n)
+}
+
+// ---- Where a command is, or was lost.
+
+func (d *Day) where(c *command) judge.Loss {
+	l := judge.Loss{Where: judge.Instance, Tier: c.inst.tier}
+	if len(c.relays) == 0 {
+		return l
+	}
+	last := c.relays[len(c.relays)-1]
+	for _, r := range c.relays {
+		if !r.told {
+			last = r
+		}
+	}
+	if !last.told {
+		return d.at(last)
+	}
+	return d.because(last)
+}
+
+// at is where a relay that is out is just now.
+func (d *Day) at(r *relay) judge.Loss {
+	l := judge.Loss{Tier: r.to.tier}
+	switch r.state {
+	case connecting:
+		l.Where = judge.Connecting
+	case inQueue:
+		l.Where = judge.Queue
+	case working:
+		if l.Where = judge.Work; r.b.burden.hang {
+			l.Where = judge.Stuck
+		}
+	case calling:
+		if c := d.command(r.callID); c != nil {
+			return d.where(c)
+		}
+		l.Where = judge.Work
+	case stranded:
+		if l.Where = judge.Stuck; r.cut {
+			l.Where = judge.Network
+		}
+	default:
+		l.Where = judge.Network
+	}
+	return l
+}
+
+// because is why a relay that has ended did not answer.
+func (d *Day) because(r *relay) judge.Loss {
+	if r.blamed {
+		return r.blame
+	}
+	l := judge.Loss{Tier: r.to.tier}
+	switch r.result {
+	case balance.Full:
+		l.Where = judge.Refused
+	case balance.Unconnected:
+		l.Where = judge.Connecting
+	case balance.Errored:
+		l.Where = judge.Failed
+	default:
+		l.Where = judge.Network
+	}
+	return l
+}
+
+// slowest is where a command that was answered by r spent the most of its time.
+func (d *Day) slowest(c *command, r *relay) judge.Loss {
+	l := judge.Loss{How: judge.Late, Where: judge.Instance, Tier: c.inst.tier}
+	most := r.sent - c.came
+	for _, x := range []struct {
+		took  float64
+		where judge.Where
+	}{
+		{r.arrived - r.sent, judge.Connecting}, {r.began - r.arrived, judge.Queue}, {r.ended - r.began, judge.Work},
+		{d.now - r.ended, judge.Network},
+	} {
+		if x.took > most {
+			most, l.Where = x.took, x.where
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/internal/emulator/troubles.go
@@ -0,0 +1,192 @@
+// This file owns how the world carries out a fault plan. It must never draw what is hit from anything but the fault's
+// own seed, so that one fault more or less leaves the others as they are.
+
+package emulator
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"sandpass/internal/faults"
+)
+
+const (
+	ramped = 0.25 // seconds between the steps of a ramp
+	flicks = 0.5  // seconds of half a flicker
+)
+
+// fault begins (1), steps (2) or ends (0) one of the plan.
+func (d *Day) fault(n int, what int32) {
+	f := d.plan[n]
+	chance := rand.New(rand.NewPCG(f.Seed, uint64(len(f.Kind))))
+	switch what {
+	case 1:
+		d.active[n] = true
+		d.begins(n, f, chance)
+		if f.Ramps() || f.Kind == faults.Flicker {
+			d.queue.push(onFault, event{at: d.now + d.stepOf(f), n: uint64(n), a: 2})
+		}
+		d.queue.push(onFault, event{at: f.From + f.For, n: uint64(n)})
+	case 2:
+		if d.active[n] {
+			d.burdenAll(n)
+			d.queue.push(onFault, event{at: d.now + d.stepOf(f), n: uint64(n), a: 2})
+		}
+	case 0:
+		d.active[n] = false
+		d.ends(n, f)
+	}
+}
+
+func (d *Day) stepOf(f faults.Fault) float64 {
+	if f.Kind == faults.Flicker {
+		return flicks
+	}
+	return ramped
+}
+
+// hit draws a share of the tier's backends, at least one, of the zone if one is named.
+func (d *Day) hit(f faults.Fault, chance *rand.Rand) []*backend {
+	var all []*backend
+	for _, b := range d.tiers[f.Tier] {
+		if f.Zone < 0 || b.zone == f.Zone {
+			all = append(all, b)
+		}
+	}
+	if f.Kind == faults.Zone {
+		return all
+	}
+	chance.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(len(all), max(1, int(math.Round(f.Share*float64(len(all))))))]
+}
+
+// fronts draws a share of the first tier's instances.
+func (d *Day) hitFronts(f faults.Fault, chance *rand.Rand) []int {
+	all := chance.Perm(len(d.places[0]))
+	return all[:min(len(all), max(1, int(math.Round(f.Share*float64(len(all))))))]
+}
+
+func (d *Day) begins(n int, f faults.Fault, chance *rand.Rand) {
+	switch f.Kind {
+	case faults.Crash, faults.Zone:
+		d.targets[n] = d.hit(f, chance)
+		for _, b := range d.targets[n] {
+			d.die(b, false)
+			d.later(d.now+detect, func() { d.announceGone(b) })
+		}
+	case faults.Vanish:
+		d.targets[n] = d.hit(f, chance)
+		for _, b := range d.targets[n] {
+			d.die(b, true)
+			d.later(d.now+2*detect, func() { d.announceGone(b) })
+		}
+	case faults.Roll, faults.Takeover:
+		hit := d.hit(f, chance)
+		for i, b := range hit {
+			d.later(d.now+f.For*float64(i)/float64(len(hit)), func() { d.replace(b, f.Kind == faults.Takeover) })
+		}
+	case faults.Kill:
+		hit := d.hitFronts(f, chance)
+		for _, me := range hit {
+			d.kill(d.places[0][me])
+		}
+		d.later(f.From+f.For, func() {
+			for _, me := range hit {
+				d.startFront(me)
+			}
+		})
+	case faults.Restart:
+		hit := d.hitFronts(f, chance)
+		longest := 0.0
+		for _, v := range d.w.Verbs {
+			longest = max(longest, v.Limit)
+		}
+		for i, me := range hit {
+			d.later(d.now+f.For*float64(i)/float64(len(hit)), func() {
+				x := d.places[0][me]
+				d.fronts[x.zone].remove(x)
+				d.later(d.now+longest+1, func() { d.kill(x); d.startFront(me) })
+			})
+		}
+	case faults.Silent:
+		d.breakWatches()
+	case faults.Stale:
+		for k := range d.w.Tiers {
+			d.tellAll(k, true)
+		}
+	case faults.Partial:
+		d.tellAll(f.Tier, true)
+	case faults.Slow, faults.Flicker, faults.Errors, faults.Refuse, faults.Table, faults.Deaf, faults.Spoil, faults.Reset, faults.Hang:
+		d.targets[n] = d.hit(f, chance)
+		d.burdenAll(n)
+	}
+}
+
+func (d *Day) ends(n int, f faults.Fault) {
+	switch f.Kind {
+	case faults.Crash, faults.Zone, faults.Vanish:
+		for _, b := range d.targets[n] {
+			d.revive(b)
+		}
+	case faults.Cut:
+		d.unstrand(func(r *relay) bool {
+			return r.cut && d.passes(r.inst.zone, r.to.zone) && d.passes(r.to.zone, r.inst.zone)
+		})
+	case faults.Stale:
+		for k := range d.w.Tiers {
+			d.tellAll(k, true)
+		}
+	case faults.Partial:
+		d.tellAll(f.Tier, true)
+	}
+	d.burdenAll(n)
+}
+
+func (d *Day) startFront(me int) {
+	old := d.places[0][me]
+	if old.alive {
+		return
+	}
+	x := d.newInstance(0, me, old.zone)
+	x.weight = old.weight
+	d.fronts[x.zone].add(x)
+}
+
+// burdenAll takes anew what the backends of a fault have to bear, from all faults in force.
+func (d *Day) burdenAll(n int) {
+	for _, b := range d.targets[n] {
+		was := b.burden
+		b.burden = burden{silent: was.silent}
+		u := &b.burden
+		for i, f := range d.plan {
+			if !d.active[i] || !slices.Contains(d.targets[i], b) {
+				continue
+			}
+			hard := f.At(d.now)
+			switch f.Kind {
+			case faults.Slow:
+				u.slow = 1 - (1-u.slow)*(1-hard)
+			case faults.Flicker:
+				if int((d.now-f.From)/flicks)%2 == 0 {
+					u.slow = 1 - (1-u.slow)*(1-hard)
+				}
+			case faults.Errors:
+				u.errors = max(u.errors, hard)
+			case faults.Refuse:
+				u.refuse = max(u.refuse, hard)
+			case faults.Table:
+				u.table = max(u.table, hard)
+			case faults.Spoil:
+				u.spoil = max(u.spoil, hard)
+			case faults.Reset:
+				u.reset = max(u.reset, hard)
+			case faults.Hang:
+				u.hang = true
+			case faults.Deaf:
+				u.deaf = true
+			}
+		}
+		d.retake(b)
+	}
+}
