sandlab: experiments as files, runs side by side, tables, charts, search and shrink

The top now sees crowding and full connection tables, else it was worse than the module under overload and choked a tier with connections.

--- /dev/null
+++ b/cmd/sandlab/main.go
@@ -0,0 +1,317 @@
+// Command sandlab plays experiments on the emulator: runs, sweeps, comparisons, searches, replays and charts.
+//
+// This file owns the command line alone. It must never hold a figure or a rule of its own.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+	"github.com/spf13/cobra"
+
+	"sandpass/internal/baseline"
+	"sandpass/internal/lab"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := root().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "sandlab:", err)
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	c := &cobra.Command{Use: "sandlab", Short: "plays experiments on an emulated world", SilenceUsage: true, SilenceErrors: true}
+	c.AddCommand(run(), sweep(), compare(), search(), shrink(), replay(), plotting(), policies())
+	return c
+}
+
+// bar shows how far the runs are, on a terminal.
+func bar(out io.Writer, n int, what string) *progressbar.ProgressBar {
+	f, ok := out.(*os.File)
+	if st, err := f.Stat(); !ok || err != nil || st.Mode()&os.ModeCharDevice == 0 {
+		return progressbar.DefaultSilent(int64(n))
+	}
+	return progressbar.NewOptions(n, progressbar.OptionSetWriter(f), progressbar.OptionSetDescription(what),
+		progressbar.OptionShowCount(), progressbar.OptionClearOnFinish(), progressbar.OptionThrottle(100*time.Millisecond))
+}
+
+// play fills a folder and writes its table.
+func play(c *cobra.Command, s *lab.Sheet, dir string, cores int) error {
+	f, err := lab.Open(dir, s)
+	if err != nil {
+		return err
+	}
+	missing := len(f.Missing())
+	b := bar(os.Stderr, missing, s.Name)
+	err = f.Fill(c.Context(), cores, func(lab.Day) { b.Add(1) })
+	if e := f.Close(); err == nil {
+		err = e
+	}
+	b.Finish()
+	if errors.Is(err, context.Canceled) {
+		return fmt.Errorf("%s: stopped; what is done is kept, and the same call goes on from there", dir)
+	}
+	if err != nil {
+		return err
+	}
+	text, err := lab.Summary(dir)
+	if err != nil {
+		return err
+	}
+	fmt.Fprint(c.OutOrStdout(), text)
+	return nil
+}
+
+func out(dir, path string) string {
+	if dir != "" {
+		return dir
+	}
+	return filepath.Join("results", strings.TrimSuffix(filepath.Base(path), ".toml"))
+}
+
+func run() *cobra.Command {
+	var dir string
+	var cores int
+	c := &cobra.Command{Use: "run EXPERIMENT.toml", Short: "play an experiment and keep its table, days and charts",
+		Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			s, err := lab.Read(args[0], nil)
+			if err != nil {
+				return err
+			}
+			dir := out(dir, args[0])
+			if err := play(c, s, dir, cores); err != nil {
+				return err
+			}
+			return charts(c, dir, 0, "g")
+		}}
+	c.Flags().StringVar(&dir, "out", "", "folder of the results (results/NAME)")
+	c.Flags().IntVar(&cores, "cores", 0, "runs side by side, 0 for all cores")
+	return c
+}
+
+func sweep() *cobra.Command {
+	var dir string
+	var cores int
+	var over []string
+	c := &cobra.Command{Use: "sweep EXPERIMENT.toml --over PATH=V,V", Short: "play an experiment over further parameters",
+		Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			if len(over) == 0 {
+				return errors.New("--over PATH=VALUE,VALUE names what to sweep")
+			}
+			s, err := lab.Read(args[0], over)
+			if err != nil {
+				return err
+			}
+			dir := out(dir, args[0]+"-sweep")
+			if err := play(c, s, dir, cores); err != nil {
+				return err
+			}
+			return charts(c, dir, 0, "g")
+		}}
+	c.Flags().StringVar(&dir, "out", "", "folder of the results")
+	c.Flags().IntVar(&cores, "cores", 0, "runs side by side, 0 for all cores")
+	c.Flags().StringArrayVar(&over, "over", nil, "a parameter and its values, such as world.load=0.5,0.7; may be given again")
+	return c
+}
+
+func compare() *cobra.Command {
+	var figure, a, b string
+	c := &cobra.Command{Use: "compare FOLDER [OTHER]", Short: "paired differences by seed, with their confidence interval",
+		Long: "Compares policy A with policy B of one folder, or one policy between two folders of the same days,\nsuch as those of two versions of the program.",
+		Args: cobra.RangeArgs(1, 2), RunE: func(c *cobra.Command, args []string) error {
+			s, rows, err := lab.Load(args[0])
+			if err != nil {
+				return err
+			}
+			x, y := lab.Side{Rows: rows, Policy: a}, lab.Side{Rows: rows, Policy: b}
+			if len(args) == 2 {
+				if _, y.Rows, err = lab.Load(args[1]); err != nil {
+					return err
+				}
+				if !c.Flags().Changed("b") {
+					y.Policy = a
+				}
+			}
+			all, err := lab.Compare(x, y, figure)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%s of A (%s, %s) and B (%s, %s), simulated\n", figure, x.Policy, args[0], y.Policy, args[len(args)-1])
+			for _, d := range all {
+				where := "all"
+				if d.Cell != nil {
+					where = ""
+					for i, v := range d.Cell {
+						where += fmt.Sprintf("%s = %s ", s.Grid[i].Path, v)
+					}
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%s: %s\n", strings.TrimSpace(where), d)
+			}
+			return nil
+		}}
+	c.Flags().StringVar(&figure, "figure", "g", "one of "+strings.Join(lab.Figures(), ", "))
+	c.Flags().StringVar(&a, "a", "module", "policy A")
+	c.Flags().StringVar(&b, "b", "two", "policy B")
+	return c
+}
+
+func search() *cobra.Command {
+	var dir, policy string
+	var cores, budget, keep int
+	var seed uint64
+	c := &cobra.Command{Use: "search EXPERIMENT.toml", Short: "look for the days on which a policy does worst against the top",
+		Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			s, err := lab.Read(args[0], nil)
+			if err != nil {
+				return err
+			}
+			if cores <= 0 {
+				cores = runtime.GOMAXPROCS(0)
+			}
+			b := bar(os.Stderr, budget, "search")
+			best, err := s.Search(c.Context(), policy, seed, budget, cores, func(done int, _ lab.Found) { b.Set(done) })
+			b.Finish()
+			if err != nil && !errors.Is(err, context.Canceled) {
+				return err
+			}
+			if err := os.MkdirAll(dir, 0o755); err != nil {
+				return err
+			}
+			for i, f := range best[:min(keep, len(best))] {
+				text, err := f.Sheet(fmt.Sprintf("%s-%d", s.Name, i+1))
+				if err != nil {
+					return err
+				}
+				place := filepath.Join(dir, fmt.Sprintf("%s-%d.toml", s.Name, i+1))
+				if err := os.WriteFile(place, text, 0o644); err != nil {
+					return err
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%s\n%s", place, described(f))
+			}
+			return nil
+		}}
+	c.Flags().StringVar(&dir, "out", "found", "folder for the days found")
+	c.Flags().StringVar(&policy, "policy", "module", "which policy")
+	c.Flags().IntVar(&budget, "budget", 256, "days to try")
+	c.Flags().IntVar(&keep, "keep", 5, "days to keep")
+	c.Flags().IntVar(&cores, "cores", 0, "runs side by side, 0 for all cores")
+	c.Flags().Uint64Var(&seed, "seed", 1, "of the search")
+	return c
+}
+
+func described(f lab.Found) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "  %s G %.3f, top %.3f, seed %d, %d instances, %.0f s\n", f.Policy, f.G, f.Top, f.Seed, f.World.Instances, f.World.Length)
+	if f.Broken != "" {
+		fmt.Fprintf(&b, "  BROKEN %s\n", f.Broken)
+	}
+	for _, x := range f.Plan {
+		fmt.Fprintf(&b, "  %s\n", x)
+	}
+	return b.String()
+}
+
+func shrink() *cobra.Command {
+	var place string
+	var keep float64
+	var cores int
+	c := &cobra.Command{Use: "shrink FOUND.toml", Short: "cut a day down to the fewest faults and the smallest fleet that still show it",
+		Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			s, err := lab.Read(args[0], nil)
+			if err != nil {
+				return err
+			}
+			if cores <= 0 {
+				cores = runtime.GOMAXPROCS(0)
+			}
+			cell := s.Cells[0]
+			f := lab.Found{World: cell.World, Plan: cell.PlanFor(s.Seeds[0]), Seed: s.Seeds[0], Policy: s.Policies[0]}
+			steps := 0
+			f, err = lab.Shrink(c.Context(), f, keep, cores, func(lab.Found) { steps++ })
+			if err != nil {
+				return err
+			}
+			text, err := f.Sheet(s.Name + "-small")
+			if err != nil {
+				return err
+			}
+			if place == "" {
+				place = strings.TrimSuffix(args[0], ".toml") + "-small.toml"
+			}
+			if err := os.WriteFile(place, text, 0o644); err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%s after %d steps\n%s", place, steps, described(f))
+			return nil
+		}}
+	c.Flags().StringVar(&place, "out", "", "file for the small day (FOUND-small.toml)")
+	c.Flags().Float64Var(&keep, "keep", 0.7, "part of the loss that must stay")
+	c.Flags().IntVar(&cores, "cores", 0, "runs side by side, 0 for all cores")
+	return c
+}
+
+func replay() *cobra.Command {
+	var policy string
+	var seed uint64
+	c := &cobra.Command{Use: "replay DAY.toml", Short: "play one day and tell its course, its losses and what broke",
+		Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			s, err := lab.Read(args[0], nil)
+			if err != nil {
+				return err
+			}
+			r := lab.Run{Policy: s.Policies[0], Seed: s.Seeds[0]}
+			if policy != "" {
+				r.Policy = policy
+			}
+			if c.Flags().Changed("seed") {
+				r.Seed = seed
+			}
+			d, err := s.Play(r)
+			if err != nil {
+				return err
+			}
+			return lab.Tell(c.OutOrStdout(), d)
+		}}
+	c.Flags().StringVar(&policy, "policy", "", "another than the file's first")
+	c.Flags().Uint64Var(&seed, "seed", 0, "another than the file's first")
+	return c
+}
+
+func charts(c *cobra.Command, dir string, cell int, figure string) error {
+	made, err := lab.Charts(dir, cell, figure)
+	for _, m := range made {
+		fmt.Fprintln(c.OutOrStdout(), m)
+	}
+	return err
+}
+
+func plotting() *cobra.Command {
+	var cell int
+	var figure string
+	c := &cobra.Command{Use: "plot FOLDER", Short: "draw the charts of a folder of results",
+		Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error { return charts(c, args[0], cell, figure) }}
+	c.Flags().IntVar(&cell, "cell", 0, "which cell of the grid the curves are of, from 0")
+	c.Flags().StringVar(&figure, "figure", "g", "what to draw over the axes")
+	return c
+}
+
+func policies() *cobra.Command {
+	return &cobra.Command{Use: "policies", Short: "name the policies", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
+		for _, n := range baseline.Names() {
+			fmt.Fprintf(c.OutOrStdout(), "%-9s %s\n", n, baseline.About(n))
+		}
+	}}
+}
--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -19,7 +19,7 @@
 	late     = 2.0  // ticks before its limit at which a command is ended
 	comeBack = 0.5  // of the response goal, after which a declined client is to come back
 	looks    = 0.02 // seconds between the looks that the top takes at what it has out
-	worthIt  = 0.9  // of the goal, beyond which the top sends nothing of little utility into a queue
+	spare    = 0.6  // part of what a backend bears at its best that the top gives to commands of no utility
 )
 
 // makers by name, in the order in which they are told.
@@ -160,13 +160,13 @@
 	return a
 }
 
-// top goes where the command would be through first, and nowhere where that is too late to be worth it.
+// top goes where the command would be through first, and nowhere where all are crowded.
 func top(p *plain, r *request, from []*server) *server {
 	var best *server
 	least := math.Inf(1)
 	for _, s := range from {
-		open, wait, speed := p.sight.Look(s.ID)
-		if !open {
+		open, wait, speed, crowd := p.sight.Look(s.ID)
+		if !open || crowd >= spare+(1-spare)*r.verb.Utility/p.most { // what is worth little makes room for the rest
 			continue
 		}
 		cost := wait + 0.01/speed + p.chance.Float64()*1e-6
@@ -177,9 +177,6 @@
 			best, least = s, cost
 		}
 	}
-	if least > worthIt*r.verb.Goal*(0.5+r.verb.Utility/p.most) {
-		return nil // what is worth little makes room for what is worth more
-	}
 	if best != nil {
 		p.tokens++
 		p.wakes[p.tokens] = r.id
@@ -194,7 +191,7 @@
 		if !x.out || r.done {
 			continue
 		}
-		if _, _, speed := p.sight.Look(x.to.ID); speed <= 0 {
+		if _, _, speed, _ := p.sight.Look(x.to.ID); speed <= 0 {
 			if r.verb.Effect != balance.Effectful && p.limits.Cancel {
 				p.host.Cancel(r.id, i)
 			}
--- a/internal/emulator/backends.go
+++ b/internal/emulator/backends.go
@@ -460,11 +460,11 @@
 }
 
 // Look is Sight: it shows the true state to the policy that is to be the top.
-func (x *instance) Look(to balance.BackendID) (open bool, wait, speed float64) {
+func (x *instance) Look(to balance.BackendID) (open bool, wait, speed, crowd float64) {
 	d := x.d
 	b := d.named(to)
 	if b == nil {
-		return false, 0, 0
+		return false, 0, 0, 0
 	}
 	b = b.occupant()
 	t := d.tierOf(b)
@@ -472,15 +472,16 @@
 	speed = b.speed * warm * (1 - b.burden.slow)
 	held := len(b.jobs) + b.calling + len(b.waiting)
 	if !b.alive || b.burden.silent || b.burden.hang {
-		return false, 0, 0
+		return false, 0, 0, 0
 	}
 	open = speed > 0 && b.burden.errors+b.burden.refuse+b.burden.spoil < 0.5 &&
 		(len(b.waiting) < t.Queue || len(b.jobs)+b.calling < t.Slots)
+	open = open && (float64(b.conns) < float64(t.Connections)*(1-b.burden.table) || x.link(b).idle > 0)
 	open = open && d.passes(x.zone, b.zone) && d.passes(b.zone, x.zone)
 	work := 0.0
 	for i := range d.w.Verbs {
 		work += d.w.Verbs[i].Work[b.tier]
 	}
 	work /= float64(len(d.w.Verbs))
-	return open, float64(held) * work / (t.Cores * max(speed, 1e-6)), speed
+	return open, float64(held) * work / (t.Cores * max(speed, 1e-6)), speed, float64(held) / t.Cores / max(t.ChokeFrom, 1e-6)
 }
--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -38,9 +38,10 @@
 
 // Sight is the true state of backends, for a policy that is to show what could be reached.
 type Sight interface {
-	// Look tells of a backend whether a command sent now would get in, the seconds of work before it, and the
-	// backend's speed for one command: 0 where what is there will never be done.
-	Look(to balance.BackendID) (open bool, wait, speed float64)
+	// Look tells of a backend whether a command sent now would get in, the seconds of work before it, the
+	// backend's speed for one command (0 where what is there will never be done), and how crowded it is: from 1 on
+	// it gets less efficient.
+	Look(to balance.BackendID) (open bool, wait, speed, crowd float64)
 }
 
 // Maker starts the policy of one instance.
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,307 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const little = `
+name = "little"
+policies = ["module", "two"]
+seeds = [1, 2]
+drawn = 1
+
+[world]
+length = 5
+warmup = 0
+instances = 4
+
+[[world.tiers]]
+backends = 6
+
+[[world.tiers]]
+backends = 6
+
+[[plan]]
+kind = "slow"
+share = 0.5
+from = 1
+for = 2
+hard = 0.9
+
+[[grid]]
+path = "world.load"
+values = [0.3, 0.6]
+`
+
+func sheet(t testing.TB, text string, over ...string) *Sheet {
+	t.Helper()
+	s, err := Parse([]byte(text), over)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestBadSheets(t *testing.T) {
+	for _, c := range []struct {
+		name, text, want string
+		over             []string
+	}{
+		{"unknown key", "name = \"x\"\n[world]\nlod = 2\n", "line 3, column 1: key world.lod is unknown", nil},
+		{"no TOML", "name = \n", "line 1, column", nil},
+		{"wrong type", "[world]\nload = \"much\"\n", "line 2, column", nil},
+		{"policy", `policies = ["best"]`, `policies[0]: policy "best" is unknown`, nil},
+		{"no seeds", `seeds = []`, "seeds must not be empty", nil},
+		{"absurd figure", "[world]\nload = -1", "world.load = -1 is not between", nil},
+		{"absurd tier", "[[world.tiers]]\ncores = 0\n", "world.tiers[0].cores = 0 is not between", nil},
+		{"work for another number of tiers", "[[world.tiers]]\n", "work has 2 figures for 1 tiers", nil},
+		{"zone that is not there", "[[plan]]\nkind = \"zone\"\nzone = 9\n", "fault[0] (zone): zone 9 is not one of 3", nil},
+		{"tier that is not there", "[[plan]]\nkind = \"slow\"\ntier = 4\n", "fault[0] (slow): tier 4 is not one of 2", nil},
+		{"empty axis", "[[grid]]\npath = \"world.load\"\nvalues = []\n", "grid[0]: a path and at least one value", nil},
+		{"axis of nothing", "[[grid]]\npath = \"world.lod\"\nvalues = [1]\n", `grid: world.lod: there is no "lod"`, nil},
+		{"axis past the end", "[[grid]]\npath = \"world.tiers[7].cores\"\nvalues = [1]\n", "tiers has no place 7", nil},
+		{"axis of another type", "[[grid]]\npath = \"world.load\"\nvalues = [\"much\"]\n", "world.load", nil},
+		{"value that no world can have", "[[grid]]\npath = \"world.load\"\nvalues = [0.5, -3.0]\n", "world.load = -3: world.load = -3 is not between", nil},
+		{"sweep of nothing", "", `--over "load" is not path=value,value`, []string{"load"}},
+	} {
+		_, err := Parse([]byte(c.text), c.over)
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want one line with %q", c.name, err, c.want)
+		}
+	}
+}
+
+func TestSheetLaysOverDefaults(t *testing.T) {
+	s := sheet(t, little, "world.tiers[1].cores=1,4")
+	if len(s.Cells) != 4 || len(s.Runs()) != 16 {
+		t.Fatalf("%d cells, %d runs", len(s.Cells), len(s.Runs()))
+	}
+	c := s.Cells[3]
+	if c.World.Load != 0.6 || c.World.Tiers[1].Cores != 4 || c.World.Tiers[0].Cores != 2 || c.World.Tiers[0].Backends != 6 || len(c.World.Verbs) != 4 {
+		t.Errorf("cell %v is %+v", c.Values, c.World)
+	}
+	if f := c.Plan[0]; f.Zone != -1 || f.Share != 0.5 || f.Hard != 0.9 {
+		t.Errorf("fault %+v", f)
+	}
+	if p := c.PlanFor(7); len(p) != 2 || p[1] != c.PlanFor(7)[1] {
+		t.Errorf("plan %v", p)
+	}
+	if s := sheet(t, `name = "none"`); len(s.Cells[0].Plan) != 0 {
+		t.Errorf("a plan that was not written: %v", s.Cells[0].Plan)
+	}
+}
+
+func files(t testing.TB, dir string) string {
+	t.Helper()
+	var all []byte
+	for _, name := range []string{rowsFile, daysFile} {
+		b, err := os.ReadFile(filepath.Join(dir, name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, b...)
+	}
+	return string(all)
+}
+
+func fill(t testing.TB, ctx context.Context, dir string, s *Sheet, cores int, told func(Day)) error {
+	t.Helper()
+	f, err := Open(dir, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	return f.Fill(ctx, cores, told)
+}
+
+func TestSameBytesOnAnyNumberOfCores(t *testing.T) {
+	s := sheet(t, little)
+	one, many := t.TempDir(), t.TempDir()
+	if err := fill(t, context.Background(), one, s, 1, func(Day) {}); err != nil {
+		t.Fatal(err)
+	}
+	if err := fill(t, context.Background(), many, s, 8, func(Day) {}); err != nil {
+		t.Fatal(err)
+	}
+	if files(t, one) != files(t, many) {
+		t.Error("results differ between 1 and 8 cores")
+	}
+	for _, dir := range []string{one, many} {
+		if _, err := Summary(dir); err != nil {
+			t.Error(err)
+		}
+	}
+	made, err := Charts(one, 0, "g")
+	if err != nil || len(made) != 3 {
+		t.Fatalf("charts %v, %v", made, err)
+	}
+	for _, m := range made {
+		if b, err := os.ReadFile(m); err != nil || !bytes.HasPrefix(b, []byte("\x89PNG")) || len(b) < 5000 {
+			t.Errorf("%s: %v, %d bytes", m, err, len(b))
+		}
+	}
+}
+
+// What is stopped keeps its rows and goes on from there; a torn line is dropped, nothing else.
+func TestStoppedAndTornResultsGoOn(t *testing.T) {
+	s := sheet(t, little)
+	dir, whole := t.TempDir(), t.TempDir()
+	if err := fill(t, context.Background(), whole, s, 4, func(Day) {}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n := 0
+	if err := fill(t, ctx, dir, s, 1, func(Day) {
+		if n++; n == 3 {
+			stop()
+		}
+	}); err != context.Canceled {
+		t.Fatalf("stopped with %v", err)
+	}
+	if _, rows, err := Load(dir); err != nil || len(rows) != 3 {
+		t.Fatalf("%d rows after the stop, %v", len(rows), err)
+	}
+	for _, name := range []string{rowsFile, daysFile} { // the last line of each is torn
+		place := filepath.Join(dir, name)
+		st, err := os.Stat(place)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Truncate(place, st.Size()-7); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, rows, err := Load(dir); err != nil || len(rows) != 2 {
+		t.Fatalf("%d rows can be read beside a torn one, %v", len(rows), err)
+	}
+	if err := fill(t, context.Background(), dir, s, 2, func(Day) {}); err != nil {
+		t.Fatal(err)
+	}
+	if files(t, dir) != files(t, whole) {
+		t.Error("what went on differs from what was never stopped")
+	}
+}
+
+func TestFoldersOfOthersAreRefused(t *testing.T) {
+	dir := t.TempDir()
+	f, err := Open(dir, sheet(t, little))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Close()
+	if _, err := Open(dir, sheet(t, little, "drawn=0,1")); err == nil || !strings.Contains(err.Error(), "another experiment") {
+		t.Errorf("another experiment's folder: %v", err)
+	}
+	other := t.TempDir()
+	if err := os.WriteFile(filepath.Join(other, "letter.txt"), nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(other, sheet(t, little)); err == nil || !strings.Contains(err.Error(), "is not empty") {
+		t.Errorf("somebody's folder: %v", err)
+	}
+}
+
+// A disk that is full ends the writing with the file's name; what was written before stays whole.
+func TestFullDisk(t *testing.T) {
+	if _, err := os.Stat("/dev/full"); err != nil {
+		t.Skip("no /dev/full here")
+	}
+	s := sheet(t, little)
+	dir := t.TempDir()
+	f, err := Open(dir, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	n := 0
+	err = f.Fill(context.Background(), 2, func(Day) {
+		if n++; n == 2 {
+			f.days.Close()
+			if f.days, err = os.OpenFile("/dev/full", os.O_WRONLY, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+	if err == nil || !strings.Contains(err.Error(), "no space left") || !strings.Contains(err.Error(), "full") {
+		t.Errorf("a full disk: %v", err)
+	}
+	if _, rows, err := Load(dir); err != nil || len(rows) != 2 {
+		t.Errorf("%d rows, %v", len(rows), err)
+	}
+}
+
+func TestCompare(t *testing.T) {
+	row := func(seed uint64, policy string, g float64) Row {
+		return Row{Seed: seed, Policy: policy, Values: map[string]float64{"g": g, "operations": 5}, Text: map[string]string{"plan": ""}}
+	}
+	var better, same []Row
+	for i := range uint64(8) {
+		noise := float64(i*7%5) / 100
+		better = append(better, row(i, "a", 0.8+noise), row(i, "b", 0.7+noise+float64(i%2)/100))
+		same = append(same, row(i, "a", 0.7+float64(i%2)/10), row(i, "b", 0.7+float64((i+1)%2)/10))
+	}
+	d, err := Compare(Side{better, "a"}, Side{better, "b"}, "g")
+	if err != nil || !d[0].Shown() || d[0].Pairs != 8 || !strings.Contains(d[0].String(), "A is higher") {
+		t.Errorf("%v, %v", d, err)
+	}
+	if d, err = Compare(Side{same, "a"}, Side{same, "b"}, "g"); err != nil || d[0].Shown() || !strings.Contains(d[0].String(), "no difference shown") {
+		t.Errorf("%v, %v", d, err)
+	}
+	if d, err = Compare(Side{same[:1], "a"}, Side{same[1:2], "b"}, "g"); err != nil || d[0].Shown() {
+		t.Errorf("one pair shows nothing, but: %v, %v", d, err)
+	}
+	if _, err = Compare(Side{same, "a"}, Side{same, "c"}, "g"); err == nil {
+		t.Error("no pair, no error")
+	}
+	if _, err = Compare(Side{same, "a"}, Side{same, "b"}, "joy"); err == nil || !strings.Contains(err.Error(), "joy") {
+		t.Errorf("an unknown figure: %v", err)
+	}
+	same[1].Text = map[string]string{"plan": "another"}
+	if _, err = Compare(Side{same, "a"}, Side{same, "b"}, "g"); err == nil || !strings.Contains(err.Error(), "not the same day") {
+		t.Errorf("two days: %v", err)
+	}
+}
+
+// A search has to find a weakness that is there, and shrinking has to leave only that.
+func TestSearchAndShrink(t *testing.T) {
+	s := sheet(t, strings.Replace(little, `["module", "two"]`, `["random"]`, 1)+"\n")
+	s.Cells[0].Plan, s.Cells[0].Drawn = nil, 2
+	var first []Found
+	for _, cores := range []int{1, 6} {
+		best, err := s.Search(context.Background(), "random", 3, 24, cores, func(int, Found) {})
+		if err != nil || len(best) == 0 {
+			t.Fatal(err)
+		}
+		if first == nil {
+			first = best
+		}
+		if best[0].Loss != first[0].Loss || best[0].Seed != first[0].Seed {
+			t.Errorf("%d cores found %v, one found %v", cores, best[0], first[0])
+		}
+	}
+	worst := first[0]
+	if worst.Loss <= 0.05 {
+		t.Fatalf("random choice loses %v against the top: nothing was found", worst.Loss)
+	}
+	small, err := Shrink(context.Background(), worst, 0.7, 4, func(Found) {})
+	if err != nil || small.Loss < 0.7*worst.Loss {
+		t.Fatalf("%v, %v", small, err)
+	}
+	if len(small.Plan) > len(worst.Plan) || small.World.Instances > worst.World.Instances || len(small.World.Verbs) >= len(worst.World.Verbs) {
+		t.Errorf("not cut down: %v of %v", small, worst)
+	}
+	text, err := small.Sheet("small")
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := sheet(t, string(text))
+	d, err := again.Play(Run{Policy: "random", Seed: again.Seeds[0]})
+	if err != nil || d.Account.G(false) != small.G {
+		t.Errorf("as a file the day has G %v, found with %v, %v", d.Account.G(false), small.G, err)
+	}
+}
--- /dev/null
+++ b/internal/lab/runs.go
@@ -0,0 +1,185 @@
+// This file owns the runs side by side: which are due, and that their rows come in one order on any number of cores.
+
+package lab
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+
+	"sandpass/internal/baseline"
+	"sandpass/internal/emulator"
+	"sandpass/internal/faults"
+	"sandpass/internal/judge"
+)
+
+// Run is one day of an experiment.
+type Run struct {
+	Number int
+	Cell   int
+	Policy string
+	Seed   uint64
+}
+
+// Day is what came of it.
+type Day struct {
+	Run
+	Plan    faults.Plan
+	Account *judge.Account
+	Events  uint64
+}
+
+// Runs are all days of an experiment, in the order of their rows.
+func (s *Sheet) Runs() []Run {
+	var all []Run
+	for c := range s.Cells {
+		for _, seed := range s.Seeds {
+			for _, p := range s.Policies {
+				all = append(all, Run{len(all), c, p, seed})
+			}
+		}
+	}
+	return all
+}
+
+// Play plays one.
+func (s *Sheet) Play(r Run) (Day, error) {
+	m, err := baseline.Maker(r.Policy)
+	if err != nil {
+		return Day{}, err
+	}
+	c := &s.Cells[r.Cell]
+	plan := c.PlanFor(r.Seed)
+	a, events := emulator.Run(c.World, plan, m, r.Seed)
+	return Day{r, plan, a, events}, nil
+}
+
+// Each plays the runs side by side on so many cores (0: all) and hands each day over in the order of the runs, one at a
+// time. When the context ends, what is being played is finished and handed over, and ctx.Err is given.
+func (s *Sheet) Each(ctx context.Context, runs []Run, cores int, done func(Day) error) error {
+	if cores <= 0 {
+		cores = runtime.GOMAXPROCS(0)
+	}
+	var (
+		mu      sync.Mutex
+		next    int
+		ready   = map[int]Day{}
+		handed  int
+		failure error
+		wait    sync.WaitGroup
+	)
+	deliver := func(i int, d Day) {
+		mu.Lock()
+		defer mu.Unlock()
+		ready[i] = d
+		for failure == nil {
+			d, ok := ready[handed]
+			if !ok {
+				return
+			}
+			delete(ready, handed)
+			handed++
+			failure = done(d)
+		}
+	}
+	for range min(cores, len(runs)) {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for {
+				mu.Lock()
+				i, stop := next, failure != nil || ctx.Err() != nil || next >= len(runs)
+				next++
+				mu.Unlock()
+				if stop {
+					return
+				}
+				d, err := s.Play(runs[i])
+				if err != nil {
+					mu.Lock()
+					failure = err
+					mu.Unlock()
+					return
+				}
+				deliver(i, d)
+			}
+		}()
+	}
+	wait.Wait()
+	if failure != nil {
+		return failure
+	}
+	return ctx.Err()
+}
+
+// figures are the columns of a row that can be compared and charted.
+var figures = []struct {
+	name  string
+	about string
+	of    func(d *Day) float64
+}{
+	{"g", "worth served less prices, over worth asked; 0 where a rule broke", func(d *Day) float64 { return d.Account.G(true) }},
+	{"served", "worth served over worth asked", func(d *Day) float64 { return d.Account.Served / max(d.Account.Asked, 1e-9) }},
+	{"worst10", "the same in the worst ten seconds", func(d *Day) float64 { return d.Account.Worst() }},
+	{"worst_customer", "the same of the customer that fared worst", func(d *Day) float64 { return d.Account.WorstCustomer() }},
+	{"prices", "prices over worth asked", func(d *Day) float64 { return d.Account.Prices / max(d.Account.Asked, 1e-9) }},
+	{"operations", "asked for", func(d *Day) float64 { return float64(d.Account.Ops) }},
+	{"answered", "of them", func(d *Day) float64 { return float64(d.Account.Answered) }},
+	{"relays", "sent", func(d *Day) float64 { return float64(d.Account.Relays) }},
+	{"further", "relays beyond the first of a command", func(d *Day) float64 { return float64(d.Account.Copies) }},
+	{"messages", "between siblings", func(d *Day) float64 { return float64(d.Account.Messages) }},
+	{"p50", "seconds, answered", func(d *Day) float64 { return d.Account.Quantile(0.5) }},
+	{"p99", "seconds, answered", func(d *Day) float64 { return d.Account.Quantile(0.99) }},
+	{"p999", "seconds, answered", func(d *Day) float64 { return d.Account.Quantile(0.999) }},
+	{"rule1", "broken", func(d *Day) float64 { return float64(d.Account.Rules[1]) }},
+	{"rule2", "broken", func(d *Day) float64 { return float64(d.Account.Rules[2]) }},
+	{"rule3", "broken", func(d *Day) float64 { return float64(d.Account.Rules[3]) }},
+	{"rule4", "broken", func(d *Day) float64 { return float64(d.Account.Rules[4]) }},
+	{"events", "of the world", func(d *Day) float64 { return float64(d.Events) }},
+}
+
+// Figures names what can be compared and charted.
+func Figures() []string {
+	var all []string
+	for _, f := range figures {
+		all = append(all, f.name)
+	}
+	return all
+}
+
+// header is the first line of the table.
+func (s *Sheet) header() []string {
+	all := []string{"run"}
+	for _, a := range s.Grid {
+		all = append(all, a.Path)
+	}
+	all = append(all, "policy", "seed")
+	all = append(all, Figures()...)
+	return append(all, "losses", "first_broken", "plan")
+}
+
+// row is a day's line. Losses are the three largest, as a part of the worth asked for.
+func (s *Sheet) row(d *Day) []string {
+	all := []string{strconv.Itoa(d.Number)}
+	all = append(all, s.Cells[d.Cell].Values...)
+	all = append(all, d.Policy, strconv.FormatUint(d.Seed, 10))
+	for _, f := range figures {
+		all = append(all, strconv.FormatFloat(f.of(d), 'g', 6, 64))
+	}
+	var losses []string
+	for _, l := range d.Account.Losses[:min(3, len(d.Account.Losses))] {
+		losses = append(losses, fmt.Sprintf("%s at %s of tier %d %.4f", l.How, l.Where, l.Tier, l.Worth/max(d.Account.Asked, 1e-9)))
+	}
+	broken := ""
+	if len(d.Account.Broken) > 0 {
+		broken = d.Account.Broken[0].String()
+	}
+	var plan []string
+	for _, f := range d.Plan {
+		plan = append(plan, f.String())
+	}
+	return append(all, strings.Join(losses, "; "), broken, strings.Join(plan, "; "))
+}
