The emulated world on real sockets: stand-ins, real proxies, open loop, and what one costs

Change: internal/rig plays a world on loopback in real time: backends that share their cores as the emulator's do, discovery by its protocol with an agent for each proxy, clients that send when a command is due (the very arrivals of the emulator), a sandpass process for each instance, the same judge fed by what is seen at the ends of the sockets. What loopback can't carry out is refused by name.

--- a/cmd/sandlab/main.go
+++ b/cmd/sandlab/main.go
@@ -21,9 +21,17 @@
 
 	"sandpass/internal/baseline"
 	"sandpass/internal/lab"
+	"sandpass/internal/rig"
 )
 
 func main() {
+	if was, err := rig.Here(); was { // a child of ours, to be the proxy
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "sandlab:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := root().ExecuteContext(ctx); err != nil {
@@ -34,7 +42,7 @@
 
 func root() *cobra.Command {
 	c := &cobra.Command{Use: "sandlab", Short: "plays experiments on an emulated world", SilenceUsage: true, SilenceErrors: true}
-	c.AddCommand(run(), sweep(), compare(), search(), shrink(), replay(), plotting(), policies())
+	c.AddCommand(run(), sweep(), compare(), search(), shrink(), replay(), plotting(), policies(), live(), load())
 	return c
 }
 
@@ -283,7 +291,7 @@
 			if err != nil {
 				return err
 			}
-			return lab.Tell(c.OutOrStdout(), d)
+			return lab.Tell(c.OutOrStdout(), d, "simulated")
 		}}
 	c.Flags().StringVar(&policy, "policy", "", "another than the file's first")
 	c.Flags().Uint64Var(&seed, "seed", 0, "another than the file's first")
@@ -315,3 +323,86 @@
 		}
 	}}
 }
+
+// proxy is the command that starts one: the program named, or this one as a child of itself.
+func proxy(program string) (command, env []string, own bool, err error) {
+	if program != "" {
+		return []string{program, "serve"}, nil, false, nil
+	}
+	me, err := os.Executable()
+	return []string{me}, []string{rig.HereEnv + "=1"}, true, err
+}
+
+func live() *cobra.Command {
+	var program string
+	var seed uint64
+	c := &cobra.Command{Use: "live DAY.toml", Short: "play one day on real sockets, in real time, with real proxies",
+		Long: "Starts backends, discovery and clients as stand-ins on loopback and a proxy process for each instance, plays the day\nin real time and tells what the judge found. A world of a few processes fits on one machine.",
+		Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			s, err := lab.Read(args[0], nil)
+			if err != nil {
+				return err
+			}
+			at := s.Seeds[0]
+			if c.Flags().Changed("seed") {
+				at = seed
+			}
+			command, env, _, err := proxy(program)
+			if err != nil {
+				return err
+			}
+			cell := s.Cells[0]
+			plan := cell.PlanFor(at)
+			r, err := rig.New(cell.World, plan, at, command, env)
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			out, err := r.Play(c.Context())
+			if err != nil {
+				return err
+			}
+			w := c.OutOrStdout()
+			fmt.Fprintf(w, "the rig itself was late by %.1f ms at most\n", 1000*out.Lateness)
+			d := lab.Day{Run: lab.Run{Policy: "sandpass", Seed: at}, Plan: plan, Account: out.Account}
+			if err := lab.Tell(w, d, "on real sockets"); err != nil {
+				return err
+			}
+			for i, cpu := range out.CPU {
+				fmt.Fprintf(w, "proxy %d: %.2f s of a core\n", i, cpu)
+			}
+			return nil
+		}}
+	c.Flags().StringVar(&program, "program", "", "the proxy's program, called as PROGRAM serve (this one)")
+	c.Flags().Uint64Var(&seed, "seed", 0, "another than the file's first")
+	return c
+}
+
+func load() *cobra.Command {
+	var programs []string
+	var connections, bodies []int
+	var seconds, rate float64
+	var times int
+	c := &cobra.Command{Use: "load", Short: "measure what one proxy on one core carries, and what it adds to a command",
+		Long: "Closed loop for commands a second and processor time, open loop for latency, which counts from when a command was due.\nEach line beside the same clients straight to the backends; medians of several times, with their spread.",
+		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+			if len(programs) == 0 {
+				programs = []string{""}
+			}
+			var loads []rig.Load
+			for _, p := range programs {
+				command, env, own, err := proxy(p)
+				if err != nil {
+					return err
+				}
+				loads = append(loads, rig.Load{Seconds: seconds, Rate: rate, Program: command, Env: env, Profile: own})
+			}
+			return rig.Table(c.Context(), c.OutOrStdout(), loads, programs, connections, bodies, times)
+		}}
+	c.Flags().StringArrayVar(&programs, "program", nil, "the proxy's program, called as PROGRAM serve (this one); several are measured in turn")
+	c.Flags().IntSliceVar(&connections, "connections", []int{1, 16, 64, 512}, "of the clients")
+	c.Flags().IntSliceVar(&bodies, "body", []int{0}, "bytes of each command's body and answer")
+	c.Flags().Float64Var(&seconds, "seconds", 3, "of each measure")
+	c.Flags().Float64Var(&rate, "rate", 0, "commands a second of the open loop (half of what the closed loop reached)")
+	c.Flags().IntVar(&times, "times", 3, "how often each is measured")
+	return c
+}
--- a/internal/emulator/backends.go
+++ b/internal/emulator/backends.go
@@ -41,6 +41,12 @@
 	pushed             float64
 }
 
+// warmKey is a key at a cell: its backends do less for what one of them met lately.
+type warmKey struct {
+	tier, cell int
+	key        uint64
+}
+
 type arrived struct{ at, work float64 }
 
 type jobs []*relay
@@ -263,6 +269,13 @@
 // begin takes a command into work. Work is cut evenly by the calls that it makes.
 func (d *Day) begin(b *backend, r *relay) {
 	r.began = d.now
+	if t := d.tierOf(b); t.KeySaves > 0 && r.key != 0 {
+		k := warmKey{b.tier, b.cell, r.key}
+		if met, ok := d.met[k]; ok && d.now < met+t.KeyLife {
+			r.work *= 1 - t.KeySaves
+		}
+		d.met[k] = d.now
+	}
 	d.goOn(b, r)
 }
 
@@ -278,25 +291,27 @@
 	d.retake(b)
 }
 
-// push counts the work that reaches a cold backend, and has it fall where that is too much.
+// push counts the work that reaches a cold backend, and has it fall where that is too much. Each command counts as the
+// mean of its verb: nobody can know that one is a hundred times as heavy, and one is no crowd.
 func (d *Day) push(b *backend, r *relay) {
 	warm, cold := d.warmth(b)
 	if !cold {
 		return
 	}
+	work := d.w.Verbs[r.verb].Work[b.tier]
 	rules, capacity := &d.w.Rules, d.tierOf(b).Cores*b.speed*warm
 	from := r.inst.serial
 	if r.to != b { // it named who was there before: nobody could know
 		from = -1
 	}
-	d.judge.Reached(d.now, b.serial, from, r.work, capacity, b.started)
-	b.recent = append(b.recent, arrived{d.now, r.work})
-	b.pushed += r.work
+	d.judge.Reached(d.now, b.serial, from, work, capacity, b.started)
+	b.recent = append(b.recent, arrived{d.now, work})
+	b.pushed += work
 	for b.recent[0].at < d.now-rules.ColdWindow {
 		b.pushed -= b.recent[0].work
 		b.recent = b.recent[1:]
 	}
-	if b.pushed > rules.ColdMultiple*capacity*rules.ColdWindow+3*d.w.Verbs[r.verb].mean(b.tier) {
+	if b.pushed > rules.ColdMultiple*capacity*rules.ColdWindow+pushSlack*work {
 		d.die(b, false)
 		d.later(d.now+detect, func() { d.announceGone(b) })
 	}
--- a/internal/emulator/clients.go
+++ b/internal/emulator/clients.go
@@ -35,7 +35,7 @@
 	id, seed, key  uint64
 	verb, customer int
 	zone           int
-	due            float64
+	due, leaves    float64
 	worth          float64
 	counts         bool // it came after the warm-up
 	done           bool
@@ -184,8 +184,9 @@
 		}
 	}
 	if draw(o.seed, 15) < early {
+		o.leaves = at + (0.1+0.9*draw(o.seed, 16))*d.w.Verbs[o.verb].Goal
 		o.holds++
-		d.queue.push(onGiveUp, event{at: at + (0.1+0.9*draw(o.seed, 16))*d.w.Verbs[o.verb].Goal, o: o, a: 1})
+		d.queue.push(onGiveUp, event{at: o.leaves, o: o, a: 1})
 	}
 	d.drop(o)
 }
@@ -367,3 +368,40 @@
 		d.judge.Lost(o.loss, o.worth)
 	}
 }
+
+// Arrival is one operation as its client wants it, for a world that is played elsewhere.
+type Arrival struct {
+	Due            float64
+	Zone           int
+	Verb, Customer int
+	Seed, Key      uint64
+	Worth          float64
+	Counts         bool    // it comes after the warm-up
+	Leaves         float64 // when its client leaves early, 0 if it does not
+}
+
+// Arrivals are all operations of a day in the order in which they are due: the very ones that Run plays.
+func Arrivals(w World, plan faults.Plan, seed uint64) []Arrival {
+	d := &Day{w: w, plan: plan, seed: seed, active: make([]bool, len(plan)), judge: judge.New(judge.Terms{Length: w.Length})}
+	for i, f := range plan {
+		d.queue.push(onFault, event{at: f.From, n: uint64(i), a: 1})
+		d.queue.push(onFault, event{at: f.From + f.For, n: uint64(i)})
+	}
+	d.openDoors()
+	var all []Arrival
+	for len(d.queue.all) > 0 {
+		e := d.queue.pop()
+		d.now = e.at
+		switch e.kind() {
+		case onFault:
+			d.active[e.n] = e.a == 1
+		case onArrival:
+			d.arrival(int(e.n))
+		case onTry:
+			o := e.o
+			all = append(all, Arrival{Due: o.due, Zone: o.zone, Verb: o.verb, Customer: o.customer, Seed: o.seed, Key: o.key,
+				Worth: o.worth, Counts: o.counts, Leaves: o.leaves})
+		}
+	}
+	return all
+}
--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -15,12 +15,12 @@
 )
 
 const (
-	detect  = 1.5  // seconds until discovery says that a backend that died is gone
-	refresh = 0.1  // seconds after which a rate that changes by itself is taken anew
-	tail    = 2.0  // seconds that a day is played beyond the last limit
-	silence = 1.0  // seconds after which a call to a silent discovery fails
-	queued  = 2.0  // seconds of queue at discovery from which a call fails
-	note    = 0.02 // seconds that a message between siblings takes at most on top of the way, by chance
+	detect    = 1.5 // seconds until discovery says that a backend that died is gone
+	refresh   = 0.1 // seconds after which a rate that changes by itself is taken anew
+	tail      = 2.0 // seconds that a day is played beyond the last limit
+	silence   = 1.0 // seconds after which a call to a silent discovery fails
+	queued    = 2.0 // seconds of queue at discovery from which a call fails
+	pushSlack = 3.0 // mean commands over its budget that a cold backend bears
 )
 
 // Policy is what an instance goes by: the module itself, or something to compare it with.
@@ -82,7 +82,8 @@
 	targets  [][]*backend // of each fault
 	active   []bool
 	lost     []*relay
-	busyList float64 // until when discovery has calls to answer
+	met      map[warmKey]float64 // keys that cells met, and when
+	busyList float64             // until when discovery has calls to answer
 
 	netChance, worldChance, clientChance, listChance, lifeChance *rand.Rand
 	arrivals                                                     []*rand.Rand
@@ -105,7 +106,7 @@
 
 // New makes a day ready to play.
 func New(w World, plan faults.Plan, maker Maker, seed uint64) *Day {
-	d := &Day{w: w, plan: plan, maker: maker, seed: seed, backends: []*backend{nil},
+	d := &Day{met: map[warmKey]float64{}, w: w, plan: plan, maker: maker, seed: seed, backends: []*backend{nil},
 		targets: make([][]*backend, len(plan)), active: make([]bool, len(plan))}
 	d.netChance, d.worldChance = d.stream("net", 0), d.stream("world", 0)
 	d.clientChance, d.listChance, d.lifeChance = d.stream("clients", 0), d.stream("list", 0), d.stream("life", 0)
@@ -235,8 +236,8 @@
 	d.queue.push(onLife, event{at: at, n: uint64(len(d.todo) - 1)})
 }
 
-// mix stirs two numbers into one that looks drawn.
-func mix(a, b uint64) uint64 {
+// Mix stirs two numbers into one that looks drawn.
+func Mix(a, b uint64) uint64 {
 	x := a ^ (b+0x9e3779b97f4a7c15)*0xbf58476d1ce4e5b9
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
@@ -244,11 +245,11 @@
 }
 
 // draw is a number in [0, 1) that belongs to a command, the same whoever carries it.
-func draw(seed, n uint64) float64 { return float64(mix(seed, n)>>11) / (1 << 53) }
+func draw(seed, n uint64) float64 { return float64(Mix(seed, n)>>11) / (1 << 53) }
 
-// workOf is what a command of the verb costs at a tier: lognormal, and the command's own.
-func (d *Day) workOf(seed uint64, verb, tier int) float64 {
-	v := &d.w.Verbs[verb]
+// Work is what a command of the verb costs at a tier, in seconds of a core of speed 1: lognormal, and drawn from the
+// command's own seed, so that it is the same whoever carries it.
+func Work(v *Verb, seed uint64, tier int) float64 {
 	if v.Spread == 0 {
 		return v.Work[tier]
 	}
@@ -258,6 +259,9 @@
 	return v.Work[tier] * math.Exp(math.Sqrt(s2)*z-s2/2)
 }
 
+// Meaning is a verb's effect and scope as the module and the judge know them.
+func Meaning(v *Verb) (balance.Effect, balance.Scope) { return effects[v.Effect], scopes[v.Scope] }
+
 // String names a day for a message.
 func (d *Day) String() string {
 	return fmt.Sprintf("seed %d, %d faults, %.3f s", d.seed, len(d.plan), d.now)
--- a/internal/emulator/instances.go
+++ b/internal/emulator/instances.go
@@ -45,7 +45,7 @@
 	x := &instance{d: d, serial: len(d.instances), tier: tier, me: me, zone: zone, weight: 1, alive: true, watching: true}
 	d.instances = append(d.instances, x)
 	d.places[tier][me] = x
-	x.policy = d.maker(x, x, mix(d.seed, uint64(x.serial)), d.now)
+	x.policy = d.maker(x, x, Mix(d.seed, uint64(x.serial)), d.now)
 	var customers []balance.Customer
 	if tier == 0 {
 		rate := d.w.CommandRate()
@@ -153,7 +153,7 @@
 func (d *Day) call(b *backend, r *relay) {
 	c := d.newCommand(b.own)
 	c.verb, c.parent, c.opID = r.verb, r, c.id
-	c.seed, c.key, c.expires = mix(r.seed, uint64(r.calls)), r.key, r.expires
+	c.seed, c.key, c.expires = Mix(r.seed, uint64(r.calls)), r.key, r.expires
 	r.holds++
 	r.callID = c.id
 	d.take(c)
@@ -302,7 +302,7 @@
 	d.opsMade++
 	r.holds, r.serial, r.command, r.n, r.inst, r.to = 1, d.opsMade, id, len(c.relays), x, b
 	r.op, r.seed, r.verb, r.sent, r.key, r.expires = c.opID, c.seed, c.verb, d.now, c.key, c.expires
-	r.work = d.workOf(c.seed, c.verb, x.tier)
+	r.work = Work(&d.w.Verbs[c.verb], c.seed, x.tier)
 	c.relays = append(c.relays, r)
 	c.out++
 	if c.done || len(c.relays) > d.w.Rules.Relays || d.now >= c.expires {
--- /dev/null
+++ b/internal/emulator/work_test.go
@@ -0,0 +1,23 @@
+package emulator
+
+import (
+	"math"
+	"testing"
+)
+
+// Work is drawn from a command's seed alone; a poor draw would skew every day.
+func TestWorkHasItsMeanAndSpread(t *testing.T) {
+	w := Default()
+	for v := range w.Verbs {
+		n, sum, squares, most := 400000, 0.0, 0.0, 0.0
+		for i := range n {
+			x := Work(&w.Verbs[v], Mix(9, uint64(i)), 0) / w.Verbs[v].Work[0]
+			sum, squares, most = sum+x, squares+x*x, max(most, x)
+		}
+		mean := sum / float64(n)
+		cv := math.Sqrt(squares/float64(n)-mean*mean) / mean
+		if math.Abs(mean-1) > 0.02 || math.Abs(cv/w.Verbs[v].Spread-1) > 0.1 || most > 120 {
+			t.Errorf("verb %d: mean %.3f of 1, spread %.3f of %.3f, most %.1f", v, mean, cv, w.Verbs[v].Spread, most)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rig/books.go
@@ -0,0 +1,127 @@
+// This file owns what the stand-ins tell the judge: facts as they are seen at the ends of the sockets. It must never
+// take a proxy's word for anything.
+
+package rig
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"sandpass/internal/emulator"
+	"sandpass/internal/judge"
+)
+
+type record struct {
+	seed     uint64
+	verb     int
+	instance int
+	op       uint64
+	relays   int
+	ended    float64 // when its client had the answer, 0 before
+}
+
+const crossing = 0.05 // seconds after a command's end in which a copy that was sent before may still arrive
+
+// books are the judge's, behind a lock. A command's record stays: a backend may run it long after its end.
+type books struct {
+	mu    sync.Mutex
+	judge *judge.Judge
+	world *emulator.World
+	start time.Time
+	all   map[uint64]*record
+}
+
+func (b *books) now() float64 { return time.Since(b.start).Seconds() }
+
+// taken is told before the first byte of a command leaves its client.
+func (b *books) taken(id uint64, r record, limit float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.all[id] = &r
+	e, s := ranAs(&b.world.Verbs[r.verb])
+	b.judge.Taken(b.now(), judge.Command{ID: id, Op: r.op, Instance: r.instance, Expires: b.now() + limit, Effect: e, Scope: s,
+		Window: b.world.Verbs[r.verb].Window})
+}
+
+// reached is told when a backend has a command whole; a command that no client sent is not known.
+func (b *books) reached(x *backend, id uint64, verb int) (relay int, known bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.all[id]
+	if r == nil {
+		return 0, false
+	}
+	if r.ended > 0 && b.now() < r.ended+crossing {
+		return -1, true
+	}
+	relay = r.relays
+	r.relays++
+	b.judge.Sent(b.now(), id, x.serial, x.zone, x.cell, false)
+	if warm := x.machine.warmth(time.Now()); warm < 1 {
+		b.judge.Reached(b.now(), x.serial, r.instance, b.world.Verbs[verb].Work[x.tier], x.machine.cores*x.machine.speed*warm,
+			x.started.Sub(b.start).Seconds())
+	}
+	return relay, true
+}
+
+// told is how a relay ended, before the proxy can know.
+func (b *books) told(id uint64, relay int, never bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if relay >= 0 {
+		b.judge.Told(id, relay, never)
+	}
+}
+
+func (b *books) ran(x *backend, id uint64, verb int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, s := ranAs(&b.world.Verbs[verb])
+	b.judge.Ran(b.now(), b.all[id].op, e, s, b.world.Verbs[verb].Window, x.zone, x.cell)
+}
+
+func (b *books) ended(id uint64, result result, made bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.all[id].ended = b.now()
+	switch result {
+	case served, declinedThat, failed:
+		b.judge.Ended(b.now(), id, result == declinedThat, result == served, made)
+	case broken, left, unreached:
+		b.judge.Departed(id) // its instance is gone, or its client is
+	}
+}
+
+func (b *books) listed(instance int, x *backend, ready bool, started time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at := 0.0
+	if !started.IsZero() {
+		at = started.Sub(b.start).Seconds()
+	}
+	b.judge.Listed(b.now(), instance, x.serial, ready, at)
+}
+
+func (b *books) killed(instance int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.judge.Killed(instance)
+}
+
+func (b *books) client(what func(j *judge.Judge)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	what(b.judge)
+}
+
+// answer is the body that only a backend which has run the command makes.
+func (b *books) answer(id uint64) string {
+	return fmt.Sprintf("made %016x", emulator.Mix(id, 0x616e73))
+}
+
+func (b *books) seed(id uint64) uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.all[id].seed
+}
--- /dev/null
+++ b/internal/rig/rig.go
@@ -0,0 +1,469 @@
+// This file owns a live day: what is started for it, when troubles come and go, and that all is ended. It must never
+// leave a process, a listener or a file behind.
+
+package rig
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sandpass/internal/emulator"
+	"sandpass/internal/faults"
+	"sandpass/internal/judge"
+)
+
+const (
+	endWithin = 5 * time.Second // for a planned end of a proxy
+	rampStep  = 250 * time.Millisecond
+	detect    = 1.5 // seconds until discovery says that a backend that died is gone
+)
+
+// can are the faults that sockets on loopback can carry out.
+var can = map[faults.Kind]bool{
+	faults.Crash: true, faults.Hang: true, faults.Slow: true, faults.Flicker: true, faults.Errors: true, faults.Refuse: true,
+	faults.Deaf: true, faults.Spoil: true, faults.Reset: true, faults.Roll: true, faults.Zone: true, faults.Silent: true,
+	faults.Kill: true, faults.Restart: true, faults.Burst: true, faults.Flood: true, faults.Shift: true, faults.Rude: true, faults.Storm: true,
+}
+
+// Rig is one live day. Make it with New.
+type Rig struct {
+	world    emulator.World
+	plan     faults.Plan
+	seed     uint64
+	program  []string
+	env      []string
+	dir      string
+	books    *books
+	lists    []*tierList
+	start    time.Time
+	over     chan struct{}
+	ids      atomic.Uint64
+	busy     sync.WaitGroup
+	troubles sync.WaitGroup
+
+	mu        sync.Mutex
+	tiers     [][]*backend
+	all       []*backend
+	fronts    []*process
+	running   []*process
+	processes int
+	serial    int
+	active    []bool
+	targets   [][]*backend
+	lateness  float64 // seconds by which the latest command was sent after it was due
+	failure   error
+	quiet     bool // no judge: what is listed and killed is nobody's affair
+}
+
+// Outcome is what came of a live day.
+type Outcome struct {
+	Account  *judge.Account
+	Lateness float64   // seconds, the most by which a command was sent after it was due: the rig's own fault
+	CPU      []float64 // seconds of a core, of each first-tier proxy that ran to the end
+}
+
+// New takes a world and a plan that were checked, and the command that starts one proxy (with further environment).
+func New(w emulator.World, plan faults.Plan, seed uint64, program, env []string) (*Rig, error) {
+	for i, f := range plan {
+		if !can[f.Kind] {
+			return nil, fmt.Errorf("fault[%d] (%s): sockets on loopback can't carry this out; the emulator can", i, f.Kind)
+		}
+	}
+	if w.Rules.Peers {
+		return nil, fmt.Errorf("world.rules.peers: messages between siblings are not played on sockets")
+	}
+	return &Rig{world: w, plan: plan, seed: seed, program: program, env: env, over: make(chan struct{}),
+		active: make([]bool, len(plan)), targets: make([][]*backend, len(plan))}, nil
+}
+
+func (r *Rig) at(t float64) time.Time { return r.start.Add(time.Duration(t * float64(time.Second))) }
+
+func (r *Rig) verbOf(path string) int {
+	for i, v := range r.world.Verbs {
+		if path == "/"+v.Name {
+			return i
+		}
+	}
+	return -1
+}
+
+// hard is how hard a kind of trouble is just now, 0 while none is in force.
+func (r *Rig) hard(k faults.Kind) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	most := 0.0
+	for i, f := range r.plan {
+		if r.active[i] && f.Kind == k {
+			most = max(most, f.At(time.Since(r.start).Seconds()))
+		}
+	}
+	return most
+}
+
+// Play starts all, plays the day and ends all.
+func (r *Rig) Play(ctx context.Context) (out Outcome, err error) {
+	if r.dir, err = os.MkdirTemp("", "sandlab-"); err != nil {
+		return out, err
+	}
+	defer os.RemoveAll(r.dir)
+	w := &r.world
+	r.books = &books{world: w, start: time.Now(), all: map[uint64]*record{}, judge: judge.New(judge.Terms{Slack: 0.05 + w.Rules.Slack,
+		Grace: w.Rules.Grace, Multiple: w.Rules.ColdMultiple, Window: w.Rules.ColdWindow, Copies: w.Rules.Copies, Relay: w.Prices.Relay,
+		LateNo: w.Prices.LateNo, Length: w.Length, Customers: len(w.Customers)})}
+	defer r.end()
+	if err := r.build(); err != nil {
+		return out, err
+	}
+	arrivals := emulator.Arrivals(*w, r.plan, r.seed)
+	r.start = time.Now()
+	r.books.mu.Lock()
+	r.books.start = r.start
+	r.books.mu.Unlock()
+	for i := range r.plan {
+		r.troubles.Add(1)
+		go r.trouble(ctx, i)
+	}
+	for _, a := range arrivals {
+		select {
+		case <-time.After(time.Until(r.at(a.Due))):
+		case <-ctx.Done():
+			return out, ctx.Err()
+		}
+		r.lateness = max(r.lateness, time.Since(r.at(a.Due)).Seconds())
+		if a.Counts {
+			r.books.client(func(j *judge.Judge) { j.Asked(a.Due, a.Customer, a.Worth) })
+		}
+		r.busy.Add(1)
+		go r.operation(a)
+	}
+	r.busy.Wait()
+	r.troubles.Wait()
+	if r.failure != nil {
+		return out, r.failure
+	}
+	// The books are closed before proxies end: what one still owes then is not forgiven.
+	r.books.mu.Lock()
+	out.Account, out.Lateness = r.books.judge.Close(r.books.now()), r.lateness
+	r.books.mu.Unlock()
+	for _, p := range r.fronts {
+		if p != nil {
+			p.stop(endWithin)
+			out.CPU = append(out.CPU, p.cpu())
+		}
+	}
+	return out, nil
+}
+
+// build starts backends and proxies, the last tier first.
+func (r *Rig) build() error {
+	w := &r.world
+	for range w.Tiers {
+		r.lists = append(r.lists, newTierList())
+		r.tiers = append(r.tiers, nil)
+	}
+	for k := len(w.Tiers) - 1; k >= 0; k-- {
+		t := &w.Tiers[k]
+		deal := rand.New(rand.NewPCG(r.seed, uint64(k))).Perm(t.Backends)
+		for i := range t.Backends {
+			if err := r.place(k, i, t.Speeds[deal[i]%len(t.Speeds)], time.Time{}); err != nil {
+				return err
+			}
+		}
+	}
+	skew := rand.New(rand.NewPCG(r.seed, 77))
+	for i := range w.Instances {
+		p, err := r.startProcess(0, i, i%w.Zones, w.Instances, "")
+		if err != nil {
+			return err
+		}
+		p.weight = math.Exp(w.Skew * skew.NormFloat64())
+		r.mu.Lock()
+		r.fronts, r.running = append(r.fronts, p), append(r.running, p)
+		r.mu.Unlock()
+	}
+	return nil
+}
+
+// place starts a backend, with its proxy to the next tier, and lists it.
+func (r *Rig) place(tier, at int, speed float64, started time.Time) error {
+	r.mu.Lock()
+	b, err := r.startBackend(tier, at, speed, nil, started)
+	if err != nil {
+		r.mu.Unlock()
+		return err
+	}
+	r.all = append(r.all, b)
+	if at < len(r.tiers[tier]) {
+		r.tiers[tier][at] = b
+	} else {
+		r.tiers[tier] = append(r.tiers[tier], b)
+	}
+	r.mu.Unlock()
+	if tier+1 < len(r.world.Tiers) {
+		p, err := r.startProcess(tier+1, at, b.zone, r.world.Tiers[tier].Backends, "")
+		if err != nil {
+			b.stop()
+			return err
+		}
+		b.own, b.pool = p, p.pool
+		r.mu.Lock()
+		r.running = append(r.running, p)
+		r.mu.Unlock()
+	}
+	r.lists[tier].add(b, "ready")
+	return nil
+}
+
+// end ends all that was started.
+func (r *Rig) end() {
+	close(r.over)
+	r.mu.Lock()
+	all, running := r.all, r.running
+	r.mu.Unlock()
+	for _, p := range running {
+		p.kill()
+		p.pool.close()
+	}
+	for _, b := range all {
+		b.stop()
+	}
+}
+
+// trouble carries one fault out.
+func (r *Rig) trouble(ctx context.Context, n int) {
+	defer r.troubles.Done()
+	f := r.plan[n]
+	wait := func(t float64) bool {
+		select {
+		case <-time.After(time.Until(r.at(t))):
+			return true
+		case <-ctx.Done():
+		case <-r.over:
+		}
+		return false
+	}
+	if !wait(f.From) {
+		return
+	}
+	r.mu.Lock()
+	r.active[n] = true
+	r.targets[n] = r.hit(f)
+	hit := r.targets[n]
+	r.mu.Unlock()
+	end := f.From + f.For
+	defer func() {
+		r.mu.Lock()
+		r.active[n] = false
+		r.mu.Unlock()
+		r.burdenAll()
+	}()
+	r.burdenAll()
+	switch f.Kind {
+	case faults.Crash, faults.Zone:
+		for _, b := range hit {
+			b.stop()
+		}
+		if wait(min(end, f.From+detect)) {
+			for _, b := range hit {
+				r.lists[b.tier].add(b, "gone")
+			}
+		}
+		if wait(end) {
+			for _, b := range hit {
+				r.again(b)
+			}
+		}
+	case faults.Roll:
+		for i, b := range hit {
+			if !wait(f.From + f.For*float64(i)/float64(len(hit))) {
+				return
+			}
+			r.troubles.Add(1)
+			go func() {
+				defer r.troubles.Done()
+				r.lists[b.tier].add(b, "draining")
+				if !wait(time.Since(r.start).Seconds() + r.world.Rules.Drain) {
+					return
+				}
+				b.stop()
+				r.lists[b.tier].add(b, "gone")
+				if err := r.place(b.tier, b.place, b.machine.speed, time.Now()); err != nil {
+					r.fail(err)
+				}
+			}()
+		}
+	case faults.Silent:
+		for _, l := range r.lists {
+			l.hush(true)
+		}
+		wait(end)
+		for _, l := range r.lists {
+			l.hush(false)
+		}
+	case faults.Kill, faults.Restart:
+		r.turnOver(f, wait)
+	default:
+		step := rampStep
+		if !f.Ramps() && f.Kind != faults.Flicker {
+			wait(end)
+			return
+		}
+		for time.Now().Before(r.at(end)) {
+			if !wait(time.Since(r.start).Seconds() + step.Seconds()) {
+				return
+			}
+			r.burdenAll()
+		}
+	}
+}
+
+func (r *Rig) fail(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failure == nil {
+		r.failure = err
+	}
+}
+
+// hit draws a share of the tier's backends, at least one; r.mu is held.
+func (r *Rig) hit(f faults.Fault) []*backend {
+	var all []*backend
+	for _, b := range r.tiers[f.Tier] {
+		if f.Zone < 0 || b.zone == f.Zone {
+			all = append(all, b)
+		}
+	}
+	if f.Kind == faults.Zone {
+		return all
+	}
+	chance := rand.New(rand.NewPCG(f.Seed, uint64(len(f.Kind))))
+	chance.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(len(all), max(1, int(math.Round(f.Share*float64(len(all))))))]
+}
+
+// again starts a backend's process anew at its address, cold, under its name.
+func (r *Rig) again(old *backend) {
+	r.mu.Lock()
+	b, err := r.startBackend(old.tier, old.place, old.machine.speed, old, time.Now())
+	if err == nil {
+		r.all = append(r.all, b)
+		r.tiers[b.tier][b.place] = b
+	}
+	r.mu.Unlock()
+	if err == nil && b.tier+1 < len(r.world.Tiers) {
+		if b.own, err = r.startProcess(b.tier+1, b.place, b.zone, r.world.Tiers[b.tier].Backends, ""); err == nil {
+			b.pool = b.own.pool
+			r.mu.Lock()
+			r.running = append(r.running, b.own)
+			r.mu.Unlock()
+		}
+	}
+	if err != nil {
+		r.fail(err)
+		return
+	}
+	r.lists[b.tier].add(b, "ready")
+}
+
+// turnOver kills or restarts a share of the first tier's proxies.
+func (r *Rig) turnOver(f faults.Fault, wait func(float64) bool) {
+	chance := rand.New(rand.NewPCG(f.Seed, uint64(len(f.Kind))))
+	all := chance.Perm(len(r.fronts))
+	all = all[:max(1, int(math.Round(f.Share*float64(len(all)))))]
+	one := func(i int, planned bool) {
+		r.mu.Lock()
+		p := r.fronts[i]
+		r.mu.Unlock()
+		if planned { // the front sends it no new clients from now on
+			r.mu.Lock()
+			r.fronts[i] = nil
+			r.mu.Unlock()
+			p.stop(endWithin)
+		} else {
+			p.kill()
+			time.AfterFunc(time.Duration(r.world.Clients.Notice*float64(time.Second)), func() {
+				r.mu.Lock()
+				if r.fronts[i] == p {
+					r.fronts[i] = nil
+				}
+				r.mu.Unlock()
+			})
+			if !wait(f.From + f.For) {
+				return
+			}
+		}
+		q, err := r.startProcess(0, p.me, p.zone, len(r.fronts), p.listen)
+		if err != nil {
+			r.fail(err)
+			return
+		}
+		q.weight = p.weight
+		r.mu.Lock()
+		r.fronts[i], r.running = q, append(r.running, q)
+		r.mu.Unlock()
+	}
+	var done sync.WaitGroup
+	for n, i := range all {
+		if f.Kind == faults.Restart && !wait(f.From+f.For*float64(n)/float64(len(all))) {
+			return
+		}
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			one(i, f.Kind == faults.Restart)
+		}()
+	}
+	done.Wait()
+}
+
+// burdenAll takes anew what each backend has to bear, from all faults in force.
+func (r *Rig) burdenAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Since(r.start).Seconds()
+	for _, tier := range r.tiers {
+		for _, b := range tier {
+			var u burden
+			slow, hang := 0.0, false
+			for i, f := range r.plan {
+				hit := false
+				for _, x := range r.targets[i] {
+					hit = hit || x == b
+				}
+				if !r.active[i] || !hit {
+					continue
+				}
+				switch hard := f.At(now); f.Kind {
+				case faults.Slow:
+					slow = 1 - (1-slow)*(1-hard)
+				case faults.Flicker:
+					if int((now-f.From)*2)%2 == 0 {
+						slow = 1 - (1-slow)*(1-hard)
+					}
+				case faults.Errors:
+					u.errors = max(u.errors, hard)
+				case faults.Refuse:
+					u.refuse = max(u.refuse, hard)
+				case faults.Spoil:
+					u.spoil = max(u.spoil, hard)
+				case faults.Reset:
+					u.reset = max(u.reset, hard)
+				case faults.Deaf:
+					u.deaf = true
+				case faults.Hang:
+					hang = true
+				}
+			}
+			b.mu.Lock()
+			b.burden = u
+			b.mu.Unlock()
+			b.machine.change(func() { b.machine.slow, b.machine.hang = slow, hang })
+		}
+	}
+}
