--- a/internal/emulator/backends.go
+++ b/internal/emulator/backends.go
@@ -180,7 +180,7 @@
 func (d *Day) ran(b *backend, r *relay) {
 	v := &d.verbs[r.verb]
 	r.made = true
-	d.judge.Ran(d.now, r.op, judge.Effect(v.Effect), judge.Scope(v.Scope), v.Window, b.zone, b.cell)
+	d.judge.Ran(d.now, r.sent, r.op, judge.Effect(v.Effect), judge.Scope(v.Scope), v.Window, b.zone, b.cell)
 }
 
 // leave sends a command's outcome back and lets in the next that waits.
@@ -196,6 +196,12 @@
 		r := b.waiting[0]
 		copy(b.waiting, b.waiting[1:])
 		b.waiting = b.waiting[:len(b.waiting)-1]
+		if d.now >= r.expires && d.tierOf(b).MindsLimit {
+			r.state = returning
+			d.back(r, balance.Full)
+			d.release(r)
+			continue
+		}
 		d.begin(b, r)
 	}
 }
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -51,6 +51,7 @@
 	ChokeFrom   float64   `toml:"choke_from"`   // commands a core held, from which it gets less efficient
 	Choke       float64   `toml:"choke"`        // part of its efficiency lost for each more a core, as 1/(1+choke*more)
 	CancelStops bool      `toml:"cancel_stops"` // cancelled work stops
+	MindsLimit  bool      `toml:"minds_limit"`  // what waited until its time was up is turned away, not begun
 	CellSize    int       `toml:"cell_size"`    // backends in a cell
 	KeySaves    float64   `toml:"key_saves"`    // part of the work that a cell saves on a key that it met lately
 	KeyLife     float64   `toml:"key_life"`     // seconds for which that holds
@@ -137,9 +138,9 @@
 		Length: 40, Warmup: 1, Zones: 3, Instances: 12, Skew: 0.5, Tick: 0.001, Load: 0.6, Swing: 0.15, Wave: 20,
 		Tiers: []Tier{
 			{Backends: 24, Cores: 2, Slots: 16, Queue: 24, Speeds: []float64{0.7, 1, 1.4}, Nominal: 0.5, Connections: 64,
-				Handshake: 0.0005, Idle: 10, ChokeFrom: 5, Choke: 0.06, CancelStops: true, CellSize: 4},
+				Handshake: 0.0005, Idle: 10, ChokeFrom: 5, Choke: 0.06, CancelStops: true, MindsLimit: true, CellSize: 4},
 			{Backends: 16, Cores: 2, Slots: 16, Queue: 24, Speeds: []float64{0.8, 1, 1.2}, Nominal: 0.5, Connections: 96,
-				Handshake: 0.0005, Idle: 10, ChokeFrom: 5, Choke: 0.06, CancelStops: true, CellSize: 4},
+				Handshake: 0.0005, Idle: 10, ChokeFrom: 5, Choke: 0.06, CancelStops: true, MindsLimit: true, CellSize: 4},
 		},
 		Verbs: []Verb{
 			{Name: "look", Effect: "pure", Goal: 0.3, Limit: 1, Utility: 1, Late: 0.2, Share: 0.55,
