--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint run
+.PHONY: build test bench race lint run
 
 # The operators' own line, so that what is tested here is what they run.
 BUILD := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
@@ -11,6 +11,9 @@
 test:
 	go test -ldflags=-linkmode=external ./...
 
+bench:
+	go test -run NONE -bench . -benchmem ./balance ./internal/http1 ./internal/loop ./internal/emulator
+
 race:
 	go test -race ./...
 
--- /dev/null
+++ b/balance/bench_test.go
@@ -0,0 +1,111 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+)
+
+// benchHost takes what it is asked for and brings wakes when the clock has come to them.
+type benchHost struct {
+	b     *Balancer
+	now   float64
+	last  BackendID
+	n     int
+	wakes []wake
+	head  int
+}
+
+func (h *benchHost) Relay(_ uint64, to BackendID) { h.last = to; h.n++ }
+func (h *benchHost) Cancel(uint64, int)           {}
+func (h *benchHost) Decline(uint64, float64)      {}
+func (h *benchHost) Terminate(uint64)             {}
+func (h *benchHost) Watch()                       {}
+func (h *benchHost) Tell(int, []byte)             {}
+func (h *benchHost) WakeAfter(s float64, token uint64) {
+	h.wakes = append(h.wakes, wake{h.now + s, token})
+}
+
+// pass lets time go on; wakes are brought in the order of asking, which is near enough to that of time.
+func (h *benchHost) pass(seconds float64) {
+	h.now += seconds
+	for h.head < len(h.wakes) && h.wakes[h.head].at <= h.now {
+		h.b.Wake(h.now, h.wakes[h.head].token)
+		h.head++
+	}
+	if h.head > 1<<16 {
+		h.wakes = append(h.wakes[:0], h.wakes[h.head:]...)
+		h.head = 0
+	}
+}
+
+func benchBalancer(backends, verbs, customers, siblings int) *benchHost {
+	h := &benchHost{now: 1000}
+	h.b = New(h, 7, h.now)
+	var vs []Verb
+	for range verbs {
+		vs = append(vs, Verb{Effect: Pure, Goal: 1, TimeLimit: 3, Utility: 1, Late: 0.5, Was: -1})
+	}
+	var cs []Customer
+	for range customers {
+		cs = append(cs, Customer{Allowance: 1e6, Was: -1})
+	}
+	h.b.Turn(h.now, 0.001, Place{Siblings: siblings}, vs, cs, 0.1, Limits{Relays: 3, SecondCopies: true, Cancel: true, ComeBack: 2},
+		Cold{Share: 0.3, Span: 5, Multiple: 2}, false)
+	h.b.Fleet(h.now, true, benchList(backends))
+	return h
+}
+
+func benchList(n int) []Entry {
+	var all []Entry
+	for i := range n {
+		all = append(all, Entry{ID: BackendID{10, byte(i >> 16), byte(i >> 8), byte(i)}, Zone: i % 3, Cell: i / 4, Size: 1})
+	}
+	return all
+}
+
+// BenchmarkCommand is a command from its coming to its last outcome, with so many others open.
+func BenchmarkCommand(b *testing.B) {
+	for _, c := range []struct{ backends, verbs, customers, open, siblings int }{
+		{4, 1, 1, 10, 1}, {100, 1, 1, 10, 1}, {1000, 1, 1, 10, 1}, {10000, 1, 1, 10, 1}, {10000, 1, 1, 10, 1000},
+		{100, 50, 1, 10, 1}, {100, 1, 5000, 10, 1}, {1000, 1, 1, 1000, 1}, {10000, 1, 1, 10000, 1},
+	} {
+		b.Run(fmt.Sprintf("backends=%d/verbs=%d/customers=%d/open=%d/siblings=%d", c.backends, c.verbs, c.customers, c.open, c.siblings), func(b *testing.B) {
+			h := benchBalancer(c.backends, c.verbs, c.customers, c.siblings)
+			at := uint64(0)
+			for range c.open {
+				at++
+				h.b.Command(h.now, at, int(at)%c.verbs, int(at)%c.customers, h.now+3, 0)
+			}
+			oldest := uint64(1)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				at++
+				h.b.Command(h.now, at, int(at)%c.verbs, int(at)%c.customers, h.now+3, 0)
+				h.pass(1e-5)
+				h.b.Outcome(h.now, oldest, 0, Answered, 0.01, true, Load{})
+				oldest++
+			}
+		})
+	}
+}
+
+// BenchmarkFleet is a whole list, and one changed line of it.
+func BenchmarkFleet(b *testing.B) {
+	for _, n := range []int{4, 100, 1000, 10000} {
+		list := benchList(n)
+		h := benchBalancer(n, 1, 1, 1)
+		b.Run(fmt.Sprintf("whole/backends=%d", n), func(b *testing.B) {
+			for range b.N {
+				h.b.Fleet(h.now, true, list)
+			}
+		})
+		b.Run(fmt.Sprintf("change/backends=%d", n), func(b *testing.B) {
+			for i := range b.N {
+				e := list[i%n]
+				e.State = State(i / n % 2)
+				h.b.Fleet(h.now, false, []Entry{e})
+			}
+		})
+	}
+}
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -43,8 +43,14 @@
 	rotated     float64
 	answers     int
 	last        float64 // kept while the sketches are empty
+
+	asked, found float64 // the quantile asked for last and its value
+	until        int     // answers up to which it holds
+	foundIn      float64 // the rotation
 }
 
+const quantilePart = 64 // one in so many answers more can hardly move a quantile
+
 func newDelay(now float64) delay {
 	a, _ := ddsketch.NewDefaultDDSketch(accuracy) // fails only for an accuracy out of range
 	return delay{now: a, before: a.Copy(), rotated: now}
@@ -69,12 +75,22 @@
 	}
 }
 
+// quantile of both sketches. It is taken anew once the answers in them have grown by a part: merging them costs as much
+// as the rest of a command.
 func (d *delay) quantile(q float64) (float64, error) {
+	if q == d.asked && d.answers < d.until && d.rotated == d.foundIn {
+		return d.found, nil
+	}
 	both := d.now.Copy()
 	if err := both.MergeWith(d.before); err != nil {
 		return 0, err
 	}
-	return both.GetValueAtQuantile(q)
+	found, err := both.GetValueAtQuantile(q)
+	if err == nil {
+		d.asked, d.found, d.foundIn = q, found, d.rotated
+		d.until = d.answers + 1 + int(both.GetCount())/quantilePart
+	}
+	return found, err
 }
 
 // tries are how a backend's relays ended lately.
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -4,7 +4,6 @@
 package loop
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"time"
@@ -33,6 +32,7 @@
 	started     time.Time
 	base        float64 // Unix time in seconds at the start
 	turn        float64 // when this turn began
+	now         float64 // when what runs now was called, 0 while nothing is
 	places      []place
 	timers      timers
 	posted      []func()
@@ -66,8 +66,16 @@
 	return l, nil
 }
 
-// Now is Unix time in seconds.
-func (l *Loop) Now() float64 { return l.base + time.Since(l.started).Seconds() }
+// Now is Unix time in seconds: while the loop calls something, the time at which it did, so that one call of many small
+// steps reads the clock once.
+func (l *Loop) Now() float64 {
+	if l.now > 0 {
+		return l.now
+	}
+	return l.clock()
+}
+
+func (l *Loop) clock() float64 { return l.base + time.Since(l.started).Seconds() }
 
 // Turn is when the turn began: what is handled now had arrived by then.
 func (l *Loop) Turn() float64 { return l.turn }
@@ -130,18 +138,22 @@
 		if err != nil && err != unix.EINTR {
 			return fmt.Errorf("epoll wait: %w", err)
 		}
-		l.turn = l.Now()
+		l.turn = l.clock()
+		l.now = l.turn
 		each()
 		for i := range max(0, n) {
 			e := &events[i]
 			if p := l.places[e.Fd]; p.of != nil && p.gen == e.Pad {
+				l.now = l.clock()
 				p.of.event(e.Events)
 			}
 		}
+		l.now = l.clock()
 		for len(l.timers) > 0 && l.timers[0].at <= l.turn {
-			t := heap.Pop(&l.timers).(*Timer)
-			if t.do != nil {
+			if t := l.timers.pop(); t.do != nil {
 				t.do()
+			} else if t.wake != nil {
+				t.wake(t.token)
 			}
 		}
 		l.running, l.posted = l.posted, l.running[:0]
@@ -149,6 +161,7 @@
 			f()
 			l.running[i] = nil
 		}
+		l.now = 0
 	}
 	return nil
 }
@@ -158,8 +171,8 @@
 	if len(l.posted) > 0 {
 		return 0
 	}
-	for len(l.timers) > 0 && l.timers[0].do == nil {
-		heap.Pop(&l.timers)
+	for len(l.timers) > 0 && l.timers[0].t.off() {
+		l.timers.pop()
 	}
 	seconds := longestWait
 	if len(l.timers) > 0 {
@@ -170,34 +183,84 @@
 
 // Timer is one call in the future.
 type Timer struct {
-	at float64
-	do func()
+	do    func()
+	wake  func(uint64)
+	token uint64
 }
 
+func (t *Timer) off() bool { return t.do == nil && t.wake == nil }
+
 // Stop calls it off; nil is fine.
 func (t *Timer) Stop() {
 	if t != nil {
-		t.do = nil
+		t.do, t.wake = nil, nil
 	}
 }
 
 // After has f run in so many seconds.
 func (l *Loop) After(seconds float64, f func()) *Timer {
-	t := &Timer{l.Now() + max(0, seconds), f}
-	heap.Push(&l.timers, t)
+	t := &Timer{do: f}
+	l.timers.push(due{l.Now() + max(0, seconds), t})
 	return t
 }
 
-type timers []*Timer
+// Wake has f run with the token in so many seconds; it can't be called off, and nothing is made for it but its entry.
+func (l *Loop) Wake(seconds float64, f func(uint64), token uint64) {
+	l.timers.push(due{l.Now() + max(0, seconds), &Timer{wake: f, token: token}})
+}
+
+// due is a timer with its time beside it, so that ordering follows no pointer.
+type due struct {
+	at float64
+	t  *Timer
+}
+
+// timers is a heap, four to a knot: there are tens of thousands where every command has some, and half as many steps
+// go through the memory for it.
+type timers []due
 
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)        { *t = append(*t, x.(*Timer)) }
-func (t *timers) Pop() any {
-	old := *t
-	last := old[len(old)-1]
-	old[len(old)-1] = nil
-	*t = old[:len(old)-1]
-	return last
+func (h *timers) push(d due) {
+	*h = append(*h, d)
+	all := *h
+	i := len(all) - 1
+	for i > 0 {
+		up := (i - 1) / 4
+		if all[up].at <= d.at {
+			break
+		}
+		all[i] = all[up]
+		i = up
+	}
+	all[i] = d
+}
+
+func (h *timers) pop() *Timer {
+	all := *h
+	first, n := all[0].t, len(all)-1
+	last := all[n]
+	all[n] = due{}
+	all = all[:n]
+	*h = all
+	i := 0
+	for {
+		down := 4*i + 1
+		if down >= n {
+			break
+		}
+		least := down
+		for k := down + 1; k < min(down+4, n); k++ {
+			if all[k].at < all[least].at {
+				least = k
+			}
+		}
+		if last.at <= all[least].at {
+			break
+		}
+		all[i] = all[least]
+		i = least
+	}
+	if n > 0 {
+		all[i] = last
+	}
+	return first
 }
--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -10,6 +10,7 @@
 	"log"
 	"net/netip"
 	"slices"
+	"sort"
 	"strconv"
 
 	"golang.org/x/sys/unix"
@@ -108,19 +109,30 @@
 	over bool
 }
 
-// start sends a relay on an idle connection or a new one.
-func (p *Proxy) start(r *relay) {
-	t := r.to
-	for i := len(t.idle) - 1; i >= 0; i-- {
+// rested takes the idle connection that was used last of those that have rested long enough, if there is one. They
+// stand in the order in which they came to rest, so only the one to be used is looked at: a look is a system call, and
+// a busy backend has as many connections at rest as it answers in that time.
+func (p *Proxy) rested(t *target) *link {
+	now := p.loop.Now()
+	for {
+		i := sort.Search(len(t.idle), func(i int) bool { return now-t.idle[i].since < aired }) - 1
+		if i < 0 {
+			return nil
+		}
 		l := t.idle[i]
 		if p.stale(l) || !l.conn.Quiet() {
 			l.close()
 			continue
 		}
-		if p.loop.Now()-l.since < aired {
-			continue
-		}
 		t.idle = slices.Delete(t.idle, i, i+1)
+		return l
+	}
+}
+
+// start sends a relay on an idle connection or a new one.
+func (p *Proxy) start(r *relay) {
+	t := r.to
+	if l := p.rested(t); l != nil {
 		l.relay, r.link = r, l
 		l.send()
 		return
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -57,7 +57,10 @@
 
 // WakeAfter asks for a Wake.
 func (p *Proxy) WakeAfter(seconds float64, token uint64) {
-	p.loop.After(seconds, func() { p.balancer.Wake(p.loop.Now(), token) })
+	if p.wake == nil {
+		p.wake = func(token uint64) { p.balancer.Wake(p.loop.Now(), token) } // made once, not for each command
+	}
+	p.loop.Wake(seconds, p.wake, token)
 }
 
 // Watch has nothing to do: the watch on the list is kept up from the start, since the agent that answers it is on
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -70,6 +70,7 @@
 type Proxy struct {
 	loop      *loop.Loop
 	balancer  *balance.Balancer
+	wake      func(uint64) // tells it that a time has come
 	names     settings.Names
 	verbs     map[string]int
 	customers map[string]int
