--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -166,8 +166,14 @@
 }
 
 // Pause stops reading, so that In stays in place; that the other side is gone is still noticed. The kernel is told only
-// if something comes meanwhile: most pauses are over before, and each word to it is a system call.
-func (c *Conn) Pause() { c.paused = true }
+// if something comes meanwhile: most pauses are over before, and each word to it is a system call. In a long message
+// something will.
+func (c *Conn) Pause() {
+	c.paused = true
+	if c.wide || len(c.buffer) > bufferFirst {
+		c.want()
+	}
+}
 
 // Hold stops reading for a while: the other side's end is noticed once all before it has been read.
 func (c *Conn) Hold() { c.held = true; c.want() }
