--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -105,7 +105,6 @@
 		"a command at fault is so anywhere":   {"look", say("HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n"), 400, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			t.Parallel()
 			bad, at := (*toy)(nil), net.Listener(free)
 			if c.do != nil {
@@ -140,7 +139,6 @@
 
 func TestEnds(t *testing.T) {
 	t.Run("the relay of a client that is gone is called back", func(t *testing.T) {
-		t.Parallel()
 		t.Parallel()
 		b := newToy(t, hang)
 		p := run(t, launch(t, 200, listing(1, true, ready("s-1", b)), nil))
@@ -155,7 +153,6 @@
 		}
 	})
 	t.Run("a command that nothing answers ends before its time limit, its connection with it", func(t *testing.T) {
-		t.Parallel()
 		t.Parallel()
 		b := newToy(t, hang)
 		p := run(t, launch(t, 200, listing(1, true, ready("s-1", b)), nil))
@@ -167,7 +164,6 @@
 		<-b.ended
 	})
 	t.Run("a planned end takes what still comes for a while, finishes what is open, and lets nobody wait", func(t *testing.T) {
-		t.Parallel()
 		t.Parallel()
 		b := newToy(t, func(b *toy, c net.Conn, r *http.Request) { time.Sleep(900 * time.Millisecond); ok(b, c, r) })
 		p := run(t, launch(t, 200, listing(1, true, ready("s-1", b)), nil))
@@ -209,7 +205,6 @@
 		}
 	})
 	t.Run("a planned end ends what can't be finished before the kill", func(t *testing.T) {
-		t.Parallel()
 		t.Parallel()
 		p := run(t, launch(t, 200, listing(1, true, ready("s-1", newToy(t, hang))), nil))
 		c := p.caller(t)
@@ -273,7 +268,6 @@
 // What comes behind an answer, or stands ahead of it, is no answer to anything.
 func TestMoreThanAnAnswer(t *testing.T) {
 	t.Run("a second copy that comes late does not pass for the next answer", func(t *testing.T) {
-		t.Parallel()
 		t.Parallel()
 		b := newToy(t, func(_ *toy, c net.Conn, r *http.Request) {
 			answer := "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + r.URL.Query().Get("n")
@@ -291,7 +285,6 @@
 		}
 	})
 	t.Run("an interim answer may be long ahead of the answer", func(t *testing.T) {
-		t.Parallel()
 		t.Parallel()
 		b := newToy(t, func(b *toy, c net.Conn, r *http.Request) {
 			io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")
@@ -330,7 +323,6 @@
 // Whoever connects hears something or is closed within three seconds, and takes nobody's place for that long.
 func TestIdlers(t *testing.T) {
 	t.Run("silence and a trickle end in time", func(t *testing.T) {
-		t.Parallel()
 		t.Parallel()
 		p := run(t, launch(t, 200, listing(1, true, ready("s-1", newToy(t, ok))), nil))
 		began := time.Now()
@@ -352,7 +344,6 @@
 		}
 	})
 	t.Run("hundreds that say nothing do not crowd out who has said something", func(t *testing.T) {
-		t.Parallel()
 		t.Parallel()
 		p := run(t, launch(t, 60, listing(1, true, ready("s-1", newToy(t, ok))), nil))
 		usual := p.caller(t)
@@ -394,7 +385,6 @@
 func TestMakingWay(t *testing.T) {
 	for name, asks := range map[string]string{"commands": "", "readiness": "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			t.Parallel()
 			p := launch(t, 100, listing(1, true, ready("s-1", newToy(t, ok))), nil)
 			made, usual := make(chan bool, 1), make(chan int, 1)
@@ -439,7 +429,6 @@
 
 func TestDescriptors(t *testing.T) {
 	t.Run("connections that rest make way for one with a command", func(t *testing.T) {
-		t.Parallel()
 		t.Parallel()
 		b := newToy(t, ok)
 		p := run(t, launch(t, 40, listing(1, true, ready("s-1", b)), nil))
@@ -452,7 +441,6 @@
 		}
 	})
 	t.Run("past the clients' part a command is declined, not left waiting", func(t *testing.T) {
-		t.Parallel()
 		t.Parallel()
 		b := newToy(t, hang)
 		l := launch(t, 40, listing(1, true, ready("s-1", b)), nil)
@@ -475,7 +463,6 @@
 		}
 	})
 	t.Run("a connection with a command that is not read yet is none that rests", func(t *testing.T) {
-		t.Parallel()
 		t.Parallel()
 		p := launch(t, 40, listing(1, true, ready("s-1", newToy(t, ok))), nil)
 		var callers []*caller
@@ -497,7 +484,6 @@
 		}
 	})
 	t.Run("without a descriptor for a backend a relay is never sent, and that harms no backend", func(t *testing.T) {
-		t.Parallel()
 		t.Parallel()
 		p := launch(t, 40, listing(1, true, ready("s-1", newToy(t, hang))), nil)
 		p.backends.most = 0
@@ -528,7 +514,6 @@
 		}, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			t.Parallel()
 			b := newToy(t, c.do)
 			p := launch(t, 200, listing(1, true, ready("s-1", b)), nil)
@@ -641,7 +626,6 @@
 
 func TestDiscovery(t *testing.T) {
 	t.Run("not ready before a list, ready with one in pieces, and a backend gone gets nothing", func(t *testing.T) {
-		t.Parallel()
 		t.Parallel()
 		a, b := newToy(t, ok), newToy(t, ok)
 		step := make(chan bool)
@@ -678,7 +662,6 @@
 		close(step)
 	})
 	t.Run("a watch that ends or says nothing is opened again where it was, and the list is kept", func(t *testing.T) {
-		t.Parallel()
 		t.Parallel()
 		b := newToy(t, ok)
 		asked := make(chan string, 9)
@@ -710,7 +693,6 @@
 		}
 	})
 	t.Run("a new configuration turns the watch to another address, and what was known stays", func(t *testing.T) {
-		t.Parallel()
 		t.Parallel()
 		b, c := newToy(t, ok), newToy(t, ok)
 		left, asked := make(chan bool), make(chan string, 1)
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -178,7 +178,6 @@
 	for name, framing := range map[string]string{"length": fmt.Sprintf("Content-Length: %d\r\nExpect: 100-continue\r\n", len(body)),
 		"chunks": "Transfer-Encoding: chunked\r\n"} {
 		t.Run("one passes through in pieces, slowly, and the next on its connection too: "+name, func(t *testing.T) {
-			t.Parallel()
 			t.Parallel()
 			b := newToy(t, ok)
 			l := launch(t, 200, listing(1, true, ready("s-1", b)), nil)
@@ -222,7 +221,6 @@
 	}{"broken before its last byte is declined": {100 * time.Millisecond, 503, false},
 		"broken after it is not, and never sent again": {0, 502, true}} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			t.Parallel()
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
@@ -263,7 +261,6 @@
 		})
 	}
 	t.Run("one that stands still is told so, and its backend connection goes", func(t *testing.T) {
-		t.Parallel()
 		t.Parallel()
 		b := newToy(t, ok)
 		p := run(t, launch(t, 200, listing(1, true, ready("s-1", b)), nil))
@@ -280,7 +277,6 @@
 		})
 	})
 	t.Run("a body at the least rate of slow clients is waited for, a head of two seconds too", func(t *testing.T) {
-		t.Parallel()
 		t.Parallel()
 		p := run(t, launch(t, 200, listing(1, true, ready("s-1", newToy(t, ok))), nil))
 		c := p.caller(t)
