What faults make of a backend stands once, for the emulator and for sockets

Cause: read again, internal/emulator and internal/rig each combined the faults in force, drew what a fault hits and counted its share, line for line; and some fields and two functions were never used.

Change: faults.Burden, Fault.Chance and Fault.Count serve both; unused fields, a second count of effects and two functions are out. Nothing in the module or the proxy.

--- a/internal/emulator/backends.go
+++ b/internal/emulator/backends.go
@@ -9,13 +9,14 @@
 	"math"
 
 	"sandpass/balance"
+	"sandpass/internal/faults"
 	"sandpass/internal/judge"
 )
 
-// burden is what faults make of a backend just now; each is a part from 0 to 1.
+// burden is what a backend bears: of faults, and of a machine that has fallen silent.
 type burden struct {
-	slow, errors, refuse, table, spoil, reset float64
-	hang, deaf, silent                        bool
+	faults.Burden
+	silent bool
 }
 
 type backend struct {
@@ -116,8 +117,8 @@
 	}
 	warm, grows := d.warmth(b)
 	held := float64(n+b.calling+len(b.waiting)) / t.Cores
-	b.rate = b.speed * min(1, t.Cores/float64(n)) * warm * (1 - b.burden.slow) / (1 + t.Choke*max(0, held-t.ChokeFrom))
-	if b.burden.hang || !b.alive {
+	b.rate = b.speed * min(1, t.Cores/float64(n)) * warm * (1 - b.burden.Slow) / (1 + t.Choke*max(0, held-t.ChokeFrom))
+	if b.burden.Hang || !b.alive {
 		b.rate = 0
 	}
 	if grows && !b.refreshing {
@@ -171,7 +172,7 @@
 	}
 	d.ran(b, r)
 	result := balance.Answered
-	if r.breaks || b.burden.spoil > 0 && draw(r.seed, 3) < b.burden.spoil {
+	if r.breaks || b.burden.Spoil > 0 && draw(r.seed, 3) < b.burden.Spoil {
 		result = balance.Reset
 	}
 	d.leave(b, r, result)
@@ -217,7 +218,7 @@
 	switch {
 	case b.burden.silent:
 		d.answerAt(r, max(d.now, r.sent+d.w.Rules.Connect), balance.Unconnected)
-	case !b.alive, float64(b.conns) >= float64(d.tierOf(b).Connections)*(1-b.burden.table):
+	case !b.alive, float64(b.conns) >= float64(d.tierOf(b).Connections)*(1-b.burden.Table):
 		d.back(r, balance.Unconnected)
 	default:
 		b.conns++
@@ -251,17 +252,17 @@
 	switch x := d.worldChance.Float64(); {
 	case !b.alive: // this one pushed it over
 		d.back(r, balance.Reset)
-	case u.reset > 0 && x < u.reset/2:
+	case u.Reset > 0 && x < u.Reset/2:
 		d.back(r, balance.Reset)
-	case u.refuse > 0 && d.worldChance.Float64() < u.refuse, len(b.waiting) >= t.Queue && len(b.jobs)+b.calling >= t.Slots:
+	case u.Refuse > 0 && d.worldChance.Float64() < u.Refuse, len(b.waiting) >= t.Queue && len(b.jobs)+b.calling >= t.Slots:
 		d.back(r, balance.Full)
-	case u.errors > 0 && d.worldChance.Float64() < u.errors:
+	case u.Errors > 0 && d.worldChance.Float64() < u.Errors:
 		if d.worldChance.Float64() < 0.5 {
 			d.ran(b, r)
 		}
 		d.back(r, balance.Errored)
 	default:
-		r.breaks = u.reset > 0 && x < u.reset
+		r.breaks = u.Reset > 0 && x < u.Reset
 		r.holds++
 		if len(b.jobs)+b.calling < t.Slots {
 			d.begin(b, r)
@@ -336,12 +337,12 @@
 	}
 	switch r.state {
 	case inQueue:
-		if !b.burden.deaf {
+		if !b.burden.Deaf {
 			d.unqueue(b, r)
 			d.release(r)
 		}
 	case working:
-		if d.tierOf(b).CancelStops && !b.burden.deaf {
+		if d.tierOf(b).CancelStops && !b.burden.Deaf {
 			b.done += b.rate * (d.now - b.doneAt)
 			b.doneAt = d.now
 			heap.Remove(&b.jobs, r.index)
@@ -351,7 +352,7 @@
 			d.release(r)
 		}
 	case calling:
-		if d.tierOf(b).CancelStops && !b.burden.deaf {
+		if d.tierOf(b).CancelStops && !b.burden.Deaf {
 			b.calling--
 			r.state = over
 			d.hangUp(b.own, r.callID)
@@ -379,9 +380,7 @@
 	}
 	held := append([]*relay(nil), b.waiting...)
 	held = append(held, b.jobs...)
-	for _, r := range d.liveRelays(b) {
-		held = append(held, r)
-	}
+	held = append(held, d.liveRelays(b)...)
 	b.waiting, b.jobs, b.calling, b.conns, b.recent, b.pushed = nil, nil, 0, 0, nil, 0
 	b.alive, b.rate, b.next = false, 0, math.Inf(1)
 	if silent {
@@ -490,14 +489,14 @@
 	b = b.occupant()
 	t := d.tierOf(b)
 	warm, _ := d.warmth(b)
-	speed = b.speed * warm * (1 - b.burden.slow)
+	speed = b.speed * warm * (1 - b.burden.Slow)
 	held := len(b.jobs) + b.calling + len(b.waiting)
-	if !b.alive || b.burden.silent || b.burden.hang {
+	if !b.alive || b.burden.silent || b.burden.Hang {
 		return false, 0, 0, 0
 	}
-	open = speed > 0 && b.burden.errors+b.burden.refuse+b.burden.spoil < 0.5 &&
+	open = speed > 0 && b.burden.Errors+b.burden.Refuse+b.burden.Spoil < 0.5 &&
 		(len(b.waiting) < t.Queue || len(b.jobs)+b.calling < t.Slots)
-	open = open && (float64(b.conns) < float64(t.Connections)*(1-b.burden.table) || x.link(b).idle > 0)
+	open = open && (float64(b.conns) < float64(t.Connections)*(1-b.burden.Table) || x.link(b).idle > 0)
 	open = open && d.passes(x.zone, b.zone) && d.passes(b.zone, x.zone)
 	work := 0.0
 	for i := range d.w.Verbs {
--- a/internal/emulator/clients.go
+++ b/internal/emulator/clients.go
@@ -42,7 +42,6 @@
 	tries          int
 	try            uint32 // number of the latest try
 	first          float64
-	inst           *instance
 	command        uint64
 	loss           judge.Loss
 	mayHaveRun     bool // a try that ended without a promise
@@ -282,7 +281,7 @@
 		o.first = d.now
 	}
 	o.holds++
-	o.inst, o.command = x, c.id
+	o.command = c.id
 	d.take(c)
 }
 
--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -4,7 +4,6 @@
 package emulator
 
 import (
-	"fmt"
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
@@ -49,18 +48,16 @@
 
 // Day is one world being played.
 type Day struct {
-	w       World
-	plan    faults.Plan
-	maker   Maker
-	seed    uint64
-	now     float64
-	queue   queue
-	judge   *judge.Judge
-	events  uint64
-	verbs   []balance.Verb
-	limits  balance.Limits
-	mean    float64 // worth of a command
-	counted int
+	w      World
+	plan   faults.Plan
+	maker  Maker
+	seed   uint64
+	now    float64
+	queue  queue
+	judge  *judge.Judge
+	events uint64
+	verbs  []balance.Verb
+	limits balance.Limits
 
 	backends  []*backend   // by serial; 0 is nobody
 	tiers     [][]*backend // by place, the latest that holds it
@@ -113,14 +110,10 @@
 	d.judge = judge.New(judge.Terms{Slack: w.Rules.Slack, Grace: w.Rules.Grace, Multiple: w.Rules.ColdMultiple,
 		Window: w.Rules.ColdWindow, Copies: w.Rules.Copies, Relay: w.Prices.Relay, Message: w.Prices.Message,
 		Crossing: w.Prices.Crossing, LateNo: w.Prices.LateNo, Length: w.Length, Customers: len(w.Customers)})
-	share := 0.0
-	for i, v := range w.Verbs {
+	for _, v := range w.Verbs {
 		d.verbs = append(d.verbs, balance.Verb{Effect: effects[v.Effect], Scope: scopes[v.Scope], Window: v.Window,
 			Goal: v.Goal, TimeLimit: v.Limit, Utility: v.Utility, Late: v.Late, Was: -1})
-		d.mean += v.Share * w.Verbs[i].Utility
-		share += v.Share
 	}
-	d.mean /= share
 	d.limits = balance.Limits{Relays: w.Rules.Relays, SecondCopies: w.Rules.Copies, Cancel: w.Rules.Cancel,
 		ComeBack: w.Rules.ComeBack, Peers: w.Rules.Peers, Keys: w.Clients.Keys > 0}
 	d.build()
@@ -261,8 +254,3 @@
 
 // Meaning is a verb's effect and scope as the module and the judge know them.
 func Meaning(v *Verb) (balance.Effect, balance.Scope) { return effects[v.Effect], scopes[v.Scope] }
-
-// String names a day for a message.
-func (d *Day) String() string {
-	return fmt.Sprintf("seed %d, %d faults, %.3f s", d.seed, len(d.plan), d.now)
-}
--- a/internal/emulator/day_test.go
+++ b/internal/emulator/day_test.go
@@ -138,7 +138,6 @@
 	host  balance.Host
 	fleet func(p emulator.Policy, now float64, whole bool, entries []balance.Entry)
 	after func(w *wrong, id uint64, result balance.Result)
-	sent  map[uint64]balance.BackendID
 	known []balance.BackendID
 }
 
--- a/internal/emulator/instances.go
+++ b/internal/emulator/instances.go
@@ -13,15 +13,15 @@
 
 // instance is one running policy. A restart makes a new one.
 type instance struct {
-	d                        *Day
-	serial, tier, me, zone   int
-	weight                   float64
-	alive, leaving, watching bool
-	policy                   Policy
-	links                    []link // by backend
-	at                       int    // place in its tier's log up to which it was told
-	due                      bool   // word is under way
-	whole                    bool   // the next word is a whole list
+	d                      *Day
+	serial, tier, me, zone int
+	weight                 float64
+	alive, watching        bool
+	policy                 Policy
+	links                  []link // by backend
+	at                     int    // place in its tier's log up to which it was told
+	due                    bool   // word is under way
+	whole                  bool   // the next word is a whole list
 }
 
 // command is one that an instance took and has to answer.
@@ -432,7 +432,7 @@
 	case inQueue:
 		l.Where = judge.Queue
 	case working:
-		if l.Where = judge.Work; r.b.burden.hang {
+		if l.Where = judge.Work; r.b.burden.Hang {
 			l.Where = judge.Stuck
 		}
 	case calling:
--- a/internal/emulator/troubles.go
+++ b/internal/emulator/troubles.go
@@ -4,7 +4,6 @@
 package emulator
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -19,7 +18,7 @@
 // fault begins (1), steps (2) or ends (0) one of the plan.
 func (d *Day) fault(n int, what int32) {
 	f := d.plan[n]
-	chance := rand.New(rand.NewPCG(f.Seed, uint64(len(f.Kind))))
+	chance := f.Chance()
 	switch what {
 	case 1:
 		d.active[n] = true
@@ -58,13 +57,13 @@
 		return all
 	}
 	chance.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all[:min(len(all), max(1, int(math.Round(f.Share*float64(len(all))))))]
+	return all[:f.Count(len(all))]
 }
 
 // fronts draws a share of the first tier's instances.
 func (d *Day) hitFronts(f faults.Fault, chance *rand.Rand) []int {
 	all := chance.Perm(len(d.places[0]))
-	return all[:min(len(all), max(1, int(math.Round(f.Share*float64(len(all))))))]
+	return all[:f.Count(len(all))]
 }
 
 func (d *Day) begins(n int, f faults.Fault, chance *rand.Rand) {
@@ -156,36 +155,12 @@
 // burdenAll takes anew what the backends of a fault have to bear, from all faults in force.
 func (d *Day) burdenAll(n int) {
 	for _, b := range d.targets[n] {
-		was := b.burden
-		b.burden = burden{silent: was.silent}
-		u := &b.burden
+		b.burden.Burden = faults.Burden{}
 		for i, f := range d.plan {
 			if !d.active[i] || !slices.Contains(d.targets[i], b) {
 				continue
 			}
-			hard := f.At(d.now)
-			switch f.Kind {
-			case faults.Slow:
-				u.slow = 1 - (1-u.slow)*(1-hard)
-			case faults.Flicker:
-				if int((d.now-f.From)/flicks)%2 == 0 {
-					u.slow = 1 - (1-u.slow)*(1-hard)
-				}
-			case faults.Errors:
-				u.errors = max(u.errors, hard)
-			case faults.Refuse:
-				u.refuse = max(u.refuse, hard)
-			case faults.Table:
-				u.table = max(u.table, hard)
-			case faults.Spoil:
-				u.spoil = max(u.spoil, hard)
-			case faults.Reset:
-				u.reset = max(u.reset, hard)
-			case faults.Hang:
-				u.hang = true
-			case faults.Deaf:
-				u.deaf = true
-			}
+			b.burden.Add(f, d.now)
 		}
 		d.retake(b)
 	}
--- /dev/null
+++ b/internal/faults/burden.go
@@ -0,0 +1,49 @@
+// This file owns what a fault draws and what several together make of one backend, the same wherever a plan is carried
+// out. It must never know which backends there are.
+
+package faults
+
+import (
+	"math"
+	"math/rand/v2"
+)
+
+const flicks = 0.5 // seconds of half a flicker
+
+// Chance draws what the fault hits, from its own seed alone.
+func (f Fault) Chance() *rand.Rand { return rand.New(rand.NewPCG(f.Seed, uint64(len(f.Kind)))) }
+
+// Count is how many of n the fault hits: its share, at least one if there are any.
+func (f Fault) Count(n int) int { return min(n, max(1, int(math.Round(f.Share*float64(n))))) }
+
+// Burden is what faults make of a backend just now; each figure is a part from 0 to 1.
+type Burden struct {
+	Slow, Errors, Refuse, Table, Spoil, Reset float64
+	Hang, Deaf                                bool
+}
+
+// Add lays one more fault that is in force on the backend. Speeds multiply; of the rest the hardest counts.
+func (u *Burden) Add(f Fault, now float64) {
+	switch hard := f.At(now); f.Kind {
+	case Slow:
+		u.Slow = 1 - (1-u.Slow)*(1-hard)
+	case Flicker:
+		if int((now-f.From)/flicks)%2 == 0 {
+			u.Slow = 1 - (1-u.Slow)*(1-hard)
+		}
+	case Errors:
+		u.Errors = max(u.Errors, hard)
+	case Refuse:
+		u.Refuse = max(u.Refuse, hard)
+	case Table:
+		u.Table = max(u.Table, hard)
+	case Spoil:
+		u.Spoil = max(u.Spoil, hard)
+	case Reset:
+		u.Reset = max(u.Reset, hard)
+	case Hang:
+		u.Hang = true
+	case Deaf:
+		u.Deaf = true
+	}
+}
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -155,7 +155,6 @@
 type ran struct {
 	at, sent   float64
 	zone, cell int
-	count      int
 }
 
 type pair struct{ instance, backend int }
@@ -195,7 +194,6 @@
 	Rules                            [rules + 1]int
 	Broken                           []Broken // the first ones
 	AskedBy, ServedBy                []float64
-	EffectsTwice                     int
 	Latency                          *ddsketch.DDSketch // of answered operations, from when they were due
 	loss                             [hows][wheres][8]lossSum
 	customers                        [][2]float64
@@ -427,14 +425,11 @@
 	}
 	r, before := j.effect[op]
 	if before && (e == Effectful || sent > r.sent+span || s == SameZone && zone != r.zone || s == SameCell && cell != r.cell) {
-		j.a.EffectsTwice++
 		j.broken(Twice, at, "the effect of operation %x took place twice, first at %.4f s", op, r.at)
 	}
 	if !before {
-		r = ran{at: at, sent: sent, zone: zone, cell: cell}
+		j.effect[op] = ran{at: at, sent: sent, zone: zone, cell: cell}
 	}
-	r.count++
-	j.effect[op] = r
 }
 
 // Reached is told of work that reached a backend that is cold: capacity is what it can do just now.
--- a/internal/lab/charts.go
+++ b/internal/lab/charts.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"image/color"
-	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -234,11 +233,10 @@
 		var pts points
 		for _, x := range at {
 			mean, low, top := interval(of[x])
-			e := plotter.YErrors{{}}[0]
-			if len(of[x]) > 1 {
+			pts.XYs, pts.YErrors = append(pts.XYs, plotter.XY{X: x, Y: mean}), append(pts.YErrors, struct{ Low, High float64 }{})
+			if e := &pts.YErrors[len(pts.YErrors)-1]; len(of[x]) > 1 {
 				e.Low, e.High = mean-low, top-mean
 			}
-			pts.XYs, pts.YErrors = append(pts.XYs, plotter.XY{X: x, Y: mean}), append(pts.YErrors, e)
 		}
 		if len(at) == 0 {
 			continue
@@ -258,9 +256,3 @@
 	}
 	return p, nil
 }
-
-// Exists tells whether a folder holds an experiment.
-func Exists(dir string) bool {
-	_, err := os.Stat(filepath.Join(dir, sheetFile))
-	return err == nil
-}
--- a/internal/rig/backend.go
+++ b/internal/rig/backend.go
@@ -17,15 +17,10 @@
 	"time"
 
 	"sandpass/internal/emulator"
+	"sandpass/internal/faults"
 	"sandpass/internal/judge"
 )
 
-// burden is what faults make of a backend just now.
-type burden struct {
-	errors, refuse, spoil, reset float64
-	deaf                         bool
-}
-
 // backend is one process of a tier.
 type backend struct {
 	rig                     *Rig
@@ -41,10 +36,9 @@
 	pool                    *pool    // its connections to that
 	started                 time.Time
 	mu                      sync.Mutex
-	burden                  burden
+	burden                  faults.Burden
 	open                    map[net.Conn]bool
 	dead                    chan struct{}
-	draining                atomic.Bool
 	chance                  *rand.Rand
 }
 
@@ -130,7 +124,7 @@
 	return b.chance.Float64()
 }
 
-func (b *backend) bears() burden {
+func (b *backend) bears() faults.Burden {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.burden
@@ -183,18 +177,18 @@
 		_, err := io.WriteString(c, declined)
 		return err == nil
 	}
-	if bears.refuse > 0 && b.draw() < bears.refuse {
+	if bears.Refuse > 0 && b.draw() < bears.Refuse {
 		return no()
 	}
-	if x := b.draw(); x < bears.reset {
-		if x < bears.reset/2 {
+	if x := b.draw(); x < bears.Reset {
+		if x < bears.Reset/2 {
 			b.rig.books.told(id, relay, false)
 			c.(*net.TCPConn).SetLinger(0)
 			return false
 		}
-		bears.spoil = 1
+		bears.Spoil = 1
 	}
-	if bears.errors > 0 && b.draw() < bears.errors {
+	if bears.Errors > 0 && b.draw() < bears.Errors {
 		if b.draw() < 0.5 {
 			b.rig.books.ran(b, id, verb, came)
 		}
@@ -207,7 +201,7 @@
 	watched := make(chan struct{})
 	go func() {
 		defer close(watched)
-		if _, err := in.Peek(1); err != nil && b.rig.world.Tiers[b.tier].CancelStops && !b.bears().deaf {
+		if _, err := in.Peek(1); err != nil && b.rig.world.Tiers[b.tier].CancelStops && !b.bears().Deaf {
 			close(stop)
 		}
 	}()
@@ -259,7 +253,7 @@
 		return err == nil
 	}
 	body := b.rig.books.answer(id)
-	if bears.spoil > 0 && b.draw() < bears.spoil {
+	if bears.Spoil > 0 && b.draw() < bears.Spoil {
 		c.(*net.TCPConn).SetLinger(0)
 		return false
 	}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -9,6 +9,7 @@
 	"math"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -342,9 +343,9 @@
 	if f.Kind == faults.Zone {
 		return all
 	}
-	chance := rand.New(rand.NewPCG(f.Seed, uint64(len(f.Kind))))
+	chance := f.Chance()
 	chance.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all[:min(len(all), max(1, int(math.Round(f.Share*float64(len(all))))))]
+	return all[:f.Count(len(all))]
 }
 
 // again starts a backend's process anew at its address, cold, under its name.
@@ -373,9 +374,9 @@
 
 // turnOver kills or restarts a share of the first tier's proxies.
 func (r *Rig) turnOver(f faults.Fault, wait func(float64) bool) {
-	chance := rand.New(rand.NewPCG(f.Seed, uint64(len(f.Kind))))
+	chance := f.Chance()
 	all := chance.Perm(len(r.fronts))
-	all = all[:max(1, int(math.Round(f.Share*float64(len(all)))))]
+	all = all[:f.Count(len(all))]
 	one := func(i int, planned bool) {
 		r.mu.Lock()
 		p := r.fronts[i]
@@ -429,41 +430,16 @@
 	now := time.Since(r.start).Seconds()
 	for _, tier := range r.tiers {
 		for _, b := range tier {
-			var u burden
-			slow, hang := 0.0, false
+			var u faults.Burden
 			for i, f := range r.plan {
-				hit := false
-				for _, x := range r.targets[i] {
-					hit = hit || x == b
-				}
-				if !r.active[i] || !hit {
-					continue
-				}
-				switch hard := f.At(now); f.Kind {
-				case faults.Slow:
-					slow = 1 - (1-slow)*(1-hard)
-				case faults.Flicker:
-					if int((now-f.From)*2)%2 == 0 {
-						slow = 1 - (1-slow)*(1-hard)
-					}
-				case faults.Errors:
-					u.errors = max(u.errors, hard)
-				case faults.Refuse:
-					u.refuse = max(u.refuse, hard)
-				case faults.Spoil:
-					u.spoil = max(u.spoil, hard)
-				case faults.Reset:
-					u.reset = max(u.reset, hard)
-				case faults.Deaf:
-					u.deaf = true
-				case faults.Hang:
-					hang = true
+				if r.active[i] && slices.Contains(r.targets[i], b) {
+					u.Add(f, now)
 				}
 			}
 			b.mu.Lock()
 			b.burden = u
 			b.mu.Unlock()
-			b.machine.change(func() { b.machine.slow, b.machine.hang = slow, hang })
+			b.machine.change(func() { b.machine.slow, b.machine.hang = u.Slow, u.Hang })
 		}
 	}
 }
