Hard cases of the further deployments as tests: long limits, starts, verbs, idle resets

Cause: the issue on the further deployments names cases that no test showed: a limit told long, a start told wrong, a verb that fails on some backends, connections dropped at rest. Nothing of them had a form in the emulator either.

Change: three kinds written by hand in internal/faults (reap, drift, unable), carried out by the emulator, rules.start_off in the world, and stories in balance and internal/emulator. The module is unchanged.

--- a/balance/troubles_test.go
+++ b/balance/troubles_test.go
@@ -412,3 +412,121 @@
 		t.Errorf("%d of 6000 commands held and %d declined on a calm day", held, n)
 	}
 }
+
+// A host that knows the true limit tells of it by a relay that timed out, long before the limit that was told.
+func TestALimitToldLongEndsAtItsTrueEnd(t *testing.T) {
+	for _, off := range []float64{1.2, 4.8} {
+		h := start(t, setup{verb: Verb{Effect: Pure, Goal: 1, TimeLimit: 7, Utility: 1, Late: 0.2},
+			limits: Limits{Relays: 4, SecondCopies: true, Cancel: true, LeftOff: off}})
+		h.serve(1, 60, 0.1) // copies are learned
+		before := len(h.relays)
+		for cmd := uint64(101); cmd <= 140; cmd++ {
+			h.b.Command(h.now, cmd, 0, 0, h.now+2+off, 0) // its client waits for 2 s
+		}
+		h.until(h.now + 2)
+		sent := len(h.relays)
+		for cmd := uint64(101); cmd <= 140; cmd++ {
+			for n := range h.toOf(cmd) {
+				h.outcome(cmd, n, TimedOut)
+			}
+			if len(h.toOf(cmd)) > 0 && !h.ended[cmd] {
+				t.Errorf("off by %.1f s: command %d goes on past its true limit", off, cmd)
+			}
+		}
+		if len(h.relays) != sent {
+			t.Errorf("off by %.1f s: %d relays after the true limit", off, len(h.relays)-sent)
+		}
+		if more := sent - before - 40; more > 8 { // the bucket of 60 commands, not one for each that is late
+			t.Errorf("off by %.1f s: %d copies of 40 commands", off, more)
+		}
+		if h.until(h.now + 8); len(h.ended) != 100 {
+			t.Errorf("off by %.1f s: %d of 100 commands have their answer", off, len(h.ended))
+		}
+	}
+}
+
+// A start that is told wrong either way by up to 4 s: as long as the backend may be cold it gets no more than a cold one
+// can do for certain.
+func TestAStartToldWrongIsTakenAtItsLatest(t *testing.T) {
+	for _, off := range []float64{-4, 0, 4} {
+		h := start(t, setup{})
+		b := h.b
+		b.Turn(h.now, b.tick, b.place, []Verb{b.verbs[0].Verb}, nil, 0.1, b.limits, Cold{Share: 0.2, Span: 10, Multiple: 3, Off: 4}, false)
+		list := ready(6)
+		list[0].Started = h.now + off
+		b.Fleet(h.now, true, list)
+		for from := h.now; h.now < from+13; h.until(h.now + 0.5) {
+			truth := 0.2 + 0.8*min(1, (h.now-from)/10) // of its capacity
+			if k := b.fleet[slices.IndexFunc(b.fleet, func(k *backend) bool { return k.ID == list[0].ID })]; b.part(k) > truth+1e-9 {
+				t.Fatalf("told %+.0f s off: it counts as %.2f of a backend %.1f s after its start, it is %.2f", off, b.part(k), h.now-from, truth)
+			}
+		}
+	}
+}
+
+// One verb fails at half of the backends, at once: it is served by the rest, and the other verb goes on as before.
+func TestAVerbThatFailsOnSomeBackendsIsServedByTheRest(t *testing.T) {
+	h := start(t, setup{})
+	chance := rand.New(rand.NewPCG(1, 2))
+	served, asked := [2]int{}, [2]int{}
+	for cmd := uint64(1); cmd <= 1200; cmd++ {
+		verb := int(cmd % 2)
+		h.b.Command(h.now, cmd, verb, 0, h.now+6, 0)
+		h.until(h.now + 0.02*chance.Float64())
+		for n := 0; n < len(h.toOf(cmd)) && !h.ended[cmd]; n++ {
+			if to := h.toOf(cmd)[n]; verb == 1 && to[3] < 3 {
+				h.outcome(cmd, n, Errored)
+			} else {
+				h.outcome(cmd, n, Answered)
+			}
+		}
+		if cmd > 200 {
+			asked[verb]++
+			if len(h.declined)+len(h.terminated) == 0 {
+				served[verb]++
+			}
+			h.declined, h.terminated = nil, nil
+		}
+	}
+	if ok, bad := float64(served[0])/float64(asked[0]), float64(served[1])/float64(asked[1]); ok < 0.99 || bad < 0.9 {
+		t.Errorf("%.3f served of the verb that is well, %.3f of the one that fails at half of the backends", ok, bad)
+	}
+}
+
+// Connections that were dropped unseen reset the first command on each: pure ones go elsewhere, effectful ones end at
+// once, and no backend is left out for it.
+func TestConnectionsThatDieIdleCostNoBackend(t *testing.T) {
+	for _, effect := range []Effect{Pure, Effectful} {
+		h := start(t, setup{verb: Verb{Effect: effect, Goal: 1, TimeLimit: 3, Utility: 1}})
+		h.serve(1, 200, 0.05)
+		h.until(h.now + 60) // at rest, long enough for all to be dropped
+		h.relays = nil
+		fresh := map[BackendID]bool{}
+		ended := 0
+		for cmd := uint64(1001); cmd <= 1100; cmd++ {
+			h.b.Command(h.now, cmd, 0, 0, h.now+3, 0)
+			for n := 0; n < len(h.toOf(cmd)) && !h.ended[cmd]; n++ {
+				to := h.toOf(cmd)[n]
+				result := Answered
+				if !fresh[to] {
+					result = Reset
+				}
+				fresh[to] = true
+				h.until(h.now + 0.01)
+				h.outcome(cmd, n, result)
+			}
+			if !h.ended[cmd] {
+				t.Fatalf("effect %d: command %d waits though its relays have ended", effect, cmd)
+			}
+			if ended = len(h.declined) + len(h.terminated); effect == Effectful && len(h.toOf(cmd)) > 1 {
+				t.Errorf("command %d was sent again", cmd)
+			}
+		}
+		if most := map[Effect]int{Pure: 3, Effectful: 6}[effect]; ended > most {
+			t.Errorf("effect %d: %d of 100 commands lost to six dead connections", effect, ended)
+		}
+		if len(fresh) != 6 {
+			t.Errorf("effect %d: only %d of 6 backends are still used", effect, len(fresh))
+		}
+	}
+}
--- a/internal/emulator/backends.go
+++ b/internal/emulator/backends.go
@@ -7,6 +7,7 @@
 	"container/heap"
 	"encoding/binary"
 	"math"
+	"slices"
 
 	"sandpass/balance"
 	"sandpass/internal/faults"
@@ -257,7 +258,7 @@
 		d.back(r, balance.Reset)
 	case u.Refuse > 0 && d.worldChance.Float64() < u.Refuse, len(b.waiting) >= t.Queue && len(b.jobs)+b.calling >= t.Slots:
 		d.back(r, balance.Full)
-	case d.spoilt(b, r):
+	case d.spoilt(b, r), d.unable(b, r):
 		d.back(r, balance.Errored)
 	case u.Errors > 0 && d.worldChance.Float64() < u.Errors:
 		if d.worldChance.Float64() < 0.5 {
@@ -286,6 +287,17 @@
 	return false
 }
 
+// unable tells that a backend fails a command for its verb, which others do.
+func (d *Day) unable(b *backend, r *relay) bool {
+	for i, f := range d.plan {
+		if d.active[i] && f.Kind == faults.Unable && uint64(r.verb) == f.Seed%uint64(len(d.w.Verbs)) &&
+			slices.Contains(d.targets[i], b) && draw(r.seed, 21) < f.At(d.now) {
+			return true
+		}
+	}
+	return false
+}
+
 // begin takes a command into work. Work is cut evenly by the calls that it makes.
 func (d *Day) begin(b *backend, r *relay) {
 	r.began = d.now
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -15,8 +15,27 @@
 	started float64
 }
 
-func (c change) entry() balance.Entry {
-	return balance.Entry{ID: c.b.id, Zone: c.b.zone, Cell: c.b.cell, State: c.state, Size: c.b.size, Started: c.started}
+func (d *Day) entry(c change) balance.Entry {
+	e := balance.Entry{ID: c.b.id, Zone: c.b.zone, Cell: c.b.cell, State: c.state, Size: c.b.size, Started: c.started}
+	if c.started > 0 {
+		e.Started = max(1e-9, c.started+d.drift(c.b))
+	}
+	return e
+}
+
+// drift is by how much a backend's start is told wrong.
+func (d *Day) drift(b *backend) (off float64) {
+	for i, f := range d.plan {
+		if !d.active[i] || f.Kind != faults.Drift || f.Tier != b.tier {
+			continue
+		}
+		if u := draw(f.Seed, uint64(b.serial)); u < f.Share {
+			off -= f.Hard
+		} else if u > 1-f.Share {
+			off += f.Hard
+		}
+	}
+	return off
 }
 
 // announce lets discovery know; each instance hears of it when its time has come.
@@ -90,6 +109,7 @@
 		}
 	}
 	var entries []balance.Entry
+	var starts []float64 // the true ones
 	if whole {
 		// The latest of each, in the order in which they first came; what is gone is left out.
 		latest := map[int]int{}
@@ -104,17 +124,17 @@
 			if until > 0 && f.Tier == x.tier && draw(f.Seed, uint64(c.b.serial)) < f.Hard {
 				continue
 			}
-			entries = append(entries, c.entry())
+			entries, starts = append(entries, d.entry(c)), append(starts, c.started)
 		}
 		d.listedWhole(x, entries)
 	} else {
 		for _, c := range log[min(x.at, upTo):upTo] {
-			entries = append(entries, c.entry())
+			entries, starts = append(entries, d.entry(c)), append(starts, c.started)
 		}
 	}
 	x.at, x.whole = upTo, false
-	for _, e := range entries {
-		d.judge.Listed(d.now, x.serial, d.named(e.ID).serial, e.State == balance.Ready, e.Started)
+	for i, e := range entries {
+		d.judge.Listed(d.now, x.serial, d.named(e.ID).serial, e.State == balance.Ready, starts[i])
 	}
 	if len(entries) > 0 || whole {
 		x.policy.Fleet(d.now, whole, entries)
--- a/internal/emulator/instances.go
+++ b/internal/emulator/instances.go
@@ -58,7 +58,7 @@
 	}
 	r := &d.w.Rules
 	x.policy.Turn(d.now, d.w.Tick, balance.Place{Me: me, Siblings: len(d.places[tier]), Tier: tier, Zone: zone}, d.verbs,
-		customers, d.w.Clients.Over, d.limits, balance.Cold{Share: r.ColdShare, Span: r.ColdSpan, Multiple: r.ColdMultiple},
+		customers, d.w.Clients.Over, d.limits, balance.Cold{Share: r.ColdShare, Span: r.ColdSpan, Multiple: r.ColdMultiple, Off: r.StartOff},
 		d.w.Discovery.Asked)
 	x.whole = true
 	d.tell(x)
@@ -382,6 +382,10 @@
 	if l := x.link(b); l.idle > 0 {
 		l.idle--
 		r.conn = b
+		if d.reaped(l) {
+			d.answerAt(r, d.now+d.way(x.zone, b.zone)+d.way(b.zone, x.zone), balance.Reset)
+			return
+		}
 		d.forth(r, onArrive, 1)
 		return
 	}
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -208,6 +208,16 @@
 	}
 }
 
+// reaped tells that what stands between has dropped the connection at rest, which neither end was told.
+func (d *Day) reaped(l *link) bool {
+	for i, f := range d.plan {
+		if d.active[i] && f.Kind == faults.Reap && d.now-l.since > f.Hard {
+			return true
+		}
+	}
+	return false
+}
+
 // idle closes what has rested too long.
 func (d *Day) idle(x *instance, serial int) {
 	if !x.alive {
--- a/internal/emulator/places_test.go
+++ b/internal/emulator/places_test.go
@@ -30,6 +30,8 @@
 		{faults.Fault{Kind: faults.Spoilt, Tier: 0, Share: 0.2}, 0.75},
 		{faults.Fault{Kind: faults.Readers, Share: 0.12, Hard: 4}, 0.80},
 		{faults.Fault{Kind: faults.Skew, Share: 0.6, Hard: 1}, 0.95},
+		{faults.Fault{Kind: faults.Reap, Hard: 0.05}, 0.80},
+		{faults.Fault{Kind: faults.Unable, Tier: 0, Share: 0.4, Hard: 1}, 0.80},
 	} {
 		t.Run(string(c.fault.Kind), func(t *testing.T) {
 			t.Parallel()
@@ -86,3 +88,32 @@
 		t.Errorf("the module broke a rule: %v", a.Broken[0])
 	}
 }
+
+// Half of a tier is replaced while starts are told wrong either way: who goes by what is told alone pushes cold backends
+// over, who knows how wrong it may be does not.
+func TestStartsToldWrongPushNoColdBackendOver(t *testing.T) {
+	w := keyed()
+	w.Load, w.Rules.ColdShare, w.Rules.ColdMultiple = 0.9, 0.1, 1.2
+	w.Tiers = w.Tiers[:1]
+	for i := range w.Verbs {
+		w.Verbs[i].Work, w.Verbs[i].Calls = w.Verbs[i].Work[:1], nil
+	}
+	plan := faults.Plan{
+		{Kind: faults.Roll, Zone: -1, To: -1, Share: 0.5, From: 2, For: 4, Seed: 3},
+		{Kind: faults.Drift, Zone: -1, To: -1, Share: 0.3, From: 0, For: 20, Hard: 6, Seed: 7},
+	}
+	fell := func(off float64) (fell int) {
+		w.Rules.StartOff = off
+		for seed := range uint64(6) {
+			a, _ := emulator.Run(w, plan, maker(t, "module"), seed)
+			fell += a.Rules[judge.Cold]
+			if off > 0 && a.Count() > 0 {
+				t.Errorf("seed %d: a rule broke: %v", seed, a.Broken[0])
+			}
+		}
+		return fell
+	}
+	if fell(6); fell(0) == 0 {
+		t.Error("no cold backend fell for who believes what it is told: this day shows nothing")
+	}
+}
--- a/internal/emulator/troubles.go
+++ b/internal/emulator/troubles.go
@@ -105,7 +105,8 @@
 		}
 	case faults.Partial:
 		d.tellAll(f.Tier, true)
-	case faults.Slow, faults.Flicker, faults.Errors, faults.Refuse, faults.Table, faults.Deaf, faults.Spoil, faults.Reset, faults.Hang:
+	case faults.Slow, faults.Flicker, faults.Errors, faults.Refuse, faults.Table, faults.Deaf, faults.Spoil, faults.Reset, faults.Hang,
+		faults.Unable:
 		d.targets[n] = d.hit(f)
 		d.burdenAll(n)
 	}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -127,6 +127,7 @@
 	Free         float64 `toml:"free"`      // further relays of one instance in any span
 	FreeShare    float64 `toml:"free_share"`
 	FreeSpan     float64 `toml:"free_span"` // seconds, 0: no budget
+	StartOff     float64 `toml:"start_off"` // seconds by which the time of a start may be told wrong
 }
 
 // Prices come off, each as a part of the mean worth of a command.
@@ -208,6 +209,7 @@
 		{"clients.notice", w.Clients.Notice, 0, 3600}, {"clients.early", w.Clients.Early, 0, 1},
 		{"rules.answers", float64(w.Rules.Answers), 0, any}, {"rules.limit_off", w.Rules.LimitOff, 0, 3600}, {"rules.free", w.Rules.Free, 0, any},
 		{"rules.free_share", w.Rules.FreeShare, 0, any}, {"rules.free_span", w.Rules.FreeSpan, 0, 600},
+		{"rules.start_off", w.Rules.StartOff, 0, 3600},
 		{"clients.over", w.Clients.Over, 0, 1}, {"clients.keys", float64(w.Clients.Keys), 0, any},
 		{"rules.relays", float64(w.Rules.Relays), 1, 100}, {"rules.come_back", w.Rules.ComeBack, 0, 3600},
 		{"rules.slack", w.Rules.Slack, 0, 10}, {"rules.grace", w.Rules.Grace, 0, 60}, {"rules.drain", w.Rules.Drain, 0, 3600},
--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -51,6 +51,9 @@
 	Spoilt  Kind = "spoilt"  // commands with these keys fail at once at any backend of the tier
 	Readers Kind = "readers" // answers to this share of commands are read for Hard seconds, and hold a place meanwhile
 	Skew    Kind = "skew"    // at this share of the first tier's instances limits are told Hard seconds too short
+	Reap    Kind = "reap"    // connections that rested for Hard seconds are dropped unseen: the next command on one is reset
+	Drift   Kind = "drift"   // of this share of a tier's backends starts are told Hard seconds too early, of as many too late
+	Unable  Kind = "unable"  // this share of a tier's backends fails Hard of the commands of one verb, which Seed draws
 )
 
 // form says which figures a kind takes, and between what.
@@ -85,9 +88,10 @@
 	{kind: Rude, hard: 1, most: 0.4}, {kind: Storm, hard: 20, most: 5},
 	{kind: Lock, hard: 60, share: true}, {kind: Spoilt, share: true}, {kind: Readers, hard: 60, share: true},
 	{kind: Skew, hard: 60, share: true},
+	{kind: Reap, hard: 600}, {kind: Drift, hard: 60, share: true}, {kind: Unable, backends: true, hard: 1},
 }
 
-const byHand = 4 // of these, at the end, which are not drawn
+const byHand = 7 // of these, at the end, which are not drawn
 
 func formOf(k Kind) (form, bool) {
 	i := slices.IndexFunc(forms, func(f form) bool { return f.kind == k })
