sandlab back: how soon all is served again after most proxies failed at once

Cause: the issue on coming back asks for a measured time to full service, peaks and a course by second; the tables so far came from throw-away probes.

--- a/cmd/sandlab/main.go
+++ b/cmd/sandlab/main.go
@@ -19,6 +19,7 @@
 	"github.com/spf13/cobra"
 
 	"sandpass/internal/baseline"
+	"sandpass/internal/faults"
 	"sandpass/internal/lab"
 	"sandpass/internal/rig"
 )
@@ -41,7 +42,7 @@
 
 func root() *cobra.Command {
 	c := &cobra.Command{Use: "sandlab", Short: "plays experiments on an emulated world", SilenceUsage: true, SilenceErrors: true}
-	c.AddCommand(run(), sweep(), compare(), search(), shrink(), replay(), plotting(), policies(), live(), load())
+	c.AddCommand(run(), sweep(), compare(), search(), shrink(), replay(), plotting(), policies(), back(), live(), load())
 	return c
 }
 
@@ -321,6 +322,50 @@
 	}}
 }
 
+func back() *cobra.Command {
+	var proxies, seeds, cores, seconds int
+	var loads, shares []float64
+	var messages, names []string
+	var kind string
+	c := &cobra.Command{Use: "back", Short: "measure how soon all is served again after most proxies failed at once",
+		Long: "Emulated: proxies before twice as many backends of two tiers; a share of them fails at 12 s and is back at 16 s. The table has\nthe part served by second from the failure on (means), the seconds from the return until 0.99 of what was served before is served\nfor 2 s, peaks at one backend over the highest before, and broken rules.",
+		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+			var all []uint64
+			for i := range seeds {
+				all = append(all, uint64(i+1))
+			}
+			fmt.Fprintln(c.OutOrStdout(), lab.ReturnHead(seconds))
+			for _, share := range shares {
+				for _, load := range loads {
+					for _, m := range messages {
+						if m != "on" && m != "off" {
+							return fmt.Errorf("--messages %q is neither on nor off", m)
+						}
+						for _, name := range names {
+							d := lab.Mass(proxies, load, share, m == "on", faults.Kind(kind))
+							got, err := d.Play(c.Context(), name, all, cores)
+							if err != nil {
+								return err
+							}
+							lab.ReturnRow(c.OutOrStdout(), fmt.Sprintf("%s %.2g of %d, load %.2f, messages %s, %s", kind, share, proxies, load, m, name), got, seconds)
+						}
+					}
+				}
+			}
+			return nil
+		}}
+	c.Flags().IntVar(&proxies, "proxies", 60, "of the first tier")
+	c.Flags().IntVar(&seeds, "seeds", 6, "days of each line")
+	c.Flags().IntVar(&seconds, "seconds", 8, "of the course")
+	c.Flags().Float64SliceVar(&loads, "load", []float64{0.5, 0.75, 0.9}, "of the tier that runs out first")
+	c.Flags().Float64SliceVar(&shares, "share", []float64{0.9}, "of the proxies that fail")
+	c.Flags().StringSliceVar(&messages, "messages", []string{"off", "on"}, "between siblings")
+	c.Flags().StringSliceVar(&names, "policies", []string{"module", "two"}, "which")
+	c.Flags().StringVar(&kind, "kind", string(faults.Kill), "of the failure")
+	onCores(c, &cores)
+	return c
+}
+
 // proxy is the command that starts one: the program named, or this one as a child of itself.
 func proxy(program string) (command, env []string, own bool, err error) {
 	if program != "" {
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -161,6 +161,7 @@
 		return
 	}
 	x.watching = false
+	d.judge.Asking(d.now, x.serial)
 	until, _ := d.inForce(faults.Silent)
 	if until > d.now || d.busyList > d.now+queued {
 		d.later(d.now+silence, func() {
--- a/internal/emulator/instances.go
+++ b/internal/emulator/instances.go
@@ -390,6 +390,7 @@
 		return
 	}
 	r.state = connecting
+	d.judge.Opened(d.now, b.serial)
 	d.forth(r, onConnect, 1)
 }
 
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -20,6 +20,7 @@
 	worstSpan = 10   // seconds of the worst stretch
 	coldSlack = 3.0  // mean commands over the cold budget that chance may send in a window
 	toldPart  = 2.0 / 3
+	tenth     = 10.0 // parts of a second in the finer course
 )
 
 // Effect says what a second run would do, as in the rules.
@@ -201,6 +202,10 @@
 	Rules                            [rules + 1]int
 	Broken                           []Broken // the first ones
 	AskedBy, ServedBy                []float64
+	AskedIn, ServedIn                []float64          // the same by tenths of a second
+	Sent                             map[int][]int      // by backend, relays in each second
+	Opened                           map[int][]int      // by backend, new connections in each second
+	Lists                            map[int][]int      // by instance, calls for the whole list in each second
 	Latency                          *ddsketch.DDSketch // of answered operations, from when they were due
 	loss                             [hows][wheres][8]lossSum
 	customers                        [][2]float64
@@ -225,7 +230,9 @@
 		terms: t, taken: map[uint64]*taken{}, effect: map[uint64]ran{}, out: map[pair]float64{},
 		starts: map[pair]float64{}, cold: map[int]*colds{}, came: map[int][]float64{}, further: map[int][]float64{},
 		a: Account{Latency: s, AskedBy: make([]float64, int(math.Ceil(t.Length))+1),
-			ServedBy: make([]float64, int(math.Ceil(t.Length))+1), customers: make([][2]float64, t.Customers)},
+			ServedBy: make([]float64, int(math.Ceil(t.Length))+1), AskedIn: make([]float64, int(math.Ceil(tenth*t.Length))+1),
+			ServedIn: make([]float64, int(math.Ceil(tenth*t.Length))+1),
+			Sent:     map[int][]int{}, Opened: map[int][]int{}, Lists: map[int][]int{}, customers: make([][2]float64, t.Customers)},
 	}
 }
 
@@ -241,6 +248,7 @@
 	j.a.Ops++
 	j.a.Asked += worth
 	j.a.AskedBy[j.second(at)] += worth
+	j.a.AskedIn[min(int(tenth*at), len(j.a.AskedIn)-1)] += worth
 	if customer < len(j.a.customers) {
 		j.a.customers[customer][0] += worth
 	}
@@ -253,6 +261,7 @@
 	j.a.Answered++
 	j.a.Served += worth
 	j.a.ServedBy[j.second(due)] += worth
+	j.a.ServedIn[min(int(tenth*due), len(j.a.ServedIn)-1)] += worth
 	if customer < len(j.a.customers) {
 		j.a.customers[customer][1] += worth
 	}
@@ -287,9 +296,26 @@
 	j.taken[c.ID] = t
 }
 
+// Opened is told that an instance opens a connection to a backend.
+func (j *Judge) Opened(at float64, backend int) { j.tick(j.a.Opened, backend, at) }
+
+// Asking is told that an instance asks discovery for the whole list.
+func (j *Judge) Asking(at float64, instance int) { j.tick(j.a.Lists, instance, at) }
+
+// tick counts one more for who it is of, in the second.
+func (j *Judge) tick(all map[int][]int, who int, at float64) {
+	s := all[who]
+	for n := j.second(max(0, at)); len(s) <= n; {
+		s = append(s, 0)
+	}
+	s[j.second(max(0, at))]++
+	all[who] = s
+}
+
 // Sent is told of a relay to a backend as the instance named it.
 func (j *Judge) Sent(at float64, id uint64, backend, zone, cell int, crosses bool) {
 	j.a.Relays++
+	j.tick(j.a.Sent, backend, at)
 	if crosses {
 		j.a.Cross++
 	}
