Shares by the siblings that are there; keepers that live are asked, lives are told apart

Cause: nine of ten proxies killed, those left served half of what reached them (emulated). Seen by a trace of one of them: with 10 times the arrivals the bound that followed ease (12 to 20 out) and the window (15 of 120 backends) held, and after them the share; the issue's claim that share() alone binds did not hold (40 of 17 out). With messages each command waited 40 ms for each of two keepers that were dead.

Change: internal/living. Arrivals: a jump of what comes to 2.5 times and more, while no more is late than usual, is taken for missing siblings, step by step, and given back twice as fast; bounds and windows go by it (balance/living.go), allowances do not.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -325,8 +325,8 @@
 // knows a few backends well, uses connections again, and each backend lies in its share of windows.
 func (b *Balancer) arrange() {
 	total, count := b.sum(func(k *backend) float64 { return k.Size }), b.usable()
-	width := min(1, (nearLeast+nearShared*count/b.siblings())/max(1, count)) * total
-	b.window, b.reach, b.localReach = b.window[:0], max(width, tiny), 0
+	width := min(1, (nearLeast+nearShared*count/b.living())/max(1, count)) * total
+	b.window, b.reach, b.laidFor = b.window[:0], max(width, tiny), b.living()
 	b.warm, b.warming = 0, b.warming[:0]
 	b.meanSize = total / max(1, count)
 	b.total = total
@@ -418,7 +418,7 @@
 
 // share is this instance's part of the commands that may be out. Beyond what backends answer in time they
 // only queue, and choke.
-func (b *Balancer) share() float64 { return b.level * b.warmth() / b.siblings() }
+func (b *Balancer) share() float64 { return b.level * b.warmth() / b.living() }
 
 // crowded tells that the command finds too many out here. One of many instances has few, by chance:
 // its bound lies above its share by roots of it, or all would decline while there is room, but by no more
@@ -426,13 +426,13 @@
 func (b *Balancer) crowded(c *command) bool {
 	b.level = max(b.level, boundMin)
 	share := b.share()
-	chance := boundRoot * min(share, math.Sqrt(share*max(0, 1-fewInstances/b.siblings())))
+	chance := boundRoot * min(share, math.Sqrt(share*max(0, 1-fewInstances/b.living())))
 	bound, room := share+chance, 0.0
 	part := spareFirst + (1-spareFirst)*c.priority
 	if b.usual > 0 {
 		// Chance adds up by roots: many instances together need less room for it than each for itself.
-		room = (easeRoot*math.Sqrt(b.ease) + easeMore) * math.Pow(min(1, fewInstances/b.siblings()), easePower)
-		bound = min(bound, max(b.ease+room, easeLeast*b.warmth()/b.siblings()))
+		room = (easeRoot*math.Sqrt(b.ease) + easeMore) * math.Pow(min(1, fewInstances/b.living()), easePower)
+		bound = min(bound, max(b.ease+room, easeLeast*b.warmth()/b.living()))
 		if b.nests.read(b.now, callSpan) > nestPart*b.came.read(b.now, callSpan) {
 			bound = min(bound, b.ease+nestRoot*math.Sqrt(b.ease)+1)
 		}
@@ -496,6 +496,7 @@
 	if failed || took > slow {
 		late = 1
 	}
+	b.arrivals.Ended(b.now, late == 1)
 	// An instance with an answer a second would forget each before the next came.
 	fade := max(math.Exp((b.settled-b.now)/lateSpan), 1-1/lateAnswers)
 	b.ended, b.endedLate = b.ended*fade+1, b.endedLate*fade+late
@@ -608,11 +609,6 @@
 
 // ---- Keepers: for each cell one instance counts what all have out at its backends, and gives leave to send.
 
-// keeper is that instance.
-func (b *Balancer) keeper(cell uint16) int {
-	return int(hash([]byte{byte(cell), byte(cell >> 8)}) % uint64(b.siblings()))
-}
-
 // load is for its keeper how much a backend has to do, failures counted, as a part of what it may have.
 func (b *Balancer) load(k *backend) float64 {
 	out := k.tally.tried.weigh(k.tally.sum(b.now, noteLife), b.now, failSpan, failLoad, failPer)
@@ -640,7 +636,7 @@
 func (b *Balancer) report(k *backend, flag byte) {
 	n := note{noteOut, uint16(k.Cell), k.tag(), byte(min(255, k.inFlight)), flag}
 	if at := b.keeper(n.cell); b.limits.Peers && at != b.place.Me {
-		b.host.Tell(at, n.bytes())
+		b.tell(at, n)
 	} else if b.limits.Peers {
 		k.tally.note(b.now, at, n, failSpan)
 	}
@@ -657,29 +653,31 @@
 // Heard is told what a sibling had to say.
 func (b *Balancer) Heard(now float64, from int, text []byte) {
 	b.now = now
-	n, ok := readNote(text)
-	if !ok || !b.limits.Peers || from == b.place.Me || from >= b.place.Siblings {
+	n, ok := b.hear(from, text)
+	if !ok {
 		return
 	}
 	var k *backend
 	if i := slices.IndexFunc(b.fleet, func(k *backend) bool {
-		return uint16(k.Cell) == n.cell && k.tag() == n.tag && (n.kind != noteGrant || n.flag == flagYes)
+		return uint16(k.Cell) == n.cell && k.tag() == n.tag && (n.kind != noteGrant || n.flag >= flagYes)
 	}); i >= 0 {
 		k = b.fleet[i]
 	}
-	switch at := b.keeper(n.cell); {
-	case n.kind == noteAsk && at == b.place.Me:
-		reply := note{kind: noteGrant, cell: n.cell}
-		if k := b.grant(n.cell, from, float64(n.amount)/255); k != nil {
+	switch { // who asks, or tells, has found out that this one is the keeper
+	case n.kind == noteAsk:
+		reply, knows := note{kind: noteGrant, cell: n.cell}, b.knows(n.cell)
+		if k := b.grant(n.cell, from, float64(n.amount)/255); k != nil && knows {
 			reply.tag, reply.flag = k.tag(), flagYes
+		} else if k != nil {
+			reply.tag, reply.flag = k.tag(), flagPerhaps
 		}
-		b.host.Tell(from, reply.bytes())
-	case n.kind == noteOut && at == b.place.Me && k != nil:
+		b.tell(from, reply)
+	case n.kind == noteOut && k != nil:
 		k.tally.note(now, from, n, failSpan)
-	case n.kind == noteGrant && at == from:
-		i := slices.IndexFunc(b.waiting, func(c *command) bool { return c.asked[len(c.asked)-1] == n.cell })
+	case n.kind == noteGrant:
+		i := slices.IndexFunc(b.waiting, func(c *command) bool { return c.askedOf == from && c.asked[len(c.asked)-1] == n.cell })
 		if i >= 0 {
-			b.granted(b.waiting[i], k)
+			b.granted(b.waiting[i], k, n.flag != flagPerhaps)
 		} else if k != nil {
 			b.report(k, flagSent) // too late: not taken
 		}
@@ -696,21 +694,22 @@
 	c.askedAt, c.asked = b.now, append(c.asked, cell)
 	at := b.keeper(cell)
 	if at == b.place.Me {
-		b.granted(c, b.grant(cell, at, c.priority))
+		b.granted(c, b.grant(cell, at, c.priority), b.knows(cell))
 		return true
 	}
-	b.host.Tell(at, note{kind: noteAsk, cell: cell, amount: byte(255 * c.priority)}.bytes())
 	b.asks++
 	n := b.asks
-	c.asking, b.waiting = n, append(b.waiting, c)
+	c.asking, c.askedOf, b.waiting = n, at, append(b.waiting, c)
+	b.question(at, note{kind: noteAsk, cell: cell, amount: byte(255 * c.priority)})
 	b.after(patience, func() {
 		if c.asking != n {
 			return
 		}
-		// No word in time: a message was lost, or the keeper is. After the last the instance goes by what it knows.
+		b.unheard(at, c.askedAt) // a message was lost, or the keeper is
 		if b.answered(c); b.ask(c) {
 			return
 		}
+		// After the last the instance goes by what it knows.
 		if c.asked = c.asked[:0]; b.crowded(c) || !b.send(c) {
 			b.hold(c)
 		}
@@ -718,16 +717,11 @@
 	return true
 }
 
-// answered ends the wait for a keeper.
-func (b *Balancer) answered(c *command) {
-	c.asking = 0
-	b.waiting = slices.DeleteFunc(b.waiting, func(x *command) bool { return x == c })
-}
-
-// granted sends a command where its keeper said, or asks another, or holds it.
-func (b *Balancer) granted(c *command, k *backend) {
+// granted sends a command where its keeper said, or asks another, or holds it. One that does not yet know all that is
+// out is believed as far as the own bound goes.
+func (b *Balancer) granted(c *command, k *backend, knows bool) {
 	b.answered(c)
-	if k != nil && b.may(c, k) && !c.triedOn(k) {
+	if k != nil && (knows || !b.crowded(c)) && b.may(c, k) && !c.triedOn(k) {
 		b.release(c)
 		b.relay(c, k)
 		return
@@ -769,7 +763,7 @@
 	if key != 0 {
 		c.sorts[1] = b.table.of(key<<1, now, sortSpan)
 	}
-	b.came.add(now, callSpan, 1)
+	b.arrived()
 	b.taken.add(now, b.limits.Further.Span, 1)
 	v.calls.add(now, callSpan, 1)
 	b.after(expires-now-expiryTicks*b.tick, func() { b.expire(c) })
@@ -811,13 +805,10 @@
 func (b *Balancer) relay(c *command, k *backend) {
 	v := c.verb
 	n := len(c.relays)
-	for _, k := range c.sorts {
-		if n == 0 && k != nil {
-			k.out++
-		}
-	}
 	if n > 0 {
 		b.further.add(b.now, b.limits.Further.Span, 1)
+	} else {
+		c.places(1)
 	}
 	r := relay{to: k, sent: b.now, out: true, counts: 1}
 	r.delay, r.learned = b.delay(v)
@@ -1047,10 +1038,8 @@
 		return
 	}
 	c.done = true
-	for _, k := range c.sorts {
-		if k != nil && len(c.relays) > 0 {
-			k.out--
-		}
+	if len(c.relays) > 0 {
+		c.places(-1)
 	}
 	b.past = slices.DeleteFunc(b.past, func(x *command) bool { return x == c })
 	b.release(c)
--- a/balance/host.go
+++ b/balance/host.go
@@ -81,6 +81,7 @@
 	Answers      int     // answers that may wait for their clients to read them, 0: nothing is said
 	LeftOff      float64 // seconds by which the time that a command expires may be off, either way
 	Further      Budget
+	Fixed        bool // shares go by all siblings there should be, whoever is there
 }
 
 // Budget bounds the relays of one instance beyond each command's first in any window.
--- a/balance/instance.go
+++ b/balance/instance.go
@@ -21,7 +21,7 @@
 	return &Balancer{
 		host: host, seed: seed, now: now, start: now, askWait: askFirst, level: boundFirst,
 		commands: map[uint64]*command{}, wakes: map[uint64]func(){},
-		retries: bucket{retryBurst, now}, anyDelay: newDelay(now),
+		retries: bucket{retryBurst, now}, anyDelay: newDelay(now), life: newLife(now, seed),
 	}
 }
 
@@ -52,6 +52,7 @@
 		}
 		b.shares = append(b.shares, share)
 	}
+	b.view.Resize(max(1, place.Siblings))
 	b.arrange()
 	if ask {
 		b.ListFailed(now)
--- /dev/null
+++ b/balance/living.go
@@ -0,0 +1,116 @@
+// This file owns by how many siblings this instance believes to share what is common: shares, windows and allowances go
+// by it. It must never count more than there are, nor decide what a share is of.
+package balance
+
+import "slices"
+
+const relayFrom = 1.3 // times by which the count must have changed for the window to be laid anew: each costs connections
+
+// arrived counts a command that comes, and takes anew who is there to share.
+func (b *Balancer) arrived() {
+	b.came.add(b.now, callSpan, 1)
+	if b.limits.Fixed {
+		return
+	}
+	b.arrivals.Came(b.now)
+	b.alive = max(1, b.siblings()*b.arrivals.Part(b.now, b.usual))
+	if b.alive > b.laidFor*relayFrom || b.alive < b.laidFor/relayFrom || b.alive == b.siblings() && b.laidFor != b.alive {
+		b.arrange()
+	}
+}
+
+// living is how many siblings are believed to be there, this instance counted.
+func (b *Balancer) living() float64 {
+	if b.alive == 0 || b.limits.Fixed {
+		return b.siblings()
+	}
+	return min(b.alive, b.siblings())
+}
+
+// ---- Keepers: who is asked, and what one that has just come may be believed.
+
+const (
+	keepersMost = 8      // siblings that are looked at for one that lives; beyond, the instance is on its own
+	dutyGap     = 10.0   // seconds without a word of a cell after which a keeper in another's place knows nothing of it
+	lifeBits    = 20     // of a life that are drawn: two starts in one millisecond differ
+	lifeUnit    = 1000.0 // lives a second
+)
+
+// newLife is a number that later processes in the same place exceed, unless their clock is behind.
+func newLife(now float64, seed uint64) uint64 {
+	return 1 + uint64(max(0, now)*lifeUnit)<<lifeBits | seed&(1<<lifeBits-1)
+}
+
+// keeper is the instance that counts for a cell: of an order that is the same everywhere, the first that lives.
+func (b *Balancer) keeper(cell uint16) int {
+	n := uint64(b.siblings())
+	for turn := range uint64(keepersMost) {
+		at := int(hash([]byte{byte(cell), byte(cell >> 8), byte(turn)}[:2+min(turn, 1)]) % n) // the first as ever
+		if at == b.place.Me || b.view.Lives(b.now, at) {
+			return at
+		}
+	}
+	return b.place.Me
+}
+
+// knows tells whether this instance has counted for the cell long enough that all who have something out there have
+// told it. Each repeats that well within a note's life.
+func (b *Balancer) knows(cell uint16) bool {
+	if first := int(hash([]byte{byte(cell), byte(cell >> 8)}) % uint64(b.siblings())); first == b.place.Me {
+		return b.now >= b.start+noteLife || b.siblings() == 1
+	}
+	d := b.duties[cell]
+	if b.now > d.last+dutyGap {
+		d.since = b.now
+	}
+	d.last = b.now
+	if b.duties == nil {
+		b.duties = map[uint16]duty{}
+	}
+	b.duties[cell] = d
+	return b.now >= d.since+noteLife
+}
+
+// tell has a sibling told, in a form that it reads.
+func (b *Balancer) tell(at int, n note) {
+	if b.view.Old(b.now, at) {
+		n.flag = min(n.flag, flagYes) // which is all that form can say
+		b.host.Tell(at, n.bytes())
+	} else {
+		b.host.Tell(at, n.lived(b.life))
+	}
+}
+
+// question asks a keeper.
+func (b *Balancer) question(at int, n note) {
+	b.view.Ask(b.now, at)
+	b.tell(at, n)
+}
+
+// unheard notes that a keeper has not answered in time. Where this instance itself stood still nothing is proven.
+func (b *Balancer) unheard(at int, asked float64) {
+	if b.now < asked+2*patience {
+		b.view.Missed(b.now, at, asked)
+	}
+}
+
+// answered ends a command's wait for a keeper.
+func (b *Balancer) answered(c *command) {
+	c.asking = 0
+	b.waiting = slices.DeleteFunc(b.waiting, func(x *command) bool { return x == c })
+}
+
+// hear reads a note and tells whether it counts. What a former life of the sender said is void from its first word on.
+func (b *Balancer) hear(from int, text []byte) (n note, ok bool) {
+	n, life, ok := readNote(text)
+	if !ok || !b.limits.Peers || from == b.place.Me {
+		return n, false
+	}
+	counts, fresh := b.view.Heard(b.now, from, life)
+	if fresh {
+		for _, k := range b.fleet {
+			delete(k.tally.by, from)
+		}
+	}
+	return n, counts
+}
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -112,6 +112,15 @@
 	return s
 }
 
+// places counts the command, or no longer, among those of its sorts that hold a place.
+func (c *command) places(by int) {
+	for _, s := range c.sorts {
+		if s != nil {
+			s.out += by
+		}
+	}
+}
+
 // delay is a rotating pair of latency sketches.
 type delay struct {
 	now, before *ddsketch.DDSketch
--- a/balance/state.go
+++ b/balance/state.go
@@ -2,6 +2,8 @@
 // hold a decision, nor a figure that one goes by.
 package balance
 
+import "sandpass/internal/living"
+
 type backend struct {
 	Entry
 	spot     uint64  // place on the ring, the same at every instance
@@ -43,8 +45,12 @@
 	asked                 []uint16 // cells whose keepers were asked for it
 	askedAt               float64
 	asking                int // number of what was asked last, 0 while nothing is
+	askedOf               int // and the keeper
 }
 
+// duty is a cell whose own keeper does not answer others.
+type duty struct{ since, last float64 }
+
 // Balancer is one instance. Make it with New.
 type Balancer struct {
 	host             Host
@@ -98,4 +104,10 @@
 	sortEnded, sortBad          decaying
 	asking                      bool
 	askWait                     float64
+	life                        uint64 // of this process, higher than those before it
+	view                        living.View
+	duties                      map[uint16]duty // cells that it keeps in another's place
+	arrivals                    living.Arrivals
+	alive                       float64 // siblings believed to be there, 0 before the first command
+	laidFor                     float64 // and how many they were when the window was laid
 }
--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -34,6 +34,9 @@
 	{"nocopies", "the module without second copies", func(h balance.Host, _ emulator.Sight, seed uint64, now float64) emulator.Policy {
 		return &noCopies{balance.New(h, seed, now)}
 	}},
+	{"fixed", "the module with shares by all siblings there should be, whoever is there", func(h balance.Host, _ emulator.Sight, seed uint64, now float64) emulator.Policy {
+		return &fixed{balance.New(h, seed, now)}
+	}},
 	{"random", "any backend", plainly(random)},
 	{"robin", "one after another", plainly(robin)},
 	{"least", "the least own commands out", plainly(leastOut)},
@@ -80,6 +83,16 @@
 	n.Balancer.Turn(now, tick, place, verbs, customers, overage, limits, cold, mustAsk)
 }
 
+// fixed is the module as it was before it asked how many siblings are there.
+type fixed struct{ *balance.Balancer }
+
+// Turn has shares go by what is configured.
+func (f *fixed) Turn(now, tick float64, place balance.Place, verbs []balance.Verb, customers []balance.Customer,
+	overage float64, limits balance.Limits, cold balance.Cold, mustAsk bool) {
+	limits.Fixed = true
+	f.Balancer.Turn(now, tick, place, verbs, customers, overage, limits, cold, mustAsk)
+}
+
 type server struct {
 	balance.Entry
 	out int
