Rig: links that delay and lose, stalls, crash loops, messages; news first after a pause

Cause: the rig refused delay, loss and messages, since its books took the arrival of a command for its sending, and knew no process that stands still. Seen: epoll_wait ends with EINTR on SIGCONT, so all timers ran before anything was read (loop.go, Run), and limits counted from when a command was read (clients.go, command).

Change: links keep when bytes of a connection came, so a backend knows when its proxy sent them. Kinds stall, loop and muddle; a Pair of links between each two siblings. The loop takes what has come before what is due after a pause, and says that there was one: the proxy then reads discovery first, drops messages, and has the Balancer learn nothing from what was out (internal/proxy/stood.go). A limit counts from when the bytes came to the kernel (TCP_INFO, asked only where the loop had not looked for 20 ms); a command whose time is up when it is read is declined, never relayed. The judge forgives what falls due in a pause, until its end.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -485,7 +485,7 @@
 func (b *Balancer) settle(c *command, failed bool) {
 	goal, took, late := c.verb.Goal, b.now-c.came, 0.0
 	miss := failed || took > goal-b.tick
-	if b.sorted(c, miss); c.apart() {
+	if b.sorted(c, miss); c.apart() || c.stood {
 		return
 	}
 	slow := lateFrom * goal
@@ -675,7 +675,9 @@
 	case n.kind == noteOut && k != nil:
 		k.tally.note(now, from, n, failSpan)
 	case n.kind == noteGrant:
-		i := slices.IndexFunc(b.waiting, func(c *command) bool { return c.askedOf == from && c.asked[len(c.asked)-1] == n.cell })
+		i := slices.IndexFunc(b.waiting, func(c *command) bool {
+			return c.askedOf == from && c.asked[len(c.asked)-1] == n.cell
+		})
 		if i >= 0 {
 			b.granted(b.waiting[i], k, n.flag != flagPerhaps)
 		} else if k != nil {
@@ -933,7 +935,7 @@
 			b.answers.add(now, rateSpan, 1)
 			b.carried.add(now, callSpan, 1)
 		}
-		if result == Answered && !c.streaming { // how long a stream takes is its length's and the client's affair
+		if result == Answered && !c.streaming && !c.stood { // how long a stream takes is its length's and the client's affair
 			// From the first relay on: a winning copy must not hide how slow the first one was.
 			v.delay.learn(now, now-c.relays[0].sent)
 			b.anyDelay.learn(now, now-c.relays[0].sent)
--- a/balance/living.go
+++ b/balance/living.go
@@ -114,3 +114,14 @@
 	}
 	return n, counts
 }
+
+// Stood is told that the instance stood still until now: what is out is late by its own doing, and teaches nothing.
+func (b *Balancer) Stood(now float64) {
+	b.now = now
+	for _, c := range b.commands { // each by itself, so no order is needed
+		c.stood = true
+		for i := range c.relays {
+			c.relays[i].learned = false
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -44,8 +44,9 @@
 	nested                bool     // a call from below, which whoever waits for it needs answered first
 	asked                 []uint16 // cells whose keepers were asked for it
 	askedAt               float64
-	asking                int // number of what was asked last, 0 while nothing is
-	askedOf               int // and the keeper
+	asking                int  // number of what was asked last, 0 while nothing is
+	askedOf               int  // and the keeper
+	stood                 bool // its instance stood still meanwhile
 }
 
 // duty is a cell whose own keeper does not answer others.
--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -53,6 +53,9 @@
 	Skew    Kind = "skew"    // at this share of the first tier's instances limits are told Hard seconds too short
 	Reap    Kind = "reap"    // connections that rested for Hard seconds are dropped unseen: the next command on one is reset
 	Drift   Kind = "drift"   // of this share of a tier's backends starts are told Hard seconds too early, of as many too late
+	Stall   Kind = "stall"   // a share of the first tier's instances stands still, nothing of it closed, and goes on when it ends
+	Loop    Kind = "loop"    // a share of the first tier's instances is killed again and again, Hard seconds after it serves
+	Muddle  Kind = "muddle"  // Hard of the messages between siblings come twice, and as many let the next one pass
 	Unable  Kind = "unable"  // this share of a tier's backends fails Hard of the commands of one verb, which Seed draws
 )
 
@@ -89,9 +92,10 @@
 	{kind: Lock, hard: 60, share: true}, {kind: Spoilt, share: true}, {kind: Readers, hard: 60, share: true},
 	{kind: Skew, hard: 60, share: true},
 	{kind: Reap, hard: 600}, {kind: Drift, hard: 60, share: true}, {kind: Unable, backends: true, hard: 1},
+	{kind: Stall}, {kind: Loop, hard: 60}, {kind: Muddle, hard: 1},
 }
 
-const byHand = 7 // of these, at the end, which are not drawn
+const byHand = 10 // of these, at the end, which are not drawn
 
 func formOf(k Kind) (form, bool) {
 	i := slices.IndexFunc(forms, func(f form) bool { return f.kind == k })
@@ -150,7 +154,7 @@
 	s := fmt.Sprintf("%s %.4g-%.4g s", f.Kind, f.From, f.From+f.For)
 	if form.backends {
 		s += fmt.Sprintf(" tier %d share %.2g", f.Tier, f.Share)
-	} else if f.Kind == Kill || f.Kind == Restart || form.share {
+	} else if f.Kind == Kill || f.Kind == Restart || f.Kind == Stall || f.Kind == Loop || form.share {
 		s += fmt.Sprintf(" share %.2g", f.Share)
 	}
 	if f.Zone >= 0 {
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -438,6 +438,16 @@
 	}
 }
 
+// Stood is told that an instance stood still from one time to another, by no doing of its own: what it owes by then is
+// due when it goes on.
+func (j *Judge) Stood(instance int, from, to float64) {
+	for _, t := range j.taken { // each by itself, so no order is needed
+		if t.Instance == instance && t.Expires > from-j.terms.Slack {
+			t.Expires = max(t.Expires, to)
+		}
+	}
+}
+
 // Killed is told that an instance is no more: what it held is its clients' affair, and what it knew is gone.
 func (j *Judge) Killed(instance int) {
 	for id, t := range j.taken { // no order is needed: each is judged by itself
--- a/internal/links/stream.go
+++ b/internal/links/stream.go
@@ -16,6 +16,7 @@
 	ways     [2]*way // to the target, and back
 	mu       sync.Mutex
 	open     map[*joint]bool
+	known    map[string]*joint // by the address that the target sees
 	closed   bool
 	done     sync.WaitGroup
 }
@@ -26,7 +27,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Stream{listener: l, target: target, ways: [2]*way{newWay(seed, 0), newWay(seed, 1)}, open: map[*joint]bool{}}
+	s := &Stream{listener: l, target: target, ways: [2]*way{newWay(seed, 0), newWay(seed, 1)}, open: map[*joint]bool{}, known: map[string]*joint{}}
 	s.done.Add(1)
 	go s.accept()
 	return s, nil
@@ -47,6 +48,18 @@
 	}
 }
 
+// Left tells the target when the first so many bytes of a connection had all come to the way, however long they were on it;
+// from is the connection's other end as the target sees it. What came before them is forgotten.
+func (s *Stream) Left(from net.Addr, bytes int64) (time.Time, bool) {
+	s.mu.Lock()
+	j := s.known[from.String()]
+	s.mu.Unlock()
+	if j == nil {
+		return time.Time{}, false
+	}
+	return j.left(bytes)
+}
+
 // Close ends the way and all its connections, and waits for its goroutines.
 func (s *Stream) Close() {
 	s.mu.Lock()
@@ -77,6 +90,39 @@
 	ends  [2]net.Conn
 	over  chan struct{}
 	ended bool
+	marks []mark // of what went towards the target and was not asked for yet
+	came  int64  // bytes
+}
+
+// mark is when so many bytes of a connection had come to its way.
+type mark struct {
+	upTo int64
+	at   time.Time
+}
+
+const mostMarks = 4096 // of a connection whose far end never asks
+
+// mark notes bytes that come to the way towards the target.
+func (j *joint) mark(n int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.came += int64(n)
+	if len(j.marks) < mostMarks {
+		j.marks = append(j.marks, mark{j.came, time.Now()})
+	}
+}
+
+// left is when the last of so many bytes came, and forgets what came before it.
+func (j *joint) left(bytes int64) (time.Time, bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for i, m := range j.marks {
+		if m.upTo >= bytes {
+			j.marks = j.marks[i:]
+			return m.at, true
+		}
+	}
+	return time.Time{}, false
 }
 
 func (j *joint) end(reset bool) {
@@ -125,6 +171,9 @@
 	if err != nil || !j.reach(far) {
 		return
 	}
+	s.mu.Lock()
+	s.known[far.LocalAddr().String()] = j
+	s.mu.Unlock()
 	var both sync.WaitGroup
 	for n := range 2 {
 		both.Go(func() { s.carry(j, n) })
@@ -146,6 +195,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.open, j)
+	if j.ends[1] != nil {
+		delete(s.known, j.ends[1].LocalAddr().String())
+	}
 }
 
 // wait lets the time pass that a piece takes, and all of a cut; it is false once the connection is over.
@@ -193,6 +245,9 @@
 			text := make([]byte, pieceSize)
 			k, err := from.Read(text)
 			if k > 0 {
+				if n == 0 {
+					j.mark(k)
+				}
 				p := piece{bytes: text[:k]}
 				p.at, p.cut, _ = y.due(time.Now(), k, true)
 				select {
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -93,6 +93,23 @@
 // In is what has been read and not consumed; it stays in place until the next read or Consume.
 func (c *Conn) In() []byte { return c.buffer[c.from:c.to] }
 
+// Age is for how many seconds the latest bytes have been with the kernel: a process that stood still reads late what came
+// in time. It costs a system call.
+func (c *Conn) Age() float64 {
+	info, err := unix.GetsockoptTCPInfo(c.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	return float64(info.Last_data_recv) / 1000
+}
+
+// Look takes what has come on the connection before anything else has its turn.
+func (c *Conn) Look() {
+	if c.fd >= 0 && !c.dialing {
+		c.event(unix.EPOLLIN)
+	}
+}
+
 // Consume gives up the first n bytes of In; an empty buffer goes back to rest.
 func (c *Conn) Consume(n int) {
 	c.from += n
--- a/internal/loop/datagrams.go
+++ b/internal/loop/datagrams.go
@@ -57,6 +57,17 @@
 	}
 }
 
+// Drop throws away what has come and was not taken.
+func (d *Datagrams) Drop() (dropped int) {
+	for d.fd >= 0 {
+		if _, _, err := unix.Recvfrom(d.fd, d.in, 0); err != nil && err != unix.EINTR && err != unix.ECONNREFUSED {
+			break
+		}
+		dropped++
+	}
+	return dropped
+}
+
 // Send has a message leave now or never.
 func (d *Datagrams) Send(to netip.AddrPort, text []byte) { unix.Sendto(d.fd, text, 0, sockaddr(to)) }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -15,6 +15,9 @@
 	eventsATurn = 128       // events taken at once: timers and posted work get their turn in between
 	longestWait = 60.0      // seconds of one wait in the kernel
 	sinkSize    = 256 << 10 // bytes thrown away at once
+	stoodFrom   = 0.1       // seconds by which a turn comes too late, or lasts, from which the process has stood still
+	afterStand  = 64        // rounds of events that are taken then before what is due: 8,192, the rest keeps its turn
+	sleptFrom   = 0.02      // seconds since the last look from which it may matter when what is read had come
 )
 
 // source is what a descriptor belongs to.
@@ -42,6 +45,8 @@
 	grown       int      // bytes that they do hold
 	sink        []byte   // where bytes go that nobody wants; the kernel writes none, so it takes no memory
 	stopped     bool
+	looked      float64          // when the turn before began
+	Stood       func(by float64) // is told, before anything else, that the process stood still so long: what it knows is old
 }
 
 // New makes a loop; its clock is the wall's at the start and monotonic from there, so that it compares with other
@@ -80,6 +85,9 @@
 // Turn is when the turn began: what is handled now had arrived by then.
 func (l *Loop) Turn() float64 { return l.turn }
 
+// Slept tells that the loop last looked so long ago that what is read now may have come a while before.
+func (l *Loop) Slept() bool { return l.turn-l.looked > sleptFrom }
+
 // Post has f run on the next turn; only for the loop's own goroutine.
 func (l *Loop) Post(f func()) { l.posted = append(l.posted, f) }
 
@@ -134,18 +142,33 @@
 func (l *Loop) Run(each func()) error {
 	var events [eventsATurn]unix.EpollEvent
 	for !l.stopped {
-		n, err := unix.EpollWait(l.epoll, events[:], l.wait())
+		wait := l.wait()
+		due, began := l.clock()+float64(wait)/1000, l.turn
+		n, err := unix.EpollWait(l.epoll, events[:], wait)
+		rounds := 1
+		if err == unix.EINTR { // also after a stop: what has come meanwhile goes before what is due
+			n, err = unix.EpollWait(l.epoll, events[:], 0)
+		}
 		if err != nil && err != unix.EINTR {
 			return fmt.Errorf("epoll wait: %w", err)
 		}
-		l.turn = l.clock()
+		l.looked, l.turn = began, l.clock()
 		l.now = l.turn
+		if by := max(l.turn-due, due-float64(wait)/1000-began); by > stoodFrom && l.Stood != nil {
+			l.Stood(by)
+			rounds = afterStand
+		}
 		each()
-		for i := range max(0, n) {
-			e := &events[i]
-			if p := l.places[e.Fd]; p.of != nil && p.gen == e.Pad {
-				l.now = l.clock()
-				p.of.event(e.Events)
+		for ; n > 0 && rounds > 0; rounds-- {
+			for i := range n {
+				e := &events[i]
+				if p := l.places[e.Fd]; p.of != nil && p.gen == e.Pad {
+					l.now = l.clock()
+					p.of.event(e.Events)
+				}
+			}
+			if n = 0; rounds > 1 {
+				n, _ = unix.EpollWait(l.epoll, events[:], 0) // interrupted: the next turn has them
 			}
 		}
 		l.now = l.clock()
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -296,9 +296,15 @@
 		c.reply(503, "too many commands\n", false) // never relayed, so harmless to repeat
 		return
 	}
+	expires := p.loop.Turn() + wait - c.waited()
+	if expires <= p.loop.Now() && wait > 0 {
+		p.declined++
+		c.reply(503, "its time was up before it was read\n", c.msg.Keep) // never relayed, so harmless to repeat
+		return
+	}
 	c.conn.Pause() // the command stays where it is until it has its answer
 	p.lastID++
-	cmd := &command{id: p.lastID, name: string(c.msg.Get(in, "Req-Id")), from: c, wait: wait, expires: p.loop.Turn() + wait}
+	cmd := &command{id: p.lastID, name: string(c.msg.Get(in, "Req-Id")), from: c, wait: wait, expires: expires}
 	c.cmd, c.used = cmd, true
 	c.enter(busy)
 	p.ids[cmd.name] = cmd
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -118,6 +118,7 @@
 	if p.loop, err = loop.New(); err != nil {
 		return nil, err
 	}
+	p.loop.Stood = p.stood
 	p.useMemory(1)
 	if p.balancer, _, err = settings.Balancer(p, p.seed, p.loop.Now(), l.Settings); err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/proxy/stood.go
@@ -0,0 +1,35 @@
+// This file owns what a proxy does when it has stood still and goes on: stopped, starved of its core, or moved. It must
+// never let what came meanwhile be taken for new, nor act on what it knew before it has read what there is.
+package proxy
+
+import "log"
+
+const ageFrom = 0.02 // seconds from which a command's wait with the kernel counts: the clock for it is coarse
+
+// stood is called first when the process goes on. What discovery has said meanwhile is read before any command, so that
+// nothing new goes to who was drained; siblings' messages are as old as the pause and say nothing; and what is out is late
+// by no backend's fault.
+func (p *Proxy) stood(by float64) {
+	now, dropped := p.loop.Now(), 0
+	if w := p.watch.conn; w != nil {
+		w.Look()
+	}
+	if p.peers.sock != nil {
+		dropped = p.peers.sock.Drop()
+	}
+	p.balancer.Stood(now)
+	if len(p.commands) > 0 || dropped > 0 {
+		log.Printf("msg=stood_still seconds=%.3f open=%d notes_dropped=%d", by, len(p.commands), dropped)
+	}
+}
+
+// waited is for how long a command that is read now has been there already.
+func (c *client) waited() float64 {
+	if !c.p.loop.Slept() {
+		return 0
+	}
+	if age := c.conn.Age(); age > ageFrom {
+		return age
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/proxy/stood_test.go
@@ -0,0 +1,147 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A process that was stopped for half a second read what had come meanwhile as if it were new: commands whose clients had
+// given up were relayed, and answers came after their limit.
+func TestWhatCameWhileItStoodStillIsAsOldAsItIs(t *testing.T) {
+	t.Parallel()
+	b := newToy(t, ok)
+	r := run(t, launch(t, 200, listing(1, true, ready("s-a", b)), nil))
+	time.Sleep(600 * time.Millisecond)
+	short, long := r.caller(t), r.caller(t)
+	for _, c := range []*caller{short, long} { // so that the connections are known
+		if status, body, _ := c.ask(text("look")); status != 200 {
+			t.Fatalf("%d %s", status, body)
+		}
+	}
+	before := b.commands.Load()
+	r.do(func() {
+		io.WriteString(short, strings.Replace(text("look"), "Req-Deadline: 2.5", "Req-Deadline: 0.2", 1))
+		io.WriteString(long, text("look"))
+		time.Sleep(500 * time.Millisecond) // the whole process
+	})
+	if status, _, _ := short.read(); status != 503 {
+		t.Errorf("%d to a command whose time was up", status)
+	}
+	if status, _, _ := long.read(); status != 200 {
+		t.Errorf("%d to a command that has 2 s left", status)
+	}
+	if n := b.commands.Load() - before; n != 1 {
+		t.Errorf("%d relays for the one command that still had time", n)
+	}
+	r.do(func() {
+		for _, c := range r.commands {
+			t.Errorf("still open: %+v", c)
+		}
+	})
+}
+
+func TestMessagesOfThePauseAreDropped(t *testing.T) {
+	t.Parallel()
+	b := newToy(t, ok)
+	sibling, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sibling.Close()
+	at := freeUDP(t)
+	l := config(listing(1, true, ready("s-a", b)), nil, moved("2"))
+	l.Peers = []string{at, sibling.LocalAddr().String()}
+	p, err := New(l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := run(t, p)
+	to := net.UDPAddrFromAddrPort(netip.MustParseAddrPort(at))
+	answers := func() (n int) {
+		for in := make([]byte, 100); ; n++ {
+			sibling.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+			if _, _, err := sibling.ReadFrom(in); err != nil {
+				return n
+			}
+		}
+	}
+	ask := func() { sibling.WriteTo([]byte{0x12, 0, 0, 0, 0, 255, 0}, to) }
+	if ask(); answers() != 1 {
+		t.Fatal("a question is not answered")
+	}
+	r.do(func() {
+		for range 20 {
+			ask()
+		}
+		time.Sleep(300 * time.Millisecond)
+	})
+	if n := answers(); n > 0 {
+		t.Errorf("%d questions of half a second ago were answered", n)
+	}
+	if ask(); answers() != 1 {
+		t.Error("a question after the pause is not answered")
+	}
+}
+
+// Discovery drained a backend while the process stood still, and a command was waiting in front of that word.
+func TestNewsComeFirstAfterAPause(t *testing.T) {
+	t.Parallel()
+	drained, other := newToy(t, ok), newToy(t, ok)
+	d, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	said := make(chan net.Conn, 1)
+	first := listing(1, true, ready("s-a", drained), ready("s-b", other))
+	go func() {
+		c, err := d.Accept()
+		if err != nil {
+			return
+		}
+		c.Read(make([]byte, 1000))
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n\r\n%s\n", first)
+		said <- c
+	}()
+	r := run(t, launch(t, 200, "", d))
+	c := <-said
+	defer c.Close()
+	for range 200 { // until it has heard
+		usable := 0
+		if r.do(func() { usable = r.backends.usable }); usable == 2 {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	var callers []*caller
+	for range 20 {
+		callers = append(callers, r.caller(t))
+		callers[len(callers)-1].ask(text("look"))
+	}
+	before := drained.commands.Load()
+	if before == 0 {
+		t.Fatal("nothing ever went to the first backend")
+	}
+	r.do(func() {
+		for _, x := range callers {
+			io.WriteString(x, text("look"))
+		}
+		gone := ready("s-a", drained)
+		gone["status"] = "draining"
+		fmt.Fprintf(c, "%s\n", listing(2, false, gone))
+		time.Sleep(300 * time.Millisecond)
+	})
+	for _, x := range callers {
+		if status, body, _ := x.read(); status != 200 {
+			t.Errorf("%d %s", status, body)
+		}
+	}
+	if n := drained.commands.Load() - before; n > 0 {
+		t.Errorf("%d commands to a backend of which it had word that it drains", n)
+	}
+}
--- a/internal/rig/backend.go
+++ b/internal/rig/backend.go
@@ -138,7 +138,8 @@
 		delete(b.open, c)
 		b.mu.Unlock()
 	}()
-	in := bufio.NewReader(c)
+	count := &counted{Conn: c}
+	in := bufio.NewReader(count)
 	for {
 		q, err := http.ReadRequest(in)
 		if err != nil {
@@ -147,16 +148,36 @@
 		if _, err := io.Copy(io.Discard, q.Body); err != nil {
 			return
 		}
-		if !b.command(c, in, q) {
+		if !b.command(c, in, q, b.sent(c, count.bytes-int64(in.Buffered()))) {
 			return
 		}
 	}
 }
 
+// counted counts what is read.
+type counted struct {
+	net.Conn
+	bytes int64
+}
+
+func (c *counted) Read(text []byte) (int, error) {
+	n, err := c.Conn.Read(text)
+	c.bytes += int64(n)
+	return n, err
+}
+
+// sent is when the proxy sent what has been read of the connection so far.
+func (b *backend) sent(c net.Conn, bytes int64) float64 {
+	if at, known := b.rig.left(b, c.RemoteAddr(), bytes); known {
+		return at
+	}
+	return b.rig.books.now()
+}
+
 const declined = "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
 
 // command does one and tells whether the connection goes on.
-func (b *backend) command(c net.Conn, in *bufio.Reader, q *http.Request) bool {
+func (b *backend) command(c net.Conn, in *bufio.Reader, q *http.Request, came float64) bool {
 	id, err := strconv.ParseUint(q.Header.Get("Req-Id"), 16, 64)
 	verb := b.rig.verbOf(q.URL.Path)
 	if err != nil || verb < 0 {
@@ -165,8 +186,7 @@
 	}
 	limit, _ := strconv.ParseFloat(q.Header.Get("Req-Deadline"), 64)
 	due := time.Now().Add(time.Duration(limit * float64(time.Second)))
-	came := b.rig.books.now()
-	relay, known := b.rig.books.reached(b, id, verb)
+	relay, known := b.rig.books.reached(b, id, verb, came)
 	if !known {
 		io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 		return true
--- a/internal/rig/books.go
+++ b/internal/rig/books.go
@@ -44,20 +44,21 @@
 		Window: b.world.Verbs[r.verb].Window})
 }
 
-// reached is told when a backend has a command whole; a command that no client sent is not known.
-func (b *books) reached(x *backend, id uint64, verb int) (relay int, known bool) {
+// reached is told when a backend has a command whole that was sent at a time; a command that no client sent is not known.
+// The rules go by when it was sent, and only what it does to a cold backend by when it came.
+func (b *books) reached(x *backend, id uint64, verb int, sent float64) (relay int, known bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.all[id]
 	if r == nil {
 		return 0, false
 	}
-	if r.ended > 0 && b.now() < r.ended+crossing {
+	if r.ended > 0 && sent < r.ended+crossing {
 		return -1, true
 	}
 	relay = r.relays
 	r.relays++
-	b.judge.Sent(b.now(), id, x.serial, x.zone, x.cell, false)
+	b.judge.Sent(sent, id, x.serial, x.zone, x.cell, false)
 	if warm := x.machine.warmth(time.Now()); warm < 1 {
 		b.judge.Reached(b.now(), x.serial, r.instance, b.world.Verbs[verb].Work[x.tier], x.machine.cores*x.machine.speed*warm,
 			x.started.Sub(b.start).Seconds())
--- a/internal/rig/clients.go
+++ b/internal/rig/clients.go
@@ -92,6 +92,7 @@
 	verb, customer, tier, instance int
 	seed, op                       uint64
 	limit                          float64
+	by                             *process // of the first tier, that it goes to
 }
 
 type got struct {
@@ -116,7 +117,7 @@
 	text := fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: app.svc\r\nReq-Id: %016x\r\nReq-Kind: %s\r\nReq-Owner: %s\r\nReq-Deadline: %.3f\r\n%sContent-Length: %d\r\n\r\n%s",
 		method, v.Name, id, v.Name, customer(w.customer), w.limit, key, len(body), body)
 	until := time.Now().Add(time.Duration((w.limit + overdue) * float64(time.Second)))
-	taken := false
+	taken, began := false, r.clock()
 	for try := 0; ; try++ {
 		c := p.take()
 		fresh := c == nil
@@ -144,8 +145,11 @@
 		if crossed && !fresh && try < 3 && time.Now().Before(until) {
 			continue // the proxy closed a connection at rest while this crossed it: it goes out once more
 		}
-		if g.result != silent {
+		switch {
+		case g.result != silent:
 			r.books.ended(id, g.result, true)
+		case w.by != nil && w.by.stood(began): // its client has hung up on a process that stood still
+			r.books.ended(id, left, false)
 		}
 		return g
 	}
@@ -242,7 +246,7 @@
 			if first.IsZero() {
 				first = time.Now()
 			}
-			g = r.ask(ctx, p.pool, want{verb: a.Verb, customer: a.Customer, seed: a.Seed, op: a.Seed | 1, limit: limit, instance: p.serial})
+			g = r.ask(ctx, p.pool, want{verb: a.Verb, customer: a.Customer, seed: a.Seed, op: a.Seed | 1, limit: limit, instance: p.serial, by: p})
 		}
 		took := time.Since(due).Seconds()
 		switch g.result {
--- /dev/null
+++ b/internal/rig/fleet_test.go
@@ -0,0 +1,84 @@
+// This file owns the days on which eight real proxies run side by side and some of them, or the links between them, fail.
+// It must never go by what a proxy says: the stand-ins' own books alone count.
+package rig
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"sandpass/internal/emulator"
+	"sandpass/internal/faults"
+	"sandpass/internal/judge"
+)
+
+// eight is a world of eight proxies before two tiers.
+func eight(messages bool) emulator.World {
+	w := tiny()
+	w.Length, w.Instances, w.Rate, w.Rules.Peers = 8, 8, 120, messages
+	w.Tiers[0].Backends, w.Tiers[1].Backends = 8, 4
+	w.Clients.Notice = 0.5
+	return w
+}
+
+// a fault that names nobody in particular.
+func a(kind faults.Kind, from, long, share, hard float64) faults.Fault {
+	return faults.Fault{Kind: kind, Zone: -1, To: -1, From: from, For: long, Share: share, Hard: hard, Seed: 11}
+}
+
+func TestEightProxiesOfWhichMostFail(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		messages bool
+		plan     faults.Plan
+		least    float64 // part served that is possible with ease; clients' own tries are part of the world
+	}{
+		{"nine of ten are killed", true, faults.Plan{a(faults.Kill, 2, 2, 0.85, 0)}, 0.6},
+		{"all are killed", false, faults.Plan{a(faults.Kill, 2, 1, 1, 0)}, 0.55},
+		{"a second wave while the first recovers", true, faults.Plan{a(faults.Kill, 2, 1.5, 0.6, 0),
+			{Kind: faults.Kill, Zone: -1, To: -1, From: 4, For: 1, Share: 0.5, Seed: 3}}, 0.5},
+		{"half stand still", true, faults.Plan{a(faults.Stall, 2, 1.5, 0.5, 0)}, 0.5},
+		{"one stands still through a drain", false, faults.Plan{a(faults.Stall, 2, 2.5, 0.4, 0), a(faults.Roll, 2.2, 1, 0.5, 0)}, 0.4},
+		{"a crash loop of a quarter", true, faults.Plan{a(faults.Loop, 1.5, 4, 0.25, 0.4)}, 0.6},
+		{"links that delay and lose", true, faults.Plan{a(faults.Delay, 1.5, 3, 1, 0.03), a(faults.Loss, 2, 3, 1, 0.05),
+			a(faults.Muddle, 1, 5, 1, 0.2)}, 0.6},
+		{"a cut and a kill, discovery silent", true, faults.Plan{{Kind: faults.Cut, Zone: 0, To: 1, From: 1.5, For: 2, Hard: 0.5},
+			a(faults.Kill, 2, 1.5, 0.4, 0), a(faults.Silent, 2.5, 2, 1, 0)}, 0.5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			out := play(t, eight(c.messages), c.plan)
+			if n := out.Account.Count(); n > 0 && out.Lateness < 0.04 { // else the machine at hand is no measure
+				t.Errorf("rules: %v", out.Account.Broken)
+			}
+			if served := out.Account.Served / out.Account.Asked; served < c.least && out.Lateness < 0.04 {
+				t.Errorf("served %.2f; lost %v", served, out.Account.Losses)
+			}
+		})
+	}
+}
+
+// The books have to see each way in which a process can go on with what it knew before it stood still.
+func TestStandingStillIsForgivenAndNothingElse(t *testing.T) {
+	j := judge.New(judge.Terms{Slack: 0.05, Grace: 0.4, Length: 20})
+	j.Taken(1, judge.Command{ID: 1, Instance: 1, Expires: 3})
+	j.Taken(1, judge.Command{ID: 2, Instance: 1, Expires: 1.5})
+	j.Taken(1, judge.Command{ID: 3, Instance: 2, Expires: 3})
+	j.Stood(1, 2, 6) // the second was due before
+	j.Ended(6.04, 1, false, true, true)
+	j.Ended(6.04, 2, false, true, true)
+	j.Ended(6.04, 3, false, true, true)
+	j.Taken(7, judge.Command{ID: 4, Instance: 1, Expires: 9})
+	j.Listed(7, 1, 5, false, 0)
+	j.Sent(7.5, 4, 5, 0, 0, false)
+	acc := j.Close(12)
+	for _, want := range []string{"command 2 at instance 1 has its final answer", "command 3 at instance 2 has its final answer",
+		"command 4 to backend 5, 500 ms after word", "command 4 at instance 1 never had"} {
+		if !strings.Contains(fmt.Sprint(acc.Broken), want) {
+			t.Errorf("%q is missing in %v", want, acc.Broken)
+		}
+	}
+	if acc.Count() != 4 {
+		t.Errorf("%v", acc.Broken)
+	}
+}
--- /dev/null
+++ b/internal/rig/lives.go
@@ -0,0 +1,159 @@
+// This file owns what faults do to the first tier's proxies as processes: killed, restarted as planned, standing still, in
+// a crash loop. It must never leave one standing still, nor signal a process that this rig did not start.
+
+package rig
+
+import (
+	"sync"
+	"syscall"
+	"time"
+
+	"sandpass/internal/faults"
+	"sandpass/internal/judge"
+)
+
+// hitFronts draws a share of the first tier's places.
+func (r *Rig) hitFronts(f faults.Fault) []int {
+	all := f.Chance().Perm(len(r.fronts))
+	return all[:f.Count(len(all))]
+}
+
+func (r *Rig) front(i int) *process {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fronts[i]
+}
+
+// kill ends a proxy at once; the front sends it clients until it notices.
+func (r *Rig) kill(i int, p *process) {
+	p.kill()
+	time.AfterFunc(time.Duration(r.world.Clients.Notice*float64(time.Second)), func() {
+		r.mu.Lock()
+		if r.fronts[i] == p {
+			r.fronts[i] = nil
+		}
+		r.mu.Unlock()
+	})
+}
+
+// revive starts a proxy in the place of one, at its address.
+func (r *Rig) revive(i int, p *process) *process {
+	q, err := r.startProcess(0, p.me, p.zone, len(r.fronts), p.listen)
+	if err != nil {
+		r.fail(err)
+		return nil
+	}
+	q.weight = p.weight
+	r.mu.Lock()
+	r.fronts[i], r.running = q, append(r.running, q)
+	r.back = r.clock()
+	r.mu.Unlock()
+	return q
+}
+
+// turnOver kills or restarts a share of the first tier's proxies.
+func (r *Rig) turnOver(f faults.Fault, wait func(float64) bool) {
+	all := r.hitFronts(f)
+	one := func(i int, planned bool) {
+		p := r.front(i)
+		if p == nil {
+			return // another fault has it
+		}
+		if planned { // the front sends it no new clients from now on
+			r.mu.Lock()
+			r.fronts[i] = nil
+			r.mu.Unlock()
+			p.stop(endWithin)
+		} else {
+			r.kill(i, p)
+			if !wait(f.From + f.For) {
+				return
+			}
+		}
+		r.revive(i, p)
+	}
+	var done sync.WaitGroup
+	for n, i := range all {
+		if f.Kind == faults.Restart && !wait(f.From+f.For*float64(n)/float64(len(all))) {
+			return
+		}
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			one(i, f.Kind == faults.Restart)
+		}()
+	}
+	done.Wait()
+}
+
+// stall has a share of the proxies stand still.
+func (r *Rig) stall(f faults.Fault, wait func(float64) bool) {
+	var still []*process
+	for _, i := range r.hitFronts(f) {
+		if p := r.front(i); p != nil && p.signal(syscall.SIGSTOP) {
+			still = append(still, p)
+		}
+	}
+	from := r.clock()
+	for _, p := range still {
+		p.stands(from)
+	}
+	wait(f.From + f.For)
+	for _, p := range still {
+		p.signal(syscall.SIGCONT)
+		to := r.clock()
+		p.goesOn(to)
+		r.books.client(func(j *judge.Judge) { j.Stood(p.serial, from, to) })
+	}
+}
+
+// crashLoop kills a share of the proxies again and again, each so long after it was ready.
+func (r *Rig) crashLoop(f faults.Fault, wait func(float64) bool) {
+	var done sync.WaitGroup
+	for _, i := range r.hitFronts(f) {
+		done.Go(func() {
+			for p := r.front(i); p != nil && r.clock() < f.From+f.For; {
+				r.kill(i, p)
+				if p = r.revive(i, p); p == nil || !wait(r.clock()+f.Hard) {
+					return
+				}
+			}
+		})
+	}
+	done.Wait()
+}
+
+// signal sends one to a process that has not ended, and tells whether it did.
+func (p *process) signal(s syscall.Signal) bool {
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return p.cmd.Process.Signal(s) == nil
+	}
+}
+
+// stands and goesOn keep the times at which it stood still.
+func (p *process) stands(from float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.still = append(p.still, [2]float64{from, -1})
+}
+
+func (p *process) goesOn(to float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.still[len(p.still)-1][1] = to
+}
+
+// stood tells whether it stood still at any time since one: what it owed then is no fault of its own.
+func (p *process) stood(since float64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.still {
+		if s[1] < 0 || s[1] >= since {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -34,6 +34,8 @@
 	ended                  chan struct{}
 	once                   sync.Once
 	pool                   *pool // of the clients that come to it
+	mu                     sync.Mutex
+	still                  [][2]float64 // from when to when it stood still, -1 while it does
 }
 
 // free is an address that nobody listens at just now.
@@ -68,13 +70,18 @@
 	for z := range w.Zones {
 		zones = append(zones, zone(z))
 	}
+	peers := []string{}
+	if p.tier == 0 && r.peers != nil {
+		peers = r.peers[p.me]
+	}
 	return map[string]any{
-		"name": fmt.Sprintf("p-%d", p.serial), "listen": p.listen, "discovery": p.agent.listener.Addr().String(),
+		"peers": peers,
+		"name":  fmt.Sprintf("p-%d", p.serial), "listen": p.listen, "discovery": p.agent.listener.Addr().String(),
 		"seed":   fmt.Sprintf("%016x", r.seed+uint64(p.serial)),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 4096},
 		"settings": map[string]any{
 			"me": p.me, "siblings": siblings, "tier": p.tier, "zone": p.zone, "discovery": "pushed", "azs": zones, "tick_ms": 1000 * w.Tick,
-			"limits": map[string]any{"max_relays": w.Rules.Relays, "max_open": 5000, "second_copies": w.Rules.Copies, "cancel": w.Rules.Cancel,
+			"limits": map[string]any{"max_relays": w.Rules.Relays, "max_open": 5000, "peers": len(peers) > 0, "second_copies": w.Rules.Copies, "cancel": w.Rules.Cancel,
 				"retry_after": w.Rules.ComeBack > 0, "max_retry_after_ms": 1000 * w.Rules.ComeBack, "connect_timeout_ms": 1000 * w.Rules.Connect,
 				"conn_idle_ms": 1000 * w.Tiers[p.tier].Idle},
 			"load_info": map[string]any{"fields": []string{}, "how": "none"}, "overage_utility": w.Clients.Over,
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -29,6 +29,7 @@
 var can = map[faults.Kind]bool{
 	faults.Crash: true, faults.Hang: true, faults.Slow: true, faults.Flicker: true, faults.Errors: true, faults.Refuse: true,
 	faults.Cut: true, faults.Deaf: true, faults.Spoil: true, faults.Reset: true, faults.Roll: true, faults.Zone: true, faults.Silent: true,
+	faults.Delay: true, faults.Loss: true, faults.Muddle: true, faults.Stall: true, faults.Loop: true,
 	faults.Kill: true, faults.Restart: true, faults.Burst: true, faults.Flood: true, faults.Shift: true, faults.Rude: true, faults.Storm: true,
 }
 
@@ -59,9 +60,12 @@
 	targets   [][]*backend
 	lateness  float64 // seconds by which the latest command was sent after it was due
 	failure   error
+	back      float64 // when the last proxy that failed was ready again
 	waysMu    sync.Mutex
 	ways      map[way]*stretch
-	quiet     bool // no judge: what is listed and killed is nobody's affair
+	pairs     []between
+	peers     [][]string // by instance of the first tier, where it finds each sibling's messages
+	quiet     bool       // no judge: what is listed and killed is nobody's affair
 }
 
 // Outcome is what came of a live day.
@@ -78,13 +82,13 @@
 			return nil, fmt.Errorf("fault[%d] (%s): sockets on loopback can't carry this out; the emulator can", i, f.Kind)
 		}
 	}
-	if w.Rules.Peers {
-		return nil, fmt.Errorf("world.rules.peers: messages between siblings are not played on sockets")
-	}
 	return &Rig{world: w, plan: plan, seed: seed, program: program, env: env, over: make(chan struct{}),
 		active: make([]bool, len(plan)), targets: make([][]*backend, len(plan))}, nil
 }
 
+// clock is the time of the day.
+func (r *Rig) clock() float64 { return time.Since(r.start).Seconds() }
+
 func (r *Rig) at(t float64) time.Time { return r.start.Add(time.Duration(t * float64(time.Second))) }
 
 func (r *Rig) verbOf(path string) int {
@@ -179,6 +183,9 @@
 			}
 		}
 	}
+	if err := r.meetings(); err != nil {
+		return err
+	}
 	skew := rand.New(rand.NewPCG(r.seed, 77))
 	for i := range w.Instances {
 		p, err := r.startProcess(0, i, i%w.Zones, w.Instances, "")
@@ -312,6 +319,10 @@
 		}
 	case faults.Kill, faults.Restart:
 		r.turnOver(f, wait)
+	case faults.Stall:
+		r.stall(f, wait)
+	case faults.Loop:
+		r.crashLoop(f, wait)
 	default:
 		step := rampStep
 		if !f.Ramps() && f.Kind != faults.Flicker {
@@ -364,57 +375,6 @@
 	r.lists[b.tier].add(b, "ready")
 }
 
-// turnOver kills or restarts a share of the first tier's proxies.
-func (r *Rig) turnOver(f faults.Fault, wait func(float64) bool) {
-	chance := f.Chance()
-	all := chance.Perm(len(r.fronts))
-	all = all[:f.Count(len(all))]
-	one := func(i int, planned bool) {
-		r.mu.Lock()
-		p := r.fronts[i]
-		r.mu.Unlock()
-		if planned { // the front sends it no new clients from now on
-			r.mu.Lock()
-			r.fronts[i] = nil
-			r.mu.Unlock()
-			p.stop(endWithin)
-		} else {
-			p.kill()
-			time.AfterFunc(time.Duration(r.world.Clients.Notice*float64(time.Second)), func() {
-				r.mu.Lock()
-				if r.fronts[i] == p {
-					r.fronts[i] = nil
-				}
-				r.mu.Unlock()
-			})
-			if !wait(f.From + f.For) {
-				return
-			}
-		}
-		q, err := r.startProcess(0, p.me, p.zone, len(r.fronts), p.listen)
-		if err != nil {
-			r.fail(err)
-			return
-		}
-		q.weight = p.weight
-		r.mu.Lock()
-		r.fronts[i], r.running = q, append(r.running, q)
-		r.mu.Unlock()
-	}
-	var done sync.WaitGroup
-	for n, i := range all {
-		if f.Kind == faults.Restart && !wait(f.From+f.For*float64(n)/float64(len(all))) {
-			return
-		}
-		done.Add(1)
-		go func() {
-			defer done.Done()
-			one(i, f.Kind == faults.Restart)
-		}()
-	}
-	done.Wait()
-}
-
 // burdenAll takes anew what each backend has to bear, from all faults in force.
 func (r *Rig) burdenAll() {
 	defer r.turn()
--- a/internal/rig/ways.go
+++ b/internal/rig/ways.go
@@ -1,10 +1,13 @@
-// This file owns the ways between proxies and backends on days whose plan has faults of links: one forwarder for each zone
-// of proxies and each backend, and the weather on it. It must never stand in a way that no fault is to touch: a day
-// without such faults has no forwarder.
+// This file owns the ways between proxies and backends, and among proxies, on days whose plan has faults of links: one
+// forwarder for each zone of proxies and each backend, one for each two siblings, and the weather on them. It must never
+// stand in a way that no fault is to touch: a day without such faults has no forwarder.
 
 package rig
 
 import (
+	"fmt"
+	"net"
+	"net/netip"
 	"slices"
 
 	"sandpass/internal/faults"
@@ -22,10 +25,17 @@
 	cut bool // one direction or both
 }
 
-// hasWays tells whether the plan has faults of links. Ways that only delay or lose are refused as yet: the books take the
-// time at which a backend has a command for the time at which it was sent.
+// between is the way of messages between two siblings.
+type between struct {
+	*links.Pair
+	from, to int // their zones
+}
+
+// hasWays tells whether the plan has faults of links.
 func (r *Rig) hasWays() bool {
-	return slices.ContainsFunc(r.plan, func(f faults.Fault) bool { return f.Kind == faults.Cut })
+	return slices.ContainsFunc(r.plan, func(f faults.Fault) bool {
+		return f.Kind == faults.Cut || f.Kind == faults.Delay || f.Kind == faults.Loss || f.Kind == faults.Muddle
+	})
 }
 
 // through is where proxies of a zone find a backend.
@@ -50,28 +60,91 @@
 	return r.ways[k].Addr(), nil
 }
 
-// cut tells whether a fault in force lets nothing pass from one zone to another.
-func (r *Rig) cut(from, to int) bool {
+// left is when the first so many bytes of a connection were sent to a backend, if a way that may hold them up is between.
+func (r *Rig) left(b *backend, from net.Addr, bytes int64) (at float64, known bool) {
+	r.waysMu.Lock()
+	defer r.waysMu.Unlock()
+	for k, s := range r.ways { // at most one of them knows the connection
+		if k.address == b.address {
+			if t, ok := s.Left(from, bytes); ok {
+				return t.Sub(r.start).Seconds(), true
+			}
+		}
+	}
+	return 0, false
+}
+
+// meetings gives each instance of the first tier an address for messages, and each the addresses at which it finds the
+// others; nil where siblings say nothing to one another.
+func (r *Rig) meetings() error {
+	if !r.world.Rules.Peers {
+		return nil
+	}
+	n := r.world.Instances
+	own := make([]string, n)
+	for i := range own {
+		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			return err
+		}
+		own[i] = c.LocalAddr().String()
+		defer c.Close() // free again once all are drawn, so that no two are the same
+	}
+	r.peers = make([][]string, n)
+	for i := range n {
+		r.peers[i] = slices.Clone(own)
+	}
+	if !r.hasWays() {
+		return nil
+	}
+	for i := range n {
+		for k := range i {
+			p, err := links.NewPair(netip.MustParseAddrPort(own[k]), netip.MustParseAddrPort(own[i]), r.seed+uint64(i*n+k))
+			if err != nil {
+				return fmt.Errorf("a way between two siblings: %w", err)
+			}
+			r.peers[k][i], r.peers[i][k] = p.ForLeft(), p.ForRight()
+			r.pairs = append(r.pairs, between{p, k % r.world.Zones, i % r.world.Zones})
+		}
+	}
+	return nil
+}
+
+// weather is what the faults in force make of what goes from one zone to another.
+func (r *Rig) weather(from, to int) (w links.Weather) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i, f := range r.plan {
-		if r.active[i] && f.Cuts(from, to) {
-			return true
+		if !r.active[i] {
+			continue
+		}
+		now := r.clock()
+		touches := f.Zone < 0 || from != to && (f.Zone == from || f.Zone == to)
+		switch {
+		case f.Cuts(from, to):
+			w.Cut = true
+		case f.Kind == faults.Delay && touches:
+			w.Delay += f.At(now)
+		case f.Kind == faults.Loss && touches:
+			w.Loss = 1 - (1-w.Loss)*(1-f.At(now))
+		case f.Kind == faults.Muddle:
+			w.Twice, w.Swap = f.At(now), f.At(now)
 		}
 	}
-	return false
+	w.Jitter, w.Again = r.world.Net.Jitter*w.Delay, r.world.Net.Again
+	return w
 }
 
 // fit has a way's weather follow the faults in force; r.waysMu is held. When a cut ends the connections break that stood
 // in it, as in the emulator: what their senders have long given up must not reach a backend as if it were new.
 func (r *Rig) fit(k way) {
 	s := r.ways[k]
-	there, back := r.cut(k.from, s.to), r.cut(s.to, k.from)
-	if s.cut && !there && !back {
+	there, back := r.weather(k.from, s.to), r.weather(s.to, k.from)
+	if s.cut && !there.Cut && !back.Cut {
 		s.Reset()
 	}
-	s.cut = there || back
-	s.Set(links.Weather{Cut: there}, links.Weather{Cut: back})
+	s.cut = there.Cut || back.Cut
+	s.Set(there, back)
 }
 
 // turn has all ways follow the faults in force.
@@ -81,6 +154,9 @@
 	for k := range r.ways { // each by itself, so no order is needed
 		r.fit(k)
 	}
+	for _, p := range r.pairs {
+		p.Set(r.weather(p.from, p.to), r.weather(p.to, p.from))
+	}
 }
 
 // endWays closes all forwarders.
@@ -90,5 +166,8 @@
 	for _, s := range r.ways {
 		s.Close()
 	}
-	r.ways = nil
+	for _, p := range r.pairs {
+		p.Close()
+	}
+	r.ways, r.pairs = nil, nil
 }
