The planned end goes by the longest verb: the kill may come before 3.4 s

The kill may come the longest deadline and 0.7 s after SIGTERM; the end took 3.4 s whatever the verbs (proxy.go, end), which is right only where one may take 3 s.

Change: the last answer is out 0.3 s before the earliest kill, by the longest time limit of the settings, 3.4 s at most.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -33,7 +33,9 @@
 	freshFor       = 0.5  // seconds that discovery has to say what is new before the known list will do
 	drainFor       = 0.6  // seconds after SIGTERM in which connections still come
 	serveFor       = 1.4  // seconds after SIGTERM in which open ones go on: the other proxies may be away as well
-	drainMost      = 3.4  // seconds after SIGTERM by which the last answer is out: the kill may follow at 3.7
+	drainMost      = 3.4  // seconds after SIGTERM by which the last answer is out, whatever verbs may take
+	killAfter      = 0.7  // seconds after the longest time limit, counted from SIGTERM, at which the kill may follow
+	killMargin     = 0.3  // seconds before that by which the last answer is out
 	soon           = 0.02 // seconds between looks at whether the end has come
 	lastWords      = 0.2  // seconds after that for the last answers to leave
 	bufferPart     = 0.25 // of the memory that grown read buffers may fill: as much again waits for the collector
@@ -348,16 +350,27 @@
 // end begins the planned end: connections are taken for a while yet, then what is open is finished.
 func (p *Proxy) end() {
 	p.ending = true
-	p.endBy = p.loop.Now() + drainMost
-	log.Printf("msg=ending open=%d clients=%d", len(p.commands), p.clients.count)
+	most := p.endWithin()
+	p.endBy = p.loop.Now() + most
+	log.Printf("msg=ending open=%d clients=%d within=%.2f", len(p.commands), p.clients.count, most)
 	p.loop.After(drainFor, p.closeDoor)
-	p.loop.After(serveFor, p.leave)
-	p.loop.After(drainMost, func() {
+	p.loop.After(min(serveFor, most), p.leave)
+	p.loop.After(most, func() {
 		p.terminateAll()
 		p.finish()
 	})
 }
 
+// endWithin is how many seconds after SIGTERM the last answer is out. The kill may follow as soon as the longest command
+// that had come by then has had its time, so where verbs are short it comes earlier.
+func (p *Proxy) endWithin() float64 {
+	longest := 0.0
+	for _, v := range p.names.Verbs {
+		longest = max(longest, v.TimeLimit)
+	}
+	return max(drainFor, min(drainMost, longest+killAfter-killMargin))
+}
+
 // closeDoor takes the last connections, as soon as there is room for them. With a successor they are its own.
 func (p *Proxy) closeDoor() {
 	if p.handover.succeeded {
