--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -634,7 +634,7 @@
 
 // report tells the backend's keeper what this instance has out there.
 func (b *Balancer) report(k *backend, flag byte) {
-	n := note{noteOut, uint16(k.Cell), k.tag(), byte(min(255, k.inFlight)), flag}
+	n := note{noteOut, uint16(k.Cell), k.tag(), byte(min(255, k.inFlight)), flag, k.turn()}
 	if at := b.keeper(n.cell); b.limits.Peers && at != b.place.Me {
 		b.tell(at, n)
 	} else if b.limits.Peers {
@@ -665,7 +665,7 @@
 	}
 	switch { // who asks, or tells, has found out that this one is the keeper
 	case n.kind == noteAsk:
-		reply, knows := note{kind: noteGrant, cell: n.cell}, b.knows(n.cell)
+		reply, knows := note{kind: noteGrant, cell: n.cell, turn: n.turn}, b.knows(n.cell)
 		if k := b.grant(n.cell, from, float64(n.amount)/255); k != nil && knows {
 			reply.tag, reply.flag = k.tag(), flagYes
 		} else if k != nil {
@@ -702,7 +702,7 @@
 	b.asks++
 	n := b.asks
 	c.asking, c.askedOf, b.waiting = n, at, append(b.waiting, c)
-	b.question(at, note{kind: noteAsk, cell: cell, amount: byte(255 * c.priority)})
+	b.question(at, note{kind: noteAsk, cell: cell, amount: byte(255 * c.priority), turn: turn(n)})
 	b.after(patience, func() {
 		if c.asking != n {
 			return
--- a/balance/keeper_test.go
+++ b/balance/keeper_test.go
@@ -154,7 +154,7 @@
 
 // An instance whose sibling keeps no cell of its own list: bytes of any kind must neither stop it nor be believed.
 func FuzzHeard(f *testing.F) {
-	f.Add(1, note{noteOut, 0, 1, 200, flagFailed}.bytes())
+	f.Add(1, note{noteOut, 0, 1, 200, flagFailed, 0}.bytes())
 	f.Add(1, note{kind: noteAsk, amount: 255}.bytes())
 	f.Add(0, note{kind: noteGrant, flag: flagYes}.bytes())
 	f.Add(7, []byte{0x12})
--- a/balance/living.go
+++ b/balance/living.go
@@ -107,6 +107,9 @@
 		return n, false
 	}
 	counts, fresh := b.view.Heard(b.now, from, life)
+	if counts && n.kind == noteAsk && n.turn != 0 && b.view.Repeats(b.now, from, n.turn) {
+		return n, false // would be granted twice
+	}
 	if fresh {
 		for _, k := range b.fleet {
 			delete(k.tally.by, from)
@@ -125,3 +128,12 @@
 		}
 	}
 }
+
+// turn numbers words and questions, so that one which comes twice or was overtaken is known; 0 is no number.
+func turn(n int) byte { return byte(1 + n%255) }
+
+// turn is the number of the next word on a backend.
+func (k *backend) turn() byte {
+	k.said++
+	return turn(k.said)
+}
--- a/balance/living_test.go
+++ b/balance/living_test.go
@@ -114,7 +114,7 @@
 	other := 1 - keeper.b.place.Me
 	k := keeper.b.fleet[0]
 	says := func(life uint64, amount byte) {
-		keeper.b.Heard(keeper.now, other, note{noteOut, 0, k.tag(), amount, flagSent}.lived(life))
+		keeper.b.Heard(keeper.now, other, note{noteOut, 0, k.tag(), amount, flagSent, 0}.lived(life))
 	}
 	says(100, 9)
 	if sum := k.tally.sum(keeper.now, noteLife); sum != 9 {
@@ -171,7 +171,7 @@
 }
 
 func TestNotesOfAnyBytes(t *testing.T) {
-	n := note{noteAsk, 3, 9, 200, flagPerhaps}
+	n := note{noteAsk, 3, 9, 200, flagPerhaps, 8}
 	if got, life, ok := readNote(n.lived(77)); !ok || life != 77 || got != n {
 		t.Errorf("%+v %d %t", got, life, ok)
 	}
@@ -180,7 +180,7 @@
 		t.Error("the old form has no word for what a keeper that has just come says")
 	}
 	zero := binary.LittleEndian.AppendUint64(append([]byte{noteAsk + noteLived}, plain[1:]...), 0)
-	for _, text := range [][]byte{nil, plain[:6], zero, n.lived(77)[:14], append(n.lived(77), 0), bytes.Repeat([]byte{255}, 15)} {
+	for _, text := range [][]byte{nil, plain[:6], zero, n.lived(77)[:15], append(n.lived(77), 0), bytes.Repeat([]byte{255}, 16)} {
 		if IsNote(text) {
 			t.Errorf("% x is taken for a note", text)
 		}
@@ -240,3 +240,40 @@
 		t.Errorf("%.1f believed to live, window %d, when all are back", h.b.living(), len(h.b.window))
 	}
 }
+
+// Words that come twice or were overtaken on the way: a keeper that took the last to come for the last that was said
+// counted work that had long ended, and declined half of all commands.
+func TestWordsThatWereOvertakenAreOld(t *testing.T) {
+	hosts := beside(t, 2, ready(1))
+	keeper := hosts[0]
+	if keeper.b.keeper(0) != 0 {
+		keeper = hosts[1]
+	}
+	other, k := 1-keeper.b.place.Me, keeper.b.fleet[0]
+	says := func(turn, amount, flag byte, want float64) {
+		t.Helper()
+		keeper.b.Heard(keeper.now, other, note{noteOut, 0, k.tag(), amount, flag, turn}.lived(100))
+		if sum := k.tally.sum(keeper.now, noteLife); sum != want {
+			t.Errorf("word %d: %v out, want %v", turn, sum, want)
+		}
+	}
+	says(254, 1, flagNone, 1)
+	says(1, 3, flagNone, 3)   // after 255 comes 1
+	says(255, 2, flagNone, 3) // was overtaken
+	says(3, 0, flagNone, 0)
+	says(2, 4, flagNone, 0) // overtaken by the word that nothing is out any more
+	says(4, 5, flagNone, 5)
+
+	asks := func(turn byte) int {
+		keeper.told = nil
+		keeper.b.Heard(keeper.now, other, note{noteAsk, 0, 0, 255, flagNone, turn}.lived(100))
+		return len(keeper.told)
+	}
+	if asks(7) != 1 || asks(7) != 0 || asks(8) != 1 {
+		t.Error("a question is to be answered once, however often it comes")
+	}
+	keeper.until(keeper.now + 1)
+	if asks(7) != 1 {
+		t.Error("a second later the number is another question's")
+	}
+}
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -203,12 +203,21 @@
 
 type told struct {
 	out, at    float64
+	turn       byte    // of its latest word
 	soon, till float64 // what it was granted and has not sent yet, and until when that counts
 }
 
 // note takes in what an instance says it has out; span is for how long failures count.
 func (t *tally) note(now float64, from int, n note, span float64) {
-	x := t.by[from]
+	x, known := t.by[from]
+	later := int8(n.turn - x.turn)
+	if n.turn != 0 && known && later == 0 {
+		return // the same word once more
+	} else if n.turn != 0 && known && later < 0 {
+		n.amount = byte(x.out) // one that was overtaken: what it says of the whole is old, not what it says of one command
+	} else {
+		x.turn = n.turn
+	}
 	if n.flag == flagNone && float64(n.amount) < x.out { // else it says again what is out
 		t.tried.note(now, span, Answered)
 	}
@@ -219,8 +228,8 @@
 	case flagFailed:
 		t.tried.note(now, span, Errored)
 	}
-	if t.put(from, x); n.amount == 0 && (x.soon == 0 || now >= x.till) {
-		delete(t.by, from)
+	if t.put(from, x); n.turn == 0 && n.amount == 0 && (x.soon == 0 || now >= x.till) {
+		delete(t.by, from) // else it stays for a while: a word that was overtaken may still come
 	}
 }
 
--- a/balance/notes.go
+++ b/balance/notes.go
@@ -15,7 +15,7 @@
 // The same kinds with the life of the process that speaks behind, which processes of earlier versions do not read.
 const (
 	noteLived byte = 0x10 // added to the kind
-	livedSize      = noteSize + 8
+	livedSize      = noteSize + 9
 )
 
 // note is one message.
@@ -24,6 +24,7 @@
 	cell, tag uint16 // of which backends, and which of them
 	amount    byte
 	flag      byte
+	turn      byte // of the sender's words on a backend, or of its questions; 0 in the form without a life
 }
 
 // What the flag says.
@@ -43,7 +44,7 @@
 // lived is the note in the form that names the life of who speaks.
 func (n note) lived(life uint64) []byte {
 	n.kind += noteLived
-	return binary.LittleEndian.AppendUint64(n.bytes(), life)
+	return append(binary.LittleEndian.AppendUint64(n.bytes(), life), n.turn)
 }
 
 // IsNote tells whether the bytes have the form of a message.
@@ -54,17 +55,17 @@
 
 // readNote tells also which life speaks, 0 in the form that has none, and whether the bytes are a note at all.
 func readNote(text []byte) (n note, life uint64, ok bool) {
-	most := flagYes
+	most, turn := flagYes, byte(0)
 	if len(text) == livedSize {
 		if life = binary.LittleEndian.Uint64(text[noteSize:]); life == 0 {
 			return n, 0, false
 		}
-		most = flagPerhaps
+		most, turn = flagPerhaps, text[livedSize-1]
 		text = append([]byte{text[0] - noteLived}, text[1:noteSize]...)
 	}
 	if len(text) != noteSize || text[0] < noteOut || text[0] > noteGrant || text[6] > most {
 		return n, 0, false
 	}
 	return note{kind: text[0], cell: binary.LittleEndian.Uint16(text[1:]), tag: binary.LittleEndian.Uint16(text[3:]),
-		amount: text[5], flag: text[6]}, life, true
+		amount: text[5], flag: text[6], turn: turn}, life, true
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -16,6 +16,7 @@
 	aside    float64 // no commands before this time
 	budget   bucket  // commands that may go to it while it is cold
 
+	said  int   // words to its keeper
 	tally tally // what all instances have out here, at its keeper alone
 }
 
--- a/cmd/sandlab/main.go
+++ b/cmd/sandlab/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -11,6 +12,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -326,7 +328,8 @@
 	var proxies, seeds, cores, seconds int
 	var loads, shares []float64
 	var messages, names []string
-	var kind string
+	var kind, state, program string
+	var live bool
 	c := &cobra.Command{Use: "back", Short: "measure how soon all is served again after most proxies failed at once",
 		Long: "Emulated: proxies before twice as many backends of two tiers; a share of them fails at 12 s and is back at 16 s. The table has\nthe part served by second from the failure on (means), the seconds from the return until 0.99 of what was served before is served\nfor 2 s, peaks at one backend over the highest before, and broken rules.",
 		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
@@ -341,6 +344,14 @@
 						if m != "on" && m != "off" {
 							return fmt.Errorf("--messages %q is neither on nor off", m)
 						}
+						if live {
+							d := lab.Live(proxies, load, share, m == "on", faults.Kind(kind))
+							if err := liveBack(c, d, all, state, program, fmt.Sprintf("%s %.2g of %d live, load %.2f, messages %s, state %s",
+								kind, share, proxies, load, m, cmp.Or(state, "not kept")), seconds); err != nil {
+								return err
+							}
+							continue
+						}
 						for _, name := range names {
 							d := lab.Mass(proxies, load, share, m == "on", faults.Kind(kind))
 							got, err := d.Play(c.Context(), name, all, cores)
@@ -361,11 +372,45 @@
 	c.Flags().Float64SliceVar(&shares, "share", []float64{0.9}, "of the proxies that fail")
 	c.Flags().StringSliceVar(&messages, "messages", []string{"off", "on"}, "between siblings")
 	c.Flags().StringSliceVar(&names, "policies", []string{"module", "two"}, "which")
+	c.Flags().BoolVar(&live, "live", false, "real processes on loopback in real time, one day after another")
+	c.Flags().StringVar(&state, "state", "", "live: what becomes of what a proxy keeps: kept, lost, torn, old (nothing is kept)")
+	c.Flags().StringVar(&program, "program", "", "live: the proxy's program, called as PROGRAM serve (this one)")
 	c.Flags().StringVar(&kind, "kind", string(faults.Kill), "of the failure")
 	onCores(c, &cores)
 	return c
 }
 
+// liveBack plays a comeback with real processes for each seed.
+func liveBack(c *cobra.Command, d lab.Comeback, seeds []uint64, state, program, what string, seconds int) error {
+	if !slices.Contains(rig.States, state) {
+		return fmt.Errorf("--state %q is none of %q", state, rig.States)
+	}
+	command, env, _, err := proxy(program)
+	if err != nil {
+		return err
+	}
+	var all []lab.Return
+	var full []float64
+	late := 0.0
+	for _, seed := range seeds {
+		got, out, err := d.PlayLive(c.Context(), seed, state, command, env)
+		if err != nil {
+			return err
+		}
+		for _, b := range out.Account.Broken {
+			fmt.Fprintf(c.OutOrStdout(), "seed %d: BROKEN %s\n", seed, b)
+		}
+		all, full, late = append(all, got), append(full, out.Full...), max(late, out.Lateness)
+	}
+	lab.ReturnRow(c.OutOrStdout(), what, all, seconds)
+	slices.Sort(full)
+	if n := len(full); n > 0 {
+		fmt.Fprintf(c.OutOrStdout(), "%d proxies that came back say they were of full use after %.2f s in the median, %.2f s at worst; ", n, full[n/2], full[n-1])
+	}
+	fmt.Fprintf(c.OutOrStdout(), "the rig itself was late by %.0f ms at most\n", 1000*late)
+	return nil
+}
+
 // proxy is the command that starts one: the program named, or this one as a child of itself.
 func proxy(program string) (command, env []string, own bool, err error) {
 	if program != "" {
--- a/cmd/sandpass/main.go
+++ b/cmd/sandpass/main.go
@@ -14,12 +14,13 @@
 
 	"github.com/spf13/cobra"
 
+	"sandpass/internal/operator"
 	"sandpass/internal/proxy"
 )
 
 const memoryPart = 0.6 // of the memory allowed, from which the garbage collector works harder
 
-func read(path string) (*proxy.Launch, error) {
+func read(path, words string) (*proxy.Launch, error) {
 	if path == "" {
 		return nil, fmt.Errorf("no configuration: set NODE_CONFIG or give --config")
 	}
@@ -35,11 +36,18 @@
 		l.Ops = at
 	}
 	l.Socket = os.Getenv("NODE_SOCKET_FD")
+	if words != "" {
+		f, err := operator.Read(words)
+		if err != nil {
+			return nil, err
+		}
+		l.State.Folder, l.State.Fleet, l.State.Every = f.State.Folder, f.State.Fleet, f.State.Every
+	}
 	return l, nil
 }
 
-func serve(path string) error {
-	l, err := read(path)
+func serve(path, words string) error {
+	l, err := read(path, words)
 	if err != nil {
 		return err
 	}
@@ -62,7 +70,7 @@
 				asked.Store(true)
 				p.Ring()
 			case <-reloads:
-				reload(path, p)
+				reload(path, words, p)
 			}
 		}
 	}()
@@ -70,8 +78,8 @@
 }
 
 // reload hands the configuration to the proxy anew; one that a start would not take changes nothing.
-func reload(path string, p *proxy.Proxy) {
-	l, err := read(path)
+func reload(path, words string, p *proxy.Proxy) {
+	l, err := read(path, words)
 	if err == nil {
 		err = proxy.Check(l)
 	}
@@ -84,16 +92,17 @@
 
 func main() {
 	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
-	var path string
+	var path, words string
 	root := &cobra.Command{Use: "sandpass", Short: "A load balancer for services that call services",
 		SilenceUsage: true, SilenceErrors: true}
 	root.PersistentFlags().StringVar(&path, "config", os.Getenv("NODE_CONFIG"), "the configuration, JSON")
+	root.PersistentFlags().StringVar(&words, "operator", "", "what the operators say beside it, TOML; see deploy/sandpass.toml")
 	root.AddCommand(
 		&cobra.Command{Use: "serve", Short: "Run the proxy", Args: cobra.NoArgs,
-			RunE: func(*cobra.Command, []string) error { return serve(path) }},
+			RunE: func(*cobra.Command, []string) error { return serve(path, words) }},
 		&cobra.Command{Use: "check", Short: "Tell whether a configuration is good", Args: cobra.NoArgs,
 			RunE: func(cmd *cobra.Command, _ []string) error {
-				l, err := read(path)
+				l, err := read(path, words)
 				if err == nil {
 					err = proxy.Check(l)
 				}
--- a/cmd/sandpass/main_test.go
+++ b/cmd/sandpass/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
 	"os"
 	"os/exec"
@@ -11,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"sandpass/internal/warm"
 )
 
 // TestMain is the program itself where the environment says so.
@@ -53,11 +56,30 @@
 	if err := os.WriteFile(broken, []byte(`{"listen": 7`), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	words := filepath.Join(t.TempDir(), "o.toml")
+	if err := os.WriteFile(words, []byte("[state]\nfoldr = \"x\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	foreign := t.TempDir()
+	ours := filepath.Join(t.TempDir(), "ours.toml")
+	if err := os.WriteFile(ours, fmt.Appendf(nil, "[state]\nfolder = %q\nfleet = \"mill\"\n", foreign), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	theirs, err := warm.Encode(&warm.State{Fleet: "shop", Name: "n0"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(foreign, "n0.state"), theirs, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	good := "../../example/config.json"
 	for name, c := range map[string]struct {
 		config string
 		args   []string
 	}{
-		"no configuration": {"", []string{"serve"}}, "none there": {broken + "x", []string{"serve"}},
+		"no operators' file": {good, []string{"check", "--operator", words + "x"}}, "a key nobody knows": {good, []string{"check", "--operator", words}},
+		"another fleet's folder": {good, []string{"serve", "--operator", ours}},
+		"no configuration":       {"", []string{"serve"}}, "none there": {broken + "x", []string{"serve"}},
 		"not JSON": {broken, []string{"serve"}}, "checked": {broken, []string{"check"}}, "unknown": {"", []string{"dance"}},
 	} {
 		cmd, out := sandpass(c.config, c.args...)
--- a/internal/emulator/clients.go
+++ b/internal/emulator/clients.go
@@ -42,6 +42,7 @@
 	tries          int
 	try            uint32 // number of the latest try
 	first          float64
+	tried          float64 // when the latest try was sent
 	command        uint64
 	loss           judge.Loss
 	mayHaveRun     bool // a try that ended without a promise
@@ -246,6 +247,7 @@
 	}
 	o.try++
 	o.tries++
+	o.tried = d.now
 	x := d.fronts[o.zone].choose(d.clientChance.Float64())
 	for z := 1; x == nil && z < len(d.fronts); z++ { // a zone without any goes to the next that has some
 		x = d.fronts[(o.zone+z)%len(d.fronts)].choose(d.clientChance.Float64())
@@ -272,7 +274,7 @@
 		return
 	}
 	v := &d.w.Verbs[o.verb]
-	sent := d.now - d.w.Net.Client
+	sent := o.tried
 	c := d.newCommand(x)
 	c.verb, c.customer, c.op, c.try, c.opID = o.verb, o.customer, o, try, o.id
 	c.seed, c.key = o.seed, o.key
--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -175,6 +175,11 @@
 }
 
 func (d *Day) handle(e *event) {
+	if x := d.whose(e); x != nil && x.alive && x.still > d.now {
+		e.at = x.still // with what holds it: it is told when its instance goes on
+		d.queue.push(e.kind(), *e)
+		return
+	}
 	switch e.kind() {
 	case onFault:
 		d.fault(int(e.n), e.a)
@@ -227,6 +232,25 @@
 	}
 }
 
+// whose is the instance that an event is told to, nil where it is told to none.
+func (d *Day) whose(e *event) *instance {
+	switch e.kind() {
+	case onList:
+		return d.instances[e.n]
+	case onTimer, onIdle, onAccept:
+		return d.instances[e.a]
+	case onAnswer:
+		return e.r.inst
+	case onNote:
+		return d.noteTo[e.n].to
+	case onLimit:
+		if c := d.command(e.n &^ closing); c != nil {
+			return c.inst
+		}
+	}
+	return nil
+}
+
 // later does something at a time to come; for what is rare.
 func (d *Day) later(at float64, what func()) {
 	d.todo = append(d.todo, what)
--- a/internal/emulator/instances.go
+++ b/internal/emulator/instances.go
@@ -18,6 +18,7 @@
 	serial, tier, me, zone int
 	weight                 float64
 	alive, watching        bool
+	still                  float64 // stands still until then
 	policy                 Policy
 	links                  []link // by backend
 	at                     int    // place in its tier's log up to which it was told
@@ -193,6 +194,10 @@
 	if x == nil || !x.alive || c == nil || c.done {
 		return
 	}
+	if x.still > d.now {
+		d.later(x.still, func() { d.hangUp(x, id) })
+		return
+	}
 	c.done = true
 	d.judge.Departed(id)
 	x.policy.Departed(d.now, id)
@@ -454,6 +459,21 @@
 	if at >= d.w.Net.Again { // a datagram that is lost does not come again
 		return
 	}
+	if _, f := d.inForce(faults.Muddle); f.Hard > 0 {
+		if d.netChance.Float64() < f.At(d.now) {
+			d.carryNote(x, y, text, at+muddled*d.netChance.Float64()) // as well
+		}
+		if d.netChance.Float64() < f.At(d.now) {
+			at += muddled
+		}
+	}
+	d.carryNote(x, y, text, at)
+}
+
+const muddled = 0.02 // seconds by which a message comes later that lets others pass
+
+// carryNote has a message arrive after a while.
+func (d *Day) carryNote(x, y *instance, text []byte, after float64) {
 	n := len(d.notes)
 	if k := len(d.spare); k > 0 {
 		n, d.spare = d.spare[k-1], d.spare[:k-1]
@@ -462,7 +482,7 @@
 	}
 	d.notes[n] = append(d.notes[n][:0], text...)
 	d.noteTo[n] = noteWay{x.me, y}
-	d.queue.push(onNote, event{at: d.now + at, n: uint64(n)})
+	d.queue.push(onNote, event{at: d.now + after, n: uint64(n)})
 }
 
 type noteWay struct {
--- a/internal/emulator/living_test.go
+++ b/internal/emulator/living_test.go
@@ -69,3 +69,44 @@
 		})
 	}
 }
+
+// What stands still says nothing, loses nothing, and goes on with what came meanwhile: news first, then answers, then what
+// is due. A crash loop and messages that come twice or late break nothing either.
+func TestDaysOnWhichProcessesStandStillOrCrash(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		plan  faults.Plan
+		least float64
+	}{
+		{"half stand still", faults.Plan{{Kind: faults.Stall, Share: 0.5, From: 4, For: 3}}, 0.45},
+		{"one in three, through a roll", faults.Plan{{Kind: faults.Stall, Share: 0.3, From: 4, For: 6}, {Kind: faults.Roll, Share: 0.5, From: 5, For: 2}}, 0.45},
+		{"a crash loop of a fifth", faults.Plan{{Kind: faults.Loop, Share: 0.2, From: 3, For: 8, Hard: 0.7}}, 0.8},
+		{"messages muddled", faults.Plan{{Kind: faults.Muddle, From: 2, For: 12, Hard: 0.2}}, 0.9},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := many(0.5, true)
+			w.Instances, w.Tiers[0].Backends, w.Tiers[1].Backends = 12, 24, 24
+			for i := range c.plan {
+				c.plan[i].Zone, c.plan[i].To, c.plan[i].Seed = -1, -1, 7
+			}
+			if err := c.plan.Check(w.Extent()); err != nil {
+				t.Fatal(err)
+			}
+			for seed := range uint64(3) {
+				a, _ := emulator.Run(w, c.plan, maker(t, "module"), seed)
+				if a.Count() > 0 {
+					t.Errorf("seed %d: a rule broke: %v", seed, a.Broken[0])
+				}
+				if part := a.Served / a.Asked; part < c.least {
+					t.Errorf("seed %d: %.3f served", seed, part)
+				}
+			}
+			calm, _ := emulator.Run(w, nil, maker(t, "module"), 0)
+			hit, _ := emulator.Run(w, c.plan, maker(t, "module"), 0)
+			if c.plan[0].Kind != faults.Muddle && hit.Served/hit.Asked > calm.Served/calm.Asked-0.005 {
+				t.Errorf("%.3f served, %.3f without the fault: it hit nobody", hit.Served/hit.Asked, calm.Served/calm.Asked)
+			}
+		})
+	}
+}
--- a/internal/emulator/troubles.go
+++ b/internal/emulator/troubles.go
@@ -13,6 +13,7 @@
 const (
 	ramped = 0.25 // seconds between the steps of a ramp
 	flicks = 0.5  // seconds of half a flicker
+	reborn = 0.1  // seconds in which a process that crashed is there again
 )
 
 // fault begins (1), steps (2) or ends (0) one of the plan.
@@ -84,6 +85,21 @@
 				d.startFront(me)
 			}
 		})
+	case faults.Stall:
+		for _, me := range d.hitFronts(f, chance) {
+			x := d.places[0][me]
+			x.still = max(x.still, f.From+f.For)
+			d.later(f.From+f.For, func() {
+				d.judge.Stood(x.serial, f.From, d.now)
+				if s, ok := x.policy.(interface{ Stood(float64) }); ok && x.alive {
+					s.Stood(d.now)
+				}
+			})
+		}
+	case faults.Loop:
+		for _, me := range d.hitFronts(f, chance) {
+			d.crash(me, f)
+		}
 	case faults.Restart:
 		hit := d.hitFronts(f, chance)
 		longest := 0.0
@@ -132,6 +148,17 @@
 	d.burdenAll(n)
 }
 
+// crash kills an instance and starts it anew, again and again while the fault is in force.
+func (d *Day) crash(me int, f faults.Fault) {
+	d.kill(d.places[0][me])
+	d.later(d.now+reborn, func() {
+		d.startFront(me)
+		if next := d.now + max(reborn, f.Hard); next < f.From+f.For {
+			d.later(next, func() { d.crash(me, f) })
+		}
+	})
+}
+
 func (d *Day) startFront(me int) {
 	old := d.places[0][me]
 	if old.alive {
--- a/internal/lab/back.go
+++ b/internal/lab/back.go
@@ -17,6 +17,7 @@
 	"sandpass/internal/emulator"
 	"sandpass/internal/faults"
 	"sandpass/internal/judge"
+	"sandpass/internal/rig"
 )
 
 const (
@@ -44,6 +45,37 @@
 	return Comeback{World: w, Plan: faults.Plan{f}, Fails: f.From, Return: f.From + f.For}
 }
 
+// Live is one small enough for a machine of some cores, with a real process for each proxy: one tier of backends, so much
+// load for each proxy, no choking that real time would blur.
+func Live(proxies int, load, share float64, messages bool, kind faults.Kind) Comeback {
+	c := Mass(proxies, load, share, messages, kind)
+	w := &c.World
+	w.Length, w.Warmup, w.Tiers, w.Clients.Notice, w.Clients.Early = 14, 1, w.Tiers[:1], 0.5, 0
+	w.Tiers[0].Backends = max(8, proxies/2)
+	for i := range w.Verbs {
+		w.Verbs[i].Work, w.Verbs[i].Calls = w.Verbs[i].Work[:1], nil
+	}
+	c.Plan[0].From, c.Plan[0].For = 6, 2.5
+	c.Fails, c.Return = 6, 8.5
+	return c
+}
+
+// PlayLive plays it once with real processes, their state as the rig's States have it, from the return of the last one.
+func (c *Comeback) PlayLive(ctx context.Context, seed uint64, state string, program, env []string) (Return, rig.Outcome, error) {
+	r, err := rig.New(c.World, c.Plan, seed, program, env)
+	if err != nil {
+		return Return{}, rig.Outcome{}, err
+	}
+	r.State = state
+	out, err := r.Play(ctx)
+	if err != nil {
+		return Return{}, out, err
+	}
+	d := *c
+	d.Return = max(c.Return, math.Ceil(out.Back*tenths)/tenths)
+	return d.Of(out.Account), out, nil
+}
+
 // Return is what came of one.
 type Return struct {
 	Before   float64   // part of the worth asked that was served before
--- a/internal/living/arrivals.go
+++ b/internal/living/arrivals.go
@@ -59,6 +59,13 @@
 	return a.recent * math.Exp(-max(0, now-a.recentAt)/nowSpan)
 }
 
+// Recall takes the rate that was usual for the process before this one.
+func (a *Arrivals) Recall(now, rate float64) {
+	if a.steps == 0 {
+		a.usual, a.steps, a.next = rate, usualLeast, now+step
+	}
+}
+
 // Ended is told that a command has ended, and whether it was late by the measure of its user.
 func (a *Arrivals) Ended(now float64, late bool) {
 	x := 0.0
--- a/internal/living/view.go
+++ b/internal/living/view.go
@@ -12,6 +12,8 @@
 	trialFor   = 0.1  // seconds for which one question alone tries it again
 	stepsBack  = 1.0  // seconds of words of a lower life, with none of the higher, after which that one is no more
 	oldFor     = 10.0 // seconds for which the old form is spoken to one that does not answer in the new
+	turnsKept  = 8    // questions of a sibling that are known again
+	repeatFor  = 0.2  // seconds for which they are: a number comes again after 255
 )
 
 // View is what one proxy knows. The zero value knows nobody; Resize must follow.
@@ -26,11 +28,14 @@
 	lowerFrom float64 // and since when
 	heard     float64 // latest word of any life
 	misses    int
-	missedAt  float64 // when the last question was given up
-	leave     float64 // seconds for which it is left next time
-	until     float64 // not asked before
-	old       bool    // speaks the old form
-	oldUntil  float64 // is spoken to in it
+	missedAt  float64         // when the last question was given up
+	leave     float64         // seconds for which it is left next time
+	until     float64         // not asked before
+	old       bool            // speaks the old form
+	oldUntil  float64         // is spoken to in it
+	turns     [turnsKept]byte // of its latest questions
+	askedAt   [turnsKept]float64
+	nextTurn  int
 }
 
 // Resize sets how many siblings there are; what is known of those that stay is kept.
@@ -73,6 +78,19 @@
 	return true, fresh
 }
 
+// Repeats tells whether a question of that number has come from a sibling just now, and notes it.
+func (v *View) Repeats(now float64, from int, turn byte) bool {
+	s := &v.all[from]
+	for i, t := range s.turns {
+		if t == turn && now < s.askedAt[i]+repeatFor {
+			return true
+		}
+	}
+	s.turns[s.nextTurn], s.askedAt[s.nextTurn] = turn, now
+	s.nextTurn = (s.nextTurn + 1) % len(s.turns)
+	return false
+}
+
 // Missed is told that a question asked at a time was given up now without an answer.
 func (v *View) Missed(now float64, at int, asked float64) {
 	if at < 0 || at >= len(v.all) {
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -438,6 +438,7 @@
 		return
 	}
 	cmd.done, cmd.from = true, nil
+	p.kept.count(from != nil)
 	keep := c.msg.Keep && !p.closes() && !c.coming
 	var body []byte
 	if from != nil {
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -279,6 +279,7 @@
 		})
 	case "state":
 		p.takeOver(w)
+		log.Printf("msg=handed_over backends=%d left_out=%d drained=%t", p.backends.usable, len(p.maintenance.Out), w.Drained)
 	case "serving":
 		p.giveWay(m)
 	case "holds":
@@ -328,7 +329,6 @@
 	if w.Drained {
 		p.quiesce()
 	}
-	log.Printf("msg=handed_over backends=%d left_out=%d drained=%t", p.backends.usable, len(p.maintenance.Out), w.Drained)
 	p.handed()
 }
 
--- /dev/null
+++ b/internal/proxy/memory.go
@@ -0,0 +1,192 @@
+// This file owns what this proxy keeps over its end and takes from the one before it: when it is written, what of it is
+// still to be believed, and in which phase after the start the proxy is. It must never wait for a disk while it serves, nor
+// have a start fail for what is kept, unless the folder is another fleet's.
+package proxy
+
+import (
+	"encoding/json"
+	"errors"
+	"log"
+	"maps"
+
+	"sandpass/balance"
+	"sandpass/internal/recovery"
+	"sandpass/internal/warm"
+)
+
+const (
+	listLife  = 6 * 3600.0 // seconds after which a kept list is no longer taken: addresses have found other owners
+	savedSoon = 1.0        // seconds by which a snapshot may be newer than now: clocks are set
+	standFrom = 0.002      // by which each look moves what is usually served: over some two minutes
+)
+
+// kept is what is kept, and how the start goes.
+type kept struct {
+	keeper   *warm.Keeper // nil: nothing is kept
+	was      *warm.State  // what the process before left, until it is taken
+	life     uint64
+	recovery *recovery.Recovery
+	served   float64 // usual part of ended commands that are answered
+	late     float64 // usual part of answers that are late
+	answered int     // since the last look
+	ended    int
+}
+
+// recollect reads what the process before this one has left, before anything is opened.
+func (p *Proxy) recollect() error {
+	l := p.launch
+	if l.State.Folder == "" {
+		return nil
+	}
+	s, err := warm.Load(l.State.Folder, l.State.Fleet, l.Name)
+	var foreign *warm.Foreign
+	if errors.As(err, &foreign) {
+		return err
+	}
+	if err != nil {
+		log.Printf("msg=state_not_taken error=%q", err)
+	}
+	p.kept.was = s
+	return nil
+}
+
+// remember takes it, each thing as far as it still counts, once the Balancer is there. Where the configuration names a
+// newer list, that one counts.
+func (p *Proxy) remember(known *roster) {
+	m, s, now := &p.kept, p.kept.was, p.loop.Now()
+	m.was = nil
+	if s == nil {
+		m.recovery = recovery.New(0, 0)
+		return
+	}
+	age := now - s.Saved
+	if age < -savedSoon {
+		log.Printf("msg=state_of_the_future seconds=%.1f", -age)
+	} else {
+		age = max(0, age)
+	}
+	w := word{Discovery: s.Discovery, Drained: s.Drained}
+	var list roster
+	var out maintenance
+	if len(s.List) > 0 && age < listLife && json.Unmarshal(s.List, &list) == nil && (known == nil || known.Index <= list.Index) {
+		w.List = &list
+	}
+	if len(s.Maintenance) > 0 && json.Unmarshal(s.Maintenance, &out) == nil {
+		w.Maintenance = &out
+	}
+	p.takeOver(&w)
+	learned := balance.Memory{Life: s.Life, Usual: s.Usual, Ease: s.Ease, Level: s.Level, Rate: s.Rate, Any: s.Any,
+		Weights: map[balance.BackendID]float64{}}
+	for _, v := range p.names.Verbs {
+		learned.Verbs = append(learned.Verbs, s.Verbs[v.Name])
+	}
+	for name, weight := range s.Weights {
+		if t := p.backends.byName[name]; t != nil {
+			learned.Weights[t.id] = weight
+		}
+	}
+	p.balancer.Recall(now, learned, age)
+	m.served, m.late = s.Served, s.Late
+	m.recovery = recovery.New(s.Served, s.Late)
+	log.Printf("msg=state_taken age=%.1f backends=%d cordons=%d drained=%t", age, p.backends.usable, len(p.maintenance.Out), s.Drained)
+}
+
+// keep begins to write what is known, where operators say so.
+func (p *Proxy) keep() {
+	l := p.launch
+	if l.State.Folder == "" {
+		return
+	}
+	p.kept.keeper = warm.NewKeeper(l.State.Folder, l.Name, func(err error) {
+		if err != nil {
+			log.Printf("msg=state_not_kept error=%q", err)
+		} else {
+			log.Printf("msg=state_kept_again")
+		}
+	})
+	p.every(l.State.Every, p.save)
+}
+
+// save hands over what is known now. What is made of it is made elsewhere, from copies.
+func (p *Proxy) save() {
+	m := &p.kept
+	if m.keeper == nil || p.handover.succeeded {
+		return // the process after this one has the file
+	}
+	b, w := p.balancer.Remember(), p.state()
+	s := &warm.State{Fleet: p.launch.State.Fleet, Name: p.launch.Name, Saved: p.loop.Now(), Life: b.Life, Discovery: w.Discovery,
+		Drained: w.Drained, Usual: b.Usual, Ease: b.Ease, Level: b.Level, Rate: b.Rate, Any: b.Any, Served: m.served, Late: m.late,
+		Verbs: map[string][]byte{}, Weights: map[string]float64{}}
+	for i, v := range p.names.Verbs {
+		s.Verbs[v.Name] = b.Verbs[i]
+	}
+	for _, t := range p.backends.byName { // a map into a map
+		if weight, ok := b.Weights[t.id]; ok {
+			s.Weights[t.name] = weight
+		}
+	}
+	list := w.List
+	out := maintenance{maps.Clone(p.maintenance.Out), maps.Clone(p.maintenance.Back)}
+	m.keeper.Put(func() (*warm.State, error) {
+		var errs [2]error
+		s.List, errs[0] = json.Marshal(list)
+		s.Maintenance, errs[1] = json.Marshal(out)
+		return s, errors.Join(errs[:]...)
+	})
+}
+
+// forgetNothing writes for the last time, after the loop.
+func (p *Proxy) forgetNothing() {
+	if p.kept.keeper != nil {
+		p.save()
+		p.kept.keeper.Close()
+	}
+}
+
+// count counts a command that has had its final answer.
+func (m *kept) count(answered bool) {
+	m.ended++
+	if answered {
+		m.answered++
+	}
+}
+
+// follow looks at how the start goes, and what is usual once it is over.
+func (p *Proxy) follow() {
+	m := &p.kept
+	late, living := p.balancer.Standing()
+	serving := p.listed() && p.takesClients()
+	if m.recovery.Look(p.loop.Now(), serving, m.answered, m.ended, late) {
+		took, out := m.recovery.Took()
+		log.Printf("msg=full seconds=%.2f out_of_time=%t late=%.2f living=%.1f", took, out, late, living)
+	}
+	if m.ended > 0 && m.recovery.Phase() == recovery.Full {
+		part := float64(m.answered) / float64(m.ended)
+		if m.served == 0 {
+			m.served, m.late = part, late
+		}
+		m.served += standFrom * (part - m.served)
+		m.late += standFrom * (late - m.late)
+	}
+	m.answered, m.ended = 0, 0
+}
+
+// status is what the door says of all that, one line of JSON.
+func (p *Proxy) status() string {
+	late, living := p.balancer.Standing()
+	took, out := p.kept.recovery.Took()
+	text, _ := json.Marshal(struct { // has no value that can't be encoded
+		Phase    string  `json:"phase"`
+		ToFull   float64 `json:"time_to_full_s"`
+		OutOf    bool    `json:"out_of_time"`
+		Living   float64 `json:"living"`
+		Siblings int     `json:"siblings"`
+		Late     float64 `json:"late_part"`
+		Served   float64 `json:"usually_answered_part"`
+		Backends int     `json:"backends"`
+		Open     int     `json:"open"`
+		Kept     bool    `json:"state_kept"`
+	}{p.kept.recovery.Phase().String(), took, out, living, p.links.Siblings, late, p.kept.served, p.backends.usable,
+		len(p.commands), p.kept.keeper != nil})
+	return string(text)
+}
--- /dev/null
+++ b/internal/proxy/memory_test.go
@@ -0,0 +1,135 @@
+package proxy
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"sandpass/internal/recovery"
+	"sandpass/internal/warm"
+)
+
+// keeping is a configuration whose proxy keeps what it knows in a folder.
+func keeping(dir, known string) *Launch {
+	l := config(known, nil, settingsText)
+	l.State.Folder, l.State.Fleet, l.State.Every = dir, "shop", 0.1
+	return l
+}
+
+func startKeeping(t *testing.T, l *Launch) *running {
+	t.Helper()
+	p, err := New(l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return run(t, p)
+}
+
+// What operators said, the list and what was learned hold over a kill: the next process has them though discovery is
+// silent and its configuration names nobody.
+func TestWhatIsKnownOutlivesTheProcess(t *testing.T) {
+	t.Parallel()
+	a, b := newToy(t, ok), newToy(t, ok)
+	dir := t.TempDir()
+	r := startKeeping(t, keeping(dir, listing(7, true, ready("s-a", a), ready("s-b", b))))
+	time.Sleep(600 * time.Millisecond)
+	c := r.caller(t)
+	for range 60 {
+		if status, body, _ := c.ask(text("look")); status != 200 {
+			t.Fatalf("%d %s", status, body)
+		}
+	}
+	r.do(func() { r.leaveOut("s-a"); r.save() })
+	usual := 0.0
+	r.do(func() { usual = r.balancer.Remember().Usual })
+	at := filepath.Join(dir, "n0.state")
+	var kept *warm.State
+	for range 400 { // until it is written
+		if kept, _ = warm.Load(dir, "shop", "n0"); kept != nil && strings.Contains(string(kept.Maintenance), "s-a") {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if kept == nil {
+		t.Fatal("nothing is kept")
+	}
+	file, err := os.ReadFile(at) // as a kill would leave it, not a planned end
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.end()
+	<-r.ended
+	r.ended <- nil
+	os.WriteFile(at, file, 0o600)
+
+	before := a.commands.Load()
+	s := startKeeping(t, keeping(dir, ""))
+	s.do(func() {
+		if m := s.balancer.Remember(); usual == 0 || m.Usual < 0.5*usual || m.Life <= kept.Life || len(m.Any) == 0 {
+			t.Errorf("usual %.4f, %.4f before; life %d, %d before; %d bytes of latencies", m.Usual, usual, m.Life, kept.Life, len(m.Any))
+		}
+	})
+	time.Sleep(600 * time.Millisecond)
+	d := s.caller(t)
+	for range 20 {
+		if status, body, _ := d.ask(text("look")); status != 200 {
+			t.Fatalf("%d %s", status, body)
+		}
+	}
+	if n := a.commands.Load() - before; n > 0 {
+		t.Errorf("%d commands to a backend that operators had left out before the kill", n)
+	}
+	var phase recovery.Phase
+	for range 1200 { // some seconds: it is of full use once two of them went as usual
+		if s.do(func() { phase = s.kept.recovery.Phase() }); phase == recovery.Full {
+			break
+		}
+		d.ask(text("look"))
+		time.Sleep(5 * time.Millisecond)
+	}
+	if phase != recovery.Full {
+		t.Errorf("%v", phase)
+	}
+	s.do(func() {
+		if text := s.status(); !strings.Contains(text, `"phase":"full"`) || !strings.Contains(text, `"state_kept":true`) {
+			t.Error(text)
+		}
+	})
+}
+
+func TestAStateThatIsNoGoodCostsNoStart(t *testing.T) {
+	t.Parallel()
+	b := newToy(t, ok)
+	good, err := warm.Encode(&warm.State{Fleet: "shop", Name: "n0", Saved: 1, Life: 5, Usual: 0.1, Drained: true, Weights: map[string]float64{"s-b": 1e9}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, bytes := range map[string][]byte{"torn": good[:len(good)-9], "garbage": []byte("\x00\x01"), "empty": nil,
+		"a newer form": []byte(strings.Replace(string(good), "state 1", "state 9", 1))} {
+		dir := t.TempDir()
+		os.WriteFile(filepath.Join(dir, "n0.state"), bytes, 0o600)
+		r := startKeeping(t, keeping(dir, listing(1, true, ready("s-b", b))))
+		time.Sleep(550 * time.Millisecond)
+		if status, body, _ := r.caller(t).ask(text("look")); status != 200 {
+			t.Errorf("%s: %d %s", name, status, body)
+		}
+	}
+	dir := t.TempDir()
+	os.WriteFile(filepath.Join(dir, "n0.state"), good, 0o600)
+	l := keeping(dir, "")
+	l.State.Fleet = "mill"
+	var foreign *warm.Foreign
+	if _, err := New(l); !errors.As(err, &foreign) {
+		t.Errorf("the folder of another fleet: %v", err)
+	}
+	l = keeping(dir, listing(1, true, ready("s-b", b))) // of 1970: what was learned is too old, what operators said is not
+	r := startKeeping(t, l)
+	r.do(func() {
+		if m := r.balancer.Remember(); m.Usual != 0 || m.Life <= 5 || !r.drain.on {
+			t.Errorf("usual %v, life %d, drained %t", m.Usual, m.Life, r.drain.on)
+		}
+	})
+}
--- a/internal/proxy/ops.go
+++ b/internal/proxy/ops.go
@@ -147,7 +147,7 @@
 	word, id, named := strings.Cut(rest, "/")
 	id, err := url.PathUnescape(id)
 	due := "POST"
-	if word == "health" {
+	if word == "health" || word == "status" {
 		due = "GET"
 	}
 	switch {
@@ -160,6 +160,9 @@
 	case word == "health" && !c.p.takesClients():
 		c.answer(503, "no clients are taken yet, or any more")
 		return
+	case word == "status":
+		c.answer(200, c.p.status())
+		return
 	case word == "health":
 		c.answer(200, "clients are taken")
 		return
@@ -185,7 +188,7 @@
 
 // phrase is what a yes to the call says, nothing where there is no such call.
 func phrase(word string) string {
-	return map[string]string{"health": "clients are taken", "quiesce": "clients are sent away", "resume": "the drain is over",
+	return map[string]string{"status": "how it stands", "health": "clients are taken", "quiesce": "clients are sent away", "resume": "the drain is over",
 		"cordon": "nothing new goes there", "uncordon": "it is used again, cold"}[word]
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -44,13 +44,17 @@
 
 // Launch is what a proxy is told at its start, in the operators' words.
 type Launch struct {
-	Name      string `json:"name"`
-	Listen    string `json:"listen"`
-	Discovery string `json:"discovery"`
-	Ops       string `json:"ops"` // where operators call, if they can
-	Socket    string `json:"-"`   // the inherited descriptor that listens, if there is one
-	Seed      string `json:"seed"`
-	Limits    struct {
+	Name      string   `json:"name"`
+	Listen    string   `json:"listen"`
+	Discovery string   `json:"discovery"`
+	Ops       string   `json:"ops"` // where operators call, if they can
+	Socket    string   `json:"-"`   // the inherited descriptor that listens, if there is one
+	State     struct { // where it keeps what it knows, in the operators' own file
+		Folder, Fleet string
+		Every         float64
+	} `json:"-"`
+	Seed   string `json:"seed"`
+	Limits struct {
 		MemoryMB int `json:"memory_mb"`
 		Sockets  int `json:"sockets"`
 	} `json:"limits"`
@@ -89,6 +93,7 @@
 
 	handover    handover
 	maintenance maintenance
+	kept        kept
 	commands    map[uint64]*command
 	ids         map[string]*command // the same by their Req-Id
 	lastID      uint64
@@ -125,9 +130,13 @@
 	if p.balancer, _, err = settings.Balancer(p, p.seed, p.loop.Now(), l.Settings); err != nil {
 		return nil, err
 	}
+	if err := p.recollect(); err != nil {
+		return nil, err
+	}
 	if known != nil {
 		p.take(known)
 	}
+	p.remember(known)
 	fd, err := inherited(l.Socket)
 	if err != nil {
 		return nil, err
@@ -290,7 +299,7 @@
 		differs bool
 	}{
 		{"listen", l.Listen != p.launch.Listen}, {"ops", l.Ops != p.launch.Ops}, {"limits", l.Limits != p.launch.Limits},
-		{"seed", l.Seed != p.launch.Seed}, {"known", !bytes.Equal(l.Known, p.launch.Known)},
+		{"seed", l.Seed != p.launch.Seed}, {"state", l.State != p.launch.State}, {"known", !bytes.Equal(l.Known, p.launch.Known)},
 	} {
 		if x.differs {
 			names = strings.TrimSpace(names + " " + x.name)
@@ -307,6 +316,8 @@
 	p.connect()
 	p.every(sweepEvery, p.sweep)
 	p.every(summaryEvery, p.summary)
+	p.every(sweepEvery, p.follow)
+	p.keep()
 	log.Printf("msg=serving listen=%s clients=%d backends=%d ready=%t", p.At(), p.clients.part, p.backends.most, p.ready())
 	err := p.loop.Run(func() {
 		if !p.ending && p.signal() {
@@ -317,6 +328,7 @@
 		}
 	})
 	p.summary()
+	p.forgetNothing()
 	for _, m := range p.others() {
 		m.conn.Close() // its end says that this process is gone
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -152,6 +152,7 @@
 		c.conn.Write([]byte("0\r\n\r\n"))
 	}
 	p.answered++
+	p.kept.count(true)
 	cmd.done, cmd.from, cmd.stream = true, nil, nil
 	c.answered(c.keep)
 	r.link = nil
--- a/internal/rig/backend.go
+++ b/internal/rig/backend.go
@@ -16,6 +16,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"sandpass/internal/emulator"
 	"sandpass/internal/faults"
 	"sandpass/internal/judge"
@@ -171,7 +173,21 @@
 	if at, known := b.rig.left(b, c.RemoteAddr(), bytes); known {
 		return at
 	}
-	return b.rig.books.now()
+	return b.rig.books.now() - age(c)
+}
+
+// age is for how many seconds the latest bytes of a connection have been with the kernel: this very process may be late.
+func age(c net.Conn) (seconds float64) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return 0
+	}
+	_ = raw.Control(func(fd uintptr) { // fails only on what is closed
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			seconds = float64(info.Last_data_recv) / 1000
+		}
+	})
+	return seconds
 }
 
 const declined = "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
--- a/internal/rig/books.go
+++ b/internal/rig/books.go
@@ -18,10 +18,14 @@
 	instance int
 	op       uint64
 	relays   int
-	ended    float64 // when its client had the answer, 0 before
+	ended    float64 // when its client had the answer, or was gone, 0 before
+	gone     bool    // its client was gone
 }
 
-const crossing = 0.05 // seconds after a command's end in which a copy that was sent before may still arrive
+const (
+	crossing = 0.05 // seconds after a command's end in which a copy that was sent before may still arrive
+	unseen   = 2.0  // seconds in which a proxy on a busy machine may not have read yet that a client is gone
+)
 
 // books are the judge's, behind a lock. A command's record stays: a backend may run it long after its end.
 type books struct {
@@ -53,7 +57,7 @@
 	if r == nil {
 		return 0, false
 	}
-	if r.ended > 0 && sent < r.ended+crossing {
+	if r.ended > 0 && (sent < r.ended+crossing || r.gone && sent < r.ended+unseen) {
 		return -1, true
 	}
 	relay = r.relays
@@ -90,6 +94,7 @@
 	case served, declinedThat, failed:
 		b.judge.Ended(b.now(), id, result == declinedThat, result == served, made)
 	case broken, left, unreached:
+		b.all[id].gone = true
 		b.judge.Departed(id) // its instance is gone, or its client is
 	}
 }
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -3,7 +3,9 @@
 package rig
 
 import (
+	"context"
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 
@@ -58,6 +60,33 @@
 	}
 }
 
+// What is kept may be there, lost, torn or old when the processes come back: that costs time at most, never a rule.
+func TestAllAreKilledAndWhatTheyKeptIsSpoilt(t *testing.T) {
+	for _, state := range States[1:] {
+		t.Run(state, func(t *testing.T) {
+			t.Parallel()
+			w := eight(false)
+			plan := faults.Plan{a(faults.Kill, 2.5, 1, 1, 0), a(faults.Silent, 2, 2.5, 1, 0)}
+			r, err := New(w, plan, 5, []string{os.Args[0]}, []string{HereEnv + "=1"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.State = state
+			out, err := r.Play(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if n := out.Account.Count(); n > 0 && out.Lateness < 0.04 {
+				t.Errorf("rules: %v", out.Account.Broken)
+			}
+			if out.Back == 0 {
+				t.Error("nobody came back")
+			}
+			t.Logf("served %.2f, back at %.1f s, full after %v", out.Account.Served/out.Account.Asked, out.Back, out.Full)
+		})
+	}
+}
+
 // The books have to see each way in which a process can go on with what it knew before it stood still.
 func TestStandingStillIsForgivenAndNothingElse(t *testing.T) {
 	j := judge.New(judge.Terms{Slack: 0.05, Grace: 0.4, Length: 20})
--- a/internal/rig/here.go
+++ b/internal/rig/here.go
@@ -16,13 +16,15 @@
 
 	"github.com/google/pprof/profile"
 
+	"sandpass/internal/operator"
 	"sandpass/internal/proxy"
 )
 
 // The environment that makes a program which calls Here the proxy.
 const (
-	HereEnv    = "SANDLAB_PROXY"
-	profileEnv = "SANDLAB_PROFILE"
+	HereEnv     = "SANDLAB_PROXY"
+	profileEnv  = "SANDLAB_PROFILE"
+	operatorEnv = "SANDLAB_OPERATOR"
 )
 
 // Here runs the proxy if the environment says so, and tells whether it did.
@@ -38,6 +40,13 @@
 	if err != nil {
 		return true, err
 	}
+	if words := os.Getenv(operatorEnv); words != "" {
+		f, err := operator.Read(words)
+		if err != nil {
+			return true, err
+		}
+		l.State.Folder, l.State.Fleet, l.State.Every = f.State.Folder, f.State.Fleet, f.State.Every
+	}
 	runtime.GOMAXPROCS(1)
 	ends := make(chan os.Signal, 1)
 	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
--- a/internal/rig/lives.go
+++ b/internal/rig/lives.go
@@ -4,14 +4,21 @@
 package rig
 
 import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"sandpass/internal/faults"
 	"sandpass/internal/judge"
+	"sandpass/internal/warm"
 )
 
+const oldBy = 3 * 3600.0 // seconds by which an old state is older than it was
+
 // hitFronts draws a share of the first tier's places.
 func (r *Rig) hitFronts(f faults.Fault) []int {
 	all := f.Chance().Perm(len(r.fronts))
@@ -38,12 +45,16 @@
 
 // revive starts a proxy in the place of one, at its address.
 func (r *Rig) revive(i int, p *process) *process {
+	if err := r.spoil(p); err != nil {
+		r.fail(err)
+		return nil
+	}
 	q, err := r.startProcess(0, p.me, p.zone, len(r.fronts), p.listen)
 	if err != nil {
 		r.fail(err)
 		return nil
 	}
-	q.weight = p.weight
+	q.weight, q.again = p.weight, true
 	r.mu.Lock()
 	r.fronts[i], r.running = q, append(r.running, q)
 	r.back = r.clock()
@@ -51,6 +62,48 @@
 	return q
 }
 
+// spoil does to what a proxy has kept what the day has in store for it.
+func (r *Rig) spoil(p *process) error {
+	at := filepath.Join(r.dir, "state", p.name()+".state")
+	text, err := os.ReadFile(at)
+	if err != nil || r.State == "" || r.State == "kept" {
+		return nil // it may have ended before it kept anything
+	}
+	switch r.State {
+	case "lost":
+		return os.Remove(at)
+	case "torn":
+		text = text[:len(text)/2]
+	case "old":
+		s, err := warm.Decode(text)
+		if err != nil {
+			return err
+		}
+		s.Saved -= oldBy
+		if text, err = warm.Encode(s); err != nil {
+			return err
+		}
+	}
+	return os.WriteFile(at, text, 0o600)
+}
+
+// full reads what the proxy said of its start in its log.
+func (p *process) full() (seconds []float64) {
+	text, err := os.ReadFile(filepath.Join(p.rig.dir, fmt.Sprintf("p-%d.log", p.serial)))
+	if err != nil {
+		return nil
+	}
+	for line := range strings.Lines(string(text)) {
+		var s float64
+		if _, rest, ok := strings.Cut(line, "msg=full seconds="); ok {
+			if _, err := fmt.Sscanf(rest, "%f", &s); err == nil {
+				seconds = append(seconds, s)
+			}
+		}
+	}
+	return seconds
+}
+
 // turnOver kills or restarts a share of the first tier's proxies.
 func (r *Rig) turnOver(f faults.Fault, wait func(float64) bool) {
 	all := r.hitFronts(f)
@@ -100,10 +153,10 @@
 	}
 	wait(f.From + f.For)
 	for _, p := range still {
-		p.signal(syscall.SIGCONT)
-		to := r.clock()
+		to := r.clock() // noted first: it answers within a millisecond
 		p.goesOn(to)
 		r.books.client(func(j *judge.Judge) { j.Stood(p.serial, from, to) })
+		p.signal(syscall.SIGCONT)
 	}
 }
 
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -34,6 +34,7 @@
 	ended                  chan struct{}
 	once                   sync.Once
 	pool                   *pool // of the clients that come to it
+	again                  bool  // takes the place of one that failed
 	mu                     sync.Mutex
 	still                  [][2]float64 // from when to when it stood still, -1 while it does
 }
@@ -76,7 +77,7 @@
 	}
 	return map[string]any{
 		"peers": peers,
-		"name":  fmt.Sprintf("p-%d", p.serial), "listen": p.listen, "discovery": p.agent.listener.Addr().String(),
+		"name":  p.name(), "listen": p.listen, "discovery": p.agent.listener.Addr().String(),
 		"seed":   fmt.Sprintf("%016x", r.seed+uint64(p.serial)),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 4096},
 		"settings": map[string]any{
@@ -91,6 +92,18 @@
 	}
 }
 
+// name is the proxy's: that of its place, so that one which comes after has it as well.
+func (p *process) name() string { return fmt.Sprintf("p-%d-%d", p.tier, p.me) }
+
+// operator writes the operators' file of the day, and gives its place.
+func (r *Rig) operator() (string, error) {
+	folder, at := filepath.Join(r.dir, "state"), filepath.Join(r.dir, "operator.toml")
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return "", err
+	}
+	return at, os.WriteFile(at, fmt.Appendf(nil, "[state]\nfolder = %q\nfleet = \"rig\"\nevery = 0.25\n", folder), 0o600)
+}
+
 func customer(i int) string { return fmt.Sprintf("c%d", i) }
 func zone(z int) string     { return fmt.Sprintf("z%d", z) }
 
@@ -130,8 +143,19 @@
 	if err := os.WriteFile(place, text, 0o600); err != nil {
 		return nil, err
 	}
-	p.cmd = exec.Command(r.program[0], r.program[1:]...)
-	p.cmd.Env = append(os.Environ(), append(r.env, "NODE_CONFIG="+place, "TMPDIR="+r.dir)...)
+	args, env := r.program[1:], append(r.env[:len(r.env):len(r.env)], "NODE_CONFIG="+place, "TMPDIR="+r.dir)
+	if r.State != "" && tier == 0 {
+		words, err := r.operator()
+		if err != nil {
+			return nil, err
+		}
+		env = append(env, operatorEnv+"="+words)
+		if len(args) > 0 { // not a child of ours
+			args = append(args[:len(args):len(args)], "--operator", words)
+		}
+	}
+	p.cmd = exec.Command(r.program[0], args...)
+	p.cmd.Env = append(os.Environ(), env...)
 	out, err := os.Create(filepath.Join(r.dir, fmt.Sprintf("p-%d.log", p.serial)))
 	if err != nil {
 		return nil, err
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -65,14 +65,20 @@
 	ways      map[way]*stretch
 	pairs     []between
 	peers     [][]string // by instance of the first tier, where it finds each sibling's messages
+	State     string     // whether proxies keep what they know over their end, and what becomes of it; one of States
 	quiet     bool       // no judge: what is listed and killed is nobody's affair
 }
 
+// States are what may become of what a proxy keeps while it is down; "" keeps nothing.
+var States = []string{"", "kept", "lost", "torn", "old"}
+
 // Outcome is what came of a live day.
 type Outcome struct {
 	Account  *judge.Account
 	Lateness float64   // seconds, the most by which a command was sent after it was due: the rig's own fault
 	CPU      []float64 // seconds of a core, of each first-tier proxy that ran to the end
+	Back     float64   // when the last proxy that had failed was ready again, 0 if none was
+	Full     []float64 // seconds that proxies which came back say they took until all was as usual
 }
 
 // New takes a world and a plan that were checked, and the command that starts one proxy (with further environment).
@@ -156,12 +162,21 @@
 	}
 	// The books are closed before proxies end: what one still owes then is not forgiven.
 	r.books.mu.Lock()
-	out.Account, out.Lateness = r.books.judge.Close(r.books.now()), r.lateness
+	out.Account, out.Lateness, out.Back = r.books.judge.Close(r.books.now()), r.lateness, r.back
 	r.books.mu.Unlock()
+	var stops sync.WaitGroup
+	for _, p := range r.fronts {
+		if p != nil {
+			stops.Go(func() { p.stop(endWithin) })
+		}
+	}
+	stops.Wait()
 	for _, p := range r.fronts {
 		if p != nil {
-			p.stop(endWithin)
 			out.CPU = append(out.CPU, p.cpu())
+			if p.again {
+				out.Full = append(out.Full, p.full()...)
+			}
 		}
 	}
 	return out, nil
