After a pause what is due waits 20 ms at most for what has come

Lines at fault: loop.go, Run: up to 64 rounds of reading went before timers. Excluded: the judge's allowance, 8 were left at one process alone that had no core for 56 ms; the rig now gives a process 0.1 s to get one.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -17,6 +17,7 @@
 	sinkSize    = 256 << 10 // bytes thrown away at once
 	stoodFrom   = 0.1       // seconds by which a turn comes too late, or lasts, from which the process has stood still
 	afterStand  = 64        // rounds of events that are taken then before what is due: 8,192, the rest keeps its turn
+	standRead   = 0.02      // seconds that these may take: limits that fall due just then have some 50 ms
 	sleptFrom   = 0.02      // seconds since the last look from which it may matter when what is read had come
 )
 
@@ -167,7 +168,7 @@
 					p.of.event(e.Events)
 				}
 			}
-			if n = 0; rounds > 1 {
+			if n = 0; rounds > 1 && l.clock() < l.turn+standRead {
 				n, _ = unix.EpollWait(l.epoll, events[:], 0) // interrupted: the next turn has them
 			}
 		}
--- a/internal/rig/lives.go
+++ b/internal/rig/lives.go
@@ -17,7 +17,10 @@
 	"sandpass/internal/warm"
 )
 
-const oldBy = 3 * 3600.0 // seconds by which an old state is older than it was
+const (
+	oldBy = 3 * 3600.0 // seconds by which an old state is older than it was
+	wakes = 0.1        // seconds in which a process that goes on has a core: half of 64 want one of a few at once
+)
 
 // hitFronts draws a share of the first tier's places.
 func (r *Rig) hitFronts(f faults.Fault) []int {
@@ -155,7 +158,7 @@
 	for _, p := range still {
 		to := r.clock() // noted first: it answers within a millisecond
 		p.goesOn(to)
-		r.books.client(func(j *judge.Judge) { j.Stood(p.serial, from, to) })
+		r.books.client(func(j *judge.Judge) { j.Stood(p.serial, from, to+wakes) })
 		p.signal(syscall.SIGCONT)
 	}
 }
