What is read within a second after a pause is as old as the kernel says

Lines at fault: loop.go, Slept: only the first turn after a pause knew of it, so a command of the pause that was read in a later turn counted as new.

Change: Slept holds for a second after a pause.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -19,6 +19,7 @@
 	afterStand  = 64        // rounds of events that are taken then before what is due: 8,192, the rest keeps its turn
 	standRead   = 0.02      // seconds that these may take: limits that fall due just then have some 50 ms
 	sleptFrom   = 0.02      // seconds since the last look from which it may matter when what is read had come
+	backlogFor  = 1.0       // seconds after a pause in which what is read may be of it
 )
 
 // source is what a descriptor belongs to.
@@ -47,6 +48,7 @@
 	sink        []byte   // where bytes go that nobody wants; the kernel writes none, so it takes no memory
 	stopped     bool
 	looked      float64          // when the turn before began
+	backlog     float64          // until when what is read may have come in a pause
 	Stood       func(by float64) // is told, before anything else, that the process stood still so long: what it knows is old
 }
 
@@ -86,8 +88,8 @@
 // Turn is when the turn began: what is handled now had arrived by then.
 func (l *Loop) Turn() float64 { return l.turn }
 
-// Slept tells that the loop last looked so long ago that what is read now may have come a while before.
-func (l *Loop) Slept() bool { return l.turn-l.looked > sleptFrom }
+// Slept tells that the loop last looked, or stood still, so long ago that what is read now may have come a while before.
+func (l *Loop) Slept() bool { return l.turn-l.looked > sleptFrom || l.turn < l.backlog }
 
 // Post has f run on the next turn; only for the loop's own goroutine.
 func (l *Loop) Post(f func()) { l.posted = append(l.posted, f) }
@@ -157,6 +159,7 @@
 		l.now = l.turn
 		if by := max(l.turn-due, due-float64(wait)/1000-began); by > stoodFrom && l.Stood != nil {
 			l.Stood(by)
+			l.backlog = l.turn + backlogFor
 			rounds = afterStand
 		}
 		each()
