Read again: one walk over faults, one side-by-side runner, the rig's operators' file once

- Touches and Places in internal/faults serve emulator and rig, which each had them; kinds that hit the first tier say so in their form.
- Comeback.Play had its own side-by-side runner: it uses search's, which takes anything now. weigh is a method of what it weighs.
- fixed and nocopies were two wrappers of one shape: limited.
- World.OneTier for three copies of cutting a world down to its first tier; r.clock() for its four twins.
- The rig wrote the operators' file anew at each start of a proxy; one that read it just then would have found it empty and kept nothing.
It is written once.
A backend looks for the way of a connection by zone, not through all ways.
- Tests: deliver carries messages for carry, among and the mixed fleet; besideOne starts a proxy beside a stand-in sibling.

--- a/balance/keeper_test.go
+++ b/balance/keeper_test.go
@@ -10,24 +10,31 @@
 	return fleetOf(t, instances, list, setup{limits: Limits{Relays: 4, SecondCopies: true, Cancel: true, Peers: true, Keys: true}})
 }
 
-// carry brings what was told to whom it is for, until nobody has more to say; each message may be lost.
-func carry(hosts []*fakeHost, lost func(n note) bool) {
+// deliver brings what was told to whom it is for, until nobody has more to say. pass may change a message, or have it lost.
+func deliver(hosts []*fakeHost, pass func(from int, m *telling) bool) {
 	for more := true; more; {
 		more = false
 		for from, h := range hosts {
 			told := h.told
 			h.told = nil
 			for _, m := range told {
-				if n, _, ok := readNote(m.text); ok && lost != nil && lost(n) {
-					continue
+				if pass(from, &m) {
+					more = true
+					hosts[m.to].b.Heard(hosts[m.to].now, from, m.text)
 				}
-				more = true
-				hosts[m.to].b.Heard(hosts[m.to].now, from, m.text)
 			}
 		}
 	}
 }
 
+// carry does so where each message may be lost by what it says.
+func carry(hosts []*fakeHost, lost func(n note) bool) {
+	deliver(hosts, func(_ int, m *telling) bool {
+		n, _, ok := readNote(m.text)
+		return !ok || lost == nil || !lost(n)
+	})
+}
+
 func relays(hosts []*fakeHost) (n int) {
 	for _, h := range hosts {
 		n += len(h.relays)
--- a/balance/living_test.go
+++ b/balance/living_test.go
@@ -11,19 +11,7 @@
 
 // among brings messages among those that live; what is told to the others is lost.
 func among(hosts []*fakeHost, lives func(i int) bool) {
-	for more := true; more; {
-		more = false
-		for from, h := range hosts {
-			told := h.told
-			h.told = nil
-			for _, m := range told {
-				if lives(from) && lives(m.to) {
-					more = true
-					hosts[m.to].b.Heard(hosts[m.to].now, from, m.text)
-				}
-			}
-		}
-	}
+	deliver(hosts, func(from int, m *telling) bool { return lives(from) && lives(m.to) })
 }
 
 // Nine of ten proxies are killed: each command of the rest waited 80 ms for two keepers that were no more, and then for
@@ -139,25 +127,15 @@
 			cmd := 100*round + uint64(i)
 			h.b.Command(h.now, cmd, 0, 0, h.now+6, 0)
 		}
-		for more := true; more; {
-			more = false
-			for from, h := range hosts {
-				told := h.told
-				h.told = nil
-				for _, m := range told {
-					if m.to == old && len(m.text) != noteSize {
-						continue // it does not read this
-					}
-					if from == old && len(m.text) != noteSize {
-						m.text = bytes.Clone(m.text[:noteSize])
-						m.text[0] -= noteLived
-						m.text[6] = min(m.text[6], flagYes)
-					}
-					more = true
-					hosts[m.to].b.Heard(hosts[m.to].now, from, m.text)
-				}
+		deliver(hosts, func(from int, m *telling) bool {
+			lived := len(m.text) != noteSize
+			if from == old && lived {
+				m.text = bytes.Clone(m.text[:noteSize])
+				m.text[0] -= noteLived
+				m.text[6] = min(m.text[6], flagYes)
 			}
-		}
+			return m.to != old || !lived // which it does not read
+		})
 		for i, h := range hosts {
 			h.until(h.now + 0.1)
 			if cmd := 100*round + uint64(i); round > 1 && len(h.toOf(cmd)) == 0 {
--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -32,10 +32,10 @@
 		return balance.New(h, seed, now)
 	}},
 	{"nocopies", "the module without second copies", func(h balance.Host, _ emulator.Sight, seed uint64, now float64) emulator.Policy {
-		return &noCopies{balance.New(h, seed, now)}
+		return &limited{balance.New(h, seed, now), func(l *balance.Limits) { l.SecondCopies = false }}
 	}},
 	{"fixed", "the module with shares by all siblings there should be, whoever is there", func(h balance.Host, _ emulator.Sight, seed uint64, now float64) emulator.Policy {
-		return &fixed{balance.New(h, seed, now)}
+		return &limited{balance.New(h, seed, now), func(l *balance.Limits) { l.Fixed = true }}
 	}},
 	{"random", "any backend", plainly(random)},
 	{"robin", "one after another", plainly(robin)},
@@ -73,24 +73,17 @@
 	return nil, fmt.Errorf("policy %q is unknown; known are %s", name, strings.Join(Names(), ", "))
 }
 
-// noCopies is the module where second copies are not allowed.
-type noCopies struct{ *balance.Balancer }
-
-// Turn takes the leave for copies out of the limits.
-func (n *noCopies) Turn(now, tick float64, place balance.Place, verbs []balance.Verb, customers []balance.Customer,
-	overage float64, limits balance.Limits, cold balance.Cold, mustAsk bool) {
-	limits.SecondCopies = false
-	n.Balancer.Turn(now, tick, place, verbs, customers, overage, limits, cold, mustAsk)
+// limited is the module with other limits than it is told.
+type limited struct {
+	*balance.Balancer
+	change func(*balance.Limits)
 }
 
-// fixed is the module as it was before it asked how many siblings are there.
-type fixed struct{ *balance.Balancer }
-
-// Turn has shares go by what is configured.
-func (f *fixed) Turn(now, tick float64, place balance.Place, verbs []balance.Verb, customers []balance.Customer,
+// Turn hands the settings on with the limits changed.
+func (m *limited) Turn(now, tick float64, place balance.Place, verbs []balance.Verb, customers []balance.Customer,
 	overage float64, limits balance.Limits, cold balance.Cold, mustAsk bool) {
-	limits.Fixed = true
-	f.Balancer.Turn(now, tick, place, verbs, customers, overage, limits, cold, mustAsk)
+	m.change(&limits)
+	m.Balancer.Turn(now, tick, place, verbs, customers, overage, limits, cold, mustAsk)
 }
 
 type server struct {
--- a/internal/emulator/backends.go
+++ b/internal/emulator/backends.go
@@ -279,8 +279,8 @@
 
 // spoilt tells that a command fails wherever it is sent.
 func (d *Day) spoilt(b *backend, r *relay) bool {
-	for i, f := range d.plan {
-		if d.active[i] && f.Kind == faults.Spoilt && f.Tier == b.tier && f.Keyed(r.key) {
+	for _, f := range d.during(faults.Spoilt) {
+		if f.Tier == b.tier && f.Keyed(r.key) {
 			return true
 		}
 	}
@@ -289,8 +289,8 @@
 
 // unable tells that a backend fails a command for its verb, which others do.
 func (d *Day) unable(b *backend, r *relay) bool {
-	for i, f := range d.plan {
-		if d.active[i] && f.Kind == faults.Unable && uint64(r.verb) == f.Seed%uint64(len(d.w.Verbs)) &&
+	for i, f := range d.during(faults.Unable) {
+		if uint64(r.verb) == f.Seed%uint64(len(d.w.Verbs)) &&
 			slices.Contains(d.targets[i], b) && draw(r.seed, 21) < f.At(d.now) {
 			return true
 		}
@@ -322,8 +322,8 @@
 // turn is when a command may go on that has to wait for a lock behind its tier, or now.
 func (d *Day) turn(b *backend, r *relay) float64 {
 	at := d.now
-	for i, f := range d.plan {
-		if d.active[i] && f.Kind == faults.Lock && f.Tier == b.tier && f.Keyed(r.key) {
+	for i, f := range d.during(faults.Lock) {
+		if f.Tier == b.tier && f.Keyed(r.key) {
 			at = max(at, d.turns[i])
 			d.turns[i] = at + f.Hard
 		}
--- a/internal/emulator/clients.go
+++ b/internal/emulator/clients.go
@@ -178,10 +178,8 @@
 	o.holds++
 	d.queue.push(onTry, event{at: at, o: o})
 	early := d.w.Clients.Early
-	for i, f := range d.plan {
-		if d.active[i] && f.Kind == faults.Rude {
-			early += f.Hard
-		}
+	for _, f := range d.during(faults.Rude) {
+		early += f.Hard
 	}
 	if draw(o.seed, 15) < early {
 		o.leaves = at + (0.1+0.9*draw(o.seed, 16))*d.w.Verbs[o.verb].Goal
@@ -209,10 +207,8 @@
 func (d *Day) flooder(u float64) int {
 	var who []int
 	var hard []float64
-	for i, f := range d.plan {
-		if d.active[i] && f.Kind == faults.Flood {
-			who, hard = append(who, f.Zone), append(hard, f.At(d.now)*d.share(f.Zone))
-		}
+	for _, f := range d.during(faults.Flood) {
+		who, hard = append(who, f.Zone), append(hard, f.At(d.now)*d.share(f.Zone))
 	}
 	return who[weighted(u, len(who), func(i int) float64 { return hard[i] })]
 }
@@ -343,11 +339,9 @@
 func (d *Day) again(o *operation, a answer, comeBack float64) {
 	v, w := &d.verbs[o.verb], &d.w.Clients
 	most, backoff := w.Retries, w.Backoff*math.Pow(2, float64(o.tries-1))*(0.5+draw(o.seed, uint64(20+o.tries)))
-	for i, f := range d.plan {
-		if d.active[i] && f.Kind == faults.Storm {
-			most += int(math.Ceil(f.Hard))
-			backoff /= 1 + f.Hard
-		}
+	for _, f := range d.during(faults.Storm) {
+		most += int(math.Ceil(f.Hard))
+		backoff /= 1 + f.Hard
 	}
 	o.mayHaveRun = o.mayHaveRun || a == failed || a == died || a == unheard
 	allowed := v.Effect == balance.Pure || !o.mayHaveRun ||
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -25,8 +25,8 @@
 
 // drift is by how much a backend's start is told wrong.
 func (d *Day) drift(b *backend) (off float64) {
-	for i, f := range d.plan {
-		if !d.active[i] || f.Kind != faults.Drift || f.Tier != b.tier {
+	for _, f := range d.during(faults.Drift) {
+		if f.Tier != b.tier {
 			continue
 		}
 		if u := draw(f.Seed, uint64(b.serial)); u < f.Share {
@@ -61,18 +61,16 @@
 	x.due = true
 	lag := d.w.Discovery.Lag
 	at := d.now + lag[0] + (lag[1]-lag[0])*d.listChance.Float64()
-	for i, f := range d.plan {
-		if d.active[i] && f.Kind == faults.Lag {
-			at += f.Hard
-		}
+	for _, f := range d.during(faults.Lag) {
+		at += f.Hard
 	}
 	d.queue.push(onList, event{at: at, n: uint64(x.serial)})
 }
 
 // inForce is the end of a fault of the kind that is in force, or 0.
 func (d *Day) inForce(k faults.Kind) (until float64, f faults.Fault) {
-	for i, x := range d.plan {
-		if d.active[i] && x.Kind == k && x.From+x.For > until {
+	for _, x := range d.during(k) {
+		if x.From+x.For > until {
 			until, f = x.From+x.For, x
 		}
 	}
--- a/internal/emulator/instances.go
+++ b/internal/emulator/instances.go
@@ -155,8 +155,8 @@
 
 // skew is by how much an instance is told limits too short.
 func (d *Day) skew(x *instance) (off float64) {
-	for i, f := range d.plan {
-		if d.active[i] && f.Kind == faults.Skew && x.tier == f.Tier && draw(f.Seed, uint64(x.me)) < f.Share {
+	for _, f := range d.during(faults.Skew) {
+		if x.tier == f.Tier && draw(f.Seed, uint64(x.me)) < f.Share {
 			off = max(off, f.Hard)
 		}
 	}
@@ -273,8 +273,8 @@
 		return true
 	}
 	long := 0.0
-	for i, f := range d.plan {
-		if d.active[i] && f.Kind == faults.Readers && draw(c.seed, 20) < f.Share {
+	for _, f := range d.during(faults.Readers) {
+		if draw(c.seed, 20) < f.Share {
 			long = max(long, f.Hard)
 		}
 	}
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -93,7 +93,7 @@
 		if !d.active[i] || f.Kind != faults.Delay && f.Kind != faults.Loss {
 			continue
 		}
-		if f.Zone >= 0 && (from == to || f.Zone != from && f.Zone != to) {
+		if !f.Touches(from, to) {
 			continue
 		}
 		if hard := f.At(d.now); f.Kind == faults.Delay {
@@ -210,8 +210,8 @@
 
 // reaped tells that what stands between has dropped the connection at rest, which neither end was told.
 func (d *Day) reaped(l *link) bool {
-	for i, f := range d.plan {
-		if d.active[i] && f.Kind == faults.Reap && d.now-l.since > f.Hard {
+	for _, f := range d.during(faults.Reap) {
+		if d.now-l.since > f.Hard {
 			return true
 		}
 	}
--- a/internal/emulator/places_test.go
+++ b/internal/emulator/places_test.go
@@ -94,10 +94,7 @@
 func TestStartsToldWrongPushNoColdBackendOver(t *testing.T) {
 	w := keyed()
 	w.Load, w.Rules.ColdShare, w.Rules.ColdMultiple = 0.9, 0.1, 1.2
-	w.Tiers = w.Tiers[:1]
-	for i := range w.Verbs {
-		w.Verbs[i].Work, w.Verbs[i].Calls = w.Verbs[i].Work[:1], nil
-	}
+	w.OneTier()
 	plan := faults.Plan{
 		{Kind: faults.Roll, Zone: -1, To: -1, Share: 0.5, From: 2, For: 4, Seed: 3},
 		{Kind: faults.Drift, Zone: -1, To: -1, Share: 0.3, From: 0, For: 20, Hard: 6, Seed: 7},
--- a/internal/emulator/troubles.go
+++ b/internal/emulator/troubles.go
@@ -4,7 +4,7 @@
 package emulator
 
 import (
-	"math/rand/v2"
+	"iter"
 	"slices"
 
 	"sandpass/internal/faults"
@@ -19,11 +19,10 @@
 // fault begins (1), steps (2) or ends (0) one of the plan.
 func (d *Day) fault(n int, what int32) {
 	f := d.plan[n]
-	chance := f.Chance()
 	switch what {
 	case 1:
 		d.active[n] = true
-		d.begins(n, f, chance)
+		d.begins(n, f)
 		if f.Ramps() || f.Kind == faults.Flicker {
 			d.queue.push(onFault, event{at: d.now + d.stepOf(f), n: uint64(n), a: 2})
 		}
@@ -46,17 +45,22 @@
 	return ramped
 }
 
-func (d *Day) hit(f faults.Fault) []*backend {
-	return faults.Hit(f, d.tiers[f.Tier], func(b *backend) int { return b.zone })
+// during walks over the faults of a kind that are in force, by their number in the plan.
+func (d *Day) during(k faults.Kind) iter.Seq2[int, faults.Fault] {
+	return func(yield func(int, faults.Fault) bool) {
+		for i, f := range d.plan {
+			if d.active[i] && f.Kind == k && !yield(i, f) {
+				return
+			}
+		}
+	}
 }
 
-// fronts draws a share of the first tier's instances.
-func (d *Day) hitFronts(f faults.Fault, chance *rand.Rand) []int {
-	all := chance.Perm(len(d.places[0]))
-	return all[:f.Count(len(all))]
+func (d *Day) hit(f faults.Fault) []*backend {
+	return faults.Hit(f, d.tiers[f.Tier], func(b *backend) int { return b.zone })
 }
 
-func (d *Day) begins(n int, f faults.Fault, chance *rand.Rand) {
+func (d *Day) begins(n int, f faults.Fault) {
 	switch f.Kind {
 	case faults.Crash, faults.Zone:
 		d.targets[n] = d.hit(f)
@@ -76,7 +80,7 @@
 			d.later(d.now+f.For*float64(i)/float64(len(hit)), func() { d.replace(b, f.Kind == faults.Takeover) })
 		}
 	case faults.Kill:
-		hit := d.hitFronts(f, chance)
+		hit := f.Places(len(d.places[0]))
 		for _, me := range hit {
 			d.kill(d.places[0][me])
 		}
@@ -86,7 +90,7 @@
 			}
 		})
 	case faults.Stall:
-		for _, me := range d.hitFronts(f, chance) {
+		for _, me := range f.Places(len(d.places[0])) {
 			x := d.places[0][me]
 			x.still = max(x.still, f.From+f.For)
 			d.later(f.From+f.For, func() {
@@ -97,11 +101,11 @@
 			})
 		}
 	case faults.Loop:
-		for _, me := range d.hitFronts(f, chance) {
+		for _, me := range f.Places(len(d.places[0])) {
 			d.crash(me, f)
 		}
 	case faults.Restart:
-		hit := d.hitFronts(f, chance)
+		hit := f.Places(len(d.places[0]))
 		longest := 0.0
 		for _, v := range d.w.Verbs {
 			longest = max(longest, v.Limit)
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -169,6 +169,14 @@
 	}
 }
 
+// OneTier leaves the first tier alone, whose backends then call nobody.
+func (w *World) OneTier() {
+	w.Tiers = w.Tiers[:1]
+	for i := range w.Verbs {
+		w.Verbs[i].Work, w.Verbs[i].Calls = w.Verbs[i].Work[:1], nil
+	}
+}
+
 // Extent is what a fault plan for this world may name.
 func (w *World) Extent() faults.Extent {
 	e := faults.Extent{Length: w.Length, Zones: w.Zones, Customers: len(w.Customers)}
--- a/internal/faults/burden.go
+++ b/internal/faults/burden.go
@@ -16,6 +16,9 @@
 // Count is how many of n the fault hits: its share, at least one if there are any.
 func (f Fault) Count(n int) int { return min(n, max(1, int(math.Round(f.Share*float64(n))))) }
 
+// Places draws a share of n places, at least one.
+func (f Fault) Places(n int) []int { return f.Chance().Perm(n)[:f.Count(n)] }
+
 // Hit draws a share of a tier's backends, at least one, of the zone if one is named; a lost zone hits all of them.
 func Hit[B any](f Fault, tier []B, zone func(B) int) []B {
 	var all []B
@@ -38,6 +41,12 @@
 	return f.Kind == Cut && from != to && (one || f.Hard >= 1 && other)
 }
 
+// Touches tells whether a fault of the ways between a zone and the others, or of all ways, is one of that from one zone to
+// another.
+func (f Fault) Touches(from, to int) bool {
+	return f.Zone < 0 || from != to && (f.Zone == from || f.Zone == to)
+}
+
 // Keyed tells whether a key is among those that the fault hits; none is where there is no key.
 func (f Fault) Keyed(key uint64) bool {
 	if key == 0 {
--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -63,6 +63,7 @@
 type form struct {
 	kind     Kind
 	backends bool    // hits a share of a tier's backends
+	fronts   bool    // hits a share of the first tier's instances
 	zone     bool    // needs a zone
 	hard     float64 // largest Hard, 0: none is used
 	most     float64 // largest Hard that is drawn
@@ -85,14 +86,14 @@
 	{kind: Delay, hard: 10, most: 0.3, ramp: true}, {kind: Loss, hard: 0.9, most: 0.2, ramp: true},
 	{kind: Zone, zone: true},
 	{kind: Silent}, {kind: Lag, hard: 60, most: 8}, {kind: Stale, hard: 60, most: 15}, {kind: Partial, hard: 1, most: 0.6},
-	{kind: Kill}, {kind: Restart},
+	{kind: Kill, fronts: true}, {kind: Restart, fronts: true},
 	{kind: Burst, hard: 100, most: 1.5, ramp: true}, {kind: Flood, hard: 100, most: 6, ramp: true},
 	{kind: Shift, zone: true, hard: 1, most: 0.8, ramp: true},
 	{kind: Rude, hard: 1, most: 0.4}, {kind: Storm, hard: 20, most: 5},
 	{kind: Lock, hard: 60, share: true}, {kind: Spoilt, share: true}, {kind: Readers, hard: 60, share: true},
 	{kind: Skew, hard: 60, share: true},
 	{kind: Reap, hard: 600}, {kind: Drift, hard: 60, share: true}, {kind: Unable, backends: true, hard: 1},
-	{kind: Stall}, {kind: Loop, hard: 60}, {kind: Muddle, hard: 1},
+	{kind: Stall, fronts: true}, {kind: Loop, fronts: true, hard: 60}, {kind: Muddle, hard: 1},
 }
 
 const byHand = 10 // of these, at the end, which are not drawn
@@ -154,7 +155,7 @@
 	s := fmt.Sprintf("%s %.4g-%.4g s", f.Kind, f.From, f.From+f.For)
 	if form.backends {
 		s += fmt.Sprintf(" tier %d share %.2g", f.Tier, f.Share)
-	} else if f.Kind == Kill || f.Kind == Restart || f.Kind == Stall || f.Kind == Loop || form.share {
+	} else if form.fronts || form.share {
 		s += fmt.Sprintf(" share %.2g", f.Share)
 	}
 	if f.Zone >= 0 {
--- a/internal/lab/back.go
+++ b/internal/lab/back.go
@@ -11,7 +11,6 @@
 	"math"
 	"slices"
 	"strings"
-	"sync"
 
 	"sandpass/internal/baseline"
 	"sandpass/internal/emulator"
@@ -50,11 +49,9 @@
 func Live(proxies int, load, share float64, messages bool, kind faults.Kind) Comeback {
 	c := Mass(proxies, load, share, messages, kind)
 	w := &c.World
-	w.Length, w.Warmup, w.Tiers, w.Clients.Notice, w.Clients.Early = 14, 1, w.Tiers[:1], 0.5, 0
+	w.Length, w.Warmup, w.Clients.Notice, w.Clients.Early = 14, 1, 0.5, 0
+	w.OneTier()
 	w.Tiers[0].Backends = max(8, proxies/2)
-	for i := range w.Verbs {
-		w.Verbs[i].Work, w.Verbs[i].Calls = w.Verbs[i].Work[:1], nil
-	}
 	c.Plan[0].From, c.Plan[0].For = 6, 2.5
 	c.Fails, c.Return = 6, 8.5
 	return c
@@ -140,23 +137,10 @@
 	if err := cmp.Or(c.World.Check(), c.Plan.Check(c.World.Extent())); err != nil {
 		return nil, err
 	}
-	all := make([]Return, len(seeds))
-	var wait sync.WaitGroup
-	slots := make(chan struct{}, workers(cores))
-	for i, seed := range seeds {
-		wait.Add(1)
-		go func() {
-			defer wait.Done()
-			slots <- struct{}{}
-			defer func() { <-slots }()
-			if ctx.Err() == nil {
-				a, _ := emulator.Run(c.World, c.Plan, m, seed)
-				all[i] = c.Of(a)
-			}
-		}()
-	}
-	wait.Wait()
-	return all, ctx.Err()
+	return side(ctx, seeds, workers(cores), func(seed uint64) (Return, error) {
+		a, _ := emulator.Run(c.World, c.Plan, m, seed)
+		return c.Of(a), nil
+	})
 }
 
 // Middle is the median of a figure over the seeds, Worst its highest.
--- a/internal/lab/search.go
+++ b/internal/lab/search.go
@@ -54,15 +54,15 @@
 }
 
 // weigh plays a day for the policy and for the top.
-func weigh(w emulator.World, plan faults.Plan, seed uint64, policy string) (Found, error) {
-	f := Found{World: w, Plan: plan, Seed: seed, Policy: policy}
+func (f Found) weigh() (Found, error) {
+	f.Broken = ""
 	var accounts [2]*judge.Account
-	for i, name := range []string{policy, "top"} {
+	for i, name := range []string{f.Policy, "top"} {
 		m, err := baseline.Maker(name)
 		if err != nil {
 			return f, err
 		}
-		accounts[i], _ = emulator.Run(w, plan, m, seed)
+		accounts[i], _ = emulator.Run(f.World, f.Plan, m, f.Seed)
 	}
 	f.G, f.Top = accounts[0].G(false), accounts[1].G(false)
 	f.Loss = f.Top - f.G
@@ -72,13 +72,13 @@
 	return f, nil
 }
 
-// side plays the days of a list side by side and gives them in its order; ctx ends it early with what is whole so far.
-func side(ctx context.Context, all []Found, cores int) ([]Found, error) {
-	out := make([]Found, len(all))
+// side does the same to each of a list side by side and gives what came of them in its order; ctx ends it early.
+func side[T, R any](ctx context.Context, all []T, cores int, do func(T) (R, error)) ([]R, error) {
+	out := make([]R, len(all))
 	errs := make([]error, len(all))
 	var wait sync.WaitGroup
 	slots := make(chan struct{}, cores)
-	for i, f := range all {
+	for i, x := range all {
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
@@ -86,7 +86,7 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			out[i], errs[i] = weigh(f.World, f.Plan, f.Seed, f.Policy)
+			out[i], errs[i] = do(x)
 			<-slots
 		}()
 	}
@@ -116,7 +116,7 @@
 				tries = append(tries, f)
 			}
 		}
-		got, err := side(ctx, tries, cores)
+		got, err := side(ctx, tries, cores, Found.weigh)
 		if err != nil {
 			return best, err
 		}
@@ -172,7 +172,7 @@
 // rule, or loses the part keep of what it lost.
 func Shrink(ctx context.Context, f Found, keep float64, cores int, told func(Found)) (Found, error) {
 	cores = workers(cores)
-	f, err := weigh(f.World, f.Plan, f.Seed, f.Policy)
+	f, err := f.weigh()
 	if err != nil {
 		return f, err
 	}
@@ -192,7 +192,7 @@
 		}
 		next := -1
 		for at := 0; at < len(tries) && next < 0; at += cores {
-			got, err := side(ctx, tries[at:min(at+cores, len(tries))], cores)
+			got, err := side(ctx, tries[at:min(at+cores, len(tries))], cores, Found.weigh)
 			if err != nil {
 				return f, err
 			}
--- a/internal/proxy/stood_test.go
+++ b/internal/proxy/stood_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -48,20 +47,7 @@
 func TestMessagesOfThePauseAreDropped(t *testing.T) {
 	t.Parallel()
 	b := newToy(t, ok)
-	sibling, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer sibling.Close()
-	at := freeUDP(t)
-	l := config(listing(1, true, ready("s-a", b)), nil, moved("2"))
-	l.Peers = []string{at, sibling.LocalAddr().String()}
-	p, err := New(l)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := run(t, p)
-	to := net.UDPAddrFromAddrPort(netip.MustParseAddrPort(at))
+	r, to, sibling := besideOne(t, ready("s-a", b))
 	answers := func() (n int) {
 		for in := make([]byte, 100); ; n++ {
 			sibling.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
--- a/internal/proxy/turn_test.go
+++ b/internal/proxy/turn_test.go
@@ -102,22 +102,14 @@
 	}
 }
 
-// A proxy and a stand-in for its one sibling: commands are answered though the sibling has no word for it, and the
-// proxy answers the sibling's questions on the cells that it keeps, but no stranger's.
-func TestMessages(t *testing.T) {
-	t.Parallel()
-	b := newToy(t, ok)
+// besideOne is a proxy with a stand-in for its one sibling, and where that one finds it.
+func besideOne(t *testing.T, lines ...line) (r *running, to *net.UDPAddr, sibling net.PacketConn) {
+	t.Helper()
 	sibling, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer sibling.Close()
-	var lines []line
-	for _, name := range []string{"s-a", "s-b", "s-c", "s-d", "s-e", "s-f", "s-g", "s-h"} {
-		l := ready(name, b)
-		l["group"] = len(lines)
-		lines = append(lines, l)
-	}
+	t.Cleanup(func() { sibling.Close() })
 	at := freeUDP(t)
 	l := config(listing(1, true, lines...), nil, moved("2"))
 	l.Peers = []string{at, sibling.LocalAddr().String()}
@@ -125,7 +117,21 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := run(t, p)
+	return run(t, p), net.UDPAddrFromAddrPort(netip.MustParseAddrPort(at)), sibling
+}
+
+// A proxy and a stand-in for its one sibling: commands are answered though the sibling has no word for it, and the
+// proxy answers the sibling's questions on the cells that it keeps, but no stranger's.
+func TestMessages(t *testing.T) {
+	t.Parallel()
+	b := newToy(t, ok)
+	var lines []line
+	for _, name := range []string{"s-a", "s-b", "s-c", "s-d", "s-e", "s-f", "s-g", "s-h"} {
+		l := ready(name, b)
+		l["group"] = len(lines)
+		lines = append(lines, l)
+	}
+	r, to, sibling := besideOne(t, lines...)
 	time.Sleep(600 * time.Millisecond)
 	for range 20 {
 		if status, body, _ := r.caller(t).ask(text("look")); status != 200 {
@@ -151,7 +157,6 @@
 		t.Fatal(err)
 	}
 	defer stranger.Close()
-	to := net.UDPAddrFromAddrPort(netip.MustParseAddrPort(at))
 	for _, c := range []net.PacketConn{sibling, stranger} {
 		c.WriteTo(make([]byte, 300), to) // longer than any message
 		for cell := range byte(8) {
--- a/internal/rig/lives.go
+++ b/internal/rig/lives.go
@@ -22,12 +22,6 @@
 	wakes = 0.1        // seconds in which a process that goes on has a core: half of 64 want one of a few at once
 )
 
-// hitFronts draws a share of the first tier's places.
-func (r *Rig) hitFronts(f faults.Fault) []int {
-	all := f.Chance().Perm(len(r.fronts))
-	return all[:f.Count(len(all))]
-}
-
 func (r *Rig) front(i int) *process {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -67,9 +61,12 @@
 
 // spoil does to what a proxy has kept what the day has in store for it.
 func (r *Rig) spoil(p *process) error {
+	if r.State == "" || r.State == "kept" {
+		return nil
+	}
 	at := filepath.Join(r.dir, "state", p.name()+".state")
 	text, err := os.ReadFile(at)
-	if err != nil || r.State == "" || r.State == "kept" {
+	if err != nil {
 		return nil // it may have ended before it kept anything
 	}
 	switch r.State {
@@ -109,7 +106,7 @@
 
 // turnOver kills or restarts a share of the first tier's proxies.
 func (r *Rig) turnOver(f faults.Fault, wait func(float64) bool) {
-	all := r.hitFronts(f)
+	all := f.Places(len(r.fronts))
 	one := func(i int, planned bool) {
 		p := r.front(i)
 		if p == nil {
@@ -145,7 +142,7 @@
 // stall has a share of the proxies stand still.
 func (r *Rig) stall(f faults.Fault, wait func(float64) bool) {
 	var still []*process
-	for _, i := range r.hitFronts(f) {
+	for _, i := range f.Places(len(r.fronts)) {
 		if p := r.front(i); p != nil && p.signal(syscall.SIGSTOP) {
 			still = append(still, p)
 		}
@@ -166,7 +163,7 @@
 // crashLoop kills a share of the proxies again and again, each so long after it was ready.
 func (r *Rig) crashLoop(f faults.Fault, wait func(float64) bool) {
 	var done sync.WaitGroup
-	for _, i := range r.hitFronts(f) {
+	for _, i := range f.Places(len(r.fronts)) {
 		done.Go(func() {
 			for p := r.front(i); p != nil && r.clock() < f.From+f.For; {
 				r.kill(i, p)
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -95,13 +95,18 @@
 // name is the proxy's: that of its place, so that one which comes after has it as well.
 func (p *process) name() string { return fmt.Sprintf("p-%d-%d", p.tier, p.me) }
 
-// operator writes the operators' file of the day, and gives its place.
-func (r *Rig) operator() (string, error) {
-	folder, at := filepath.Join(r.dir, "state"), filepath.Join(r.dir, "operator.toml")
+// operator writes the operators' file of the day where proxies keep what they know: once, since a proxy that reads it while
+// it is written anew would find it empty.
+func (r *Rig) operator() error {
+	if r.State == "" {
+		return nil
+	}
+	folder := filepath.Join(r.dir, "state")
 	if err := os.MkdirAll(folder, 0o700); err != nil {
-		return "", err
+		return err
 	}
-	return at, os.WriteFile(at, fmt.Appendf(nil, "[state]\nfolder = %q\nfleet = \"rig\"\nevery = 0.25\n", folder), 0o600)
+	r.words = filepath.Join(r.dir, "operator.toml")
+	return os.WriteFile(r.words, fmt.Appendf(nil, "[state]\nfolder = %q\nfleet = \"rig\"\nevery = 0.25\n", folder), 0o600)
 }
 
 func customer(i int) string { return fmt.Sprintf("c%d", i) }
@@ -144,14 +149,10 @@
 		return nil, err
 	}
 	args, env := r.program[1:], append(r.env[:len(r.env):len(r.env)], "NODE_CONFIG="+place, "TMPDIR="+r.dir)
-	if r.State != "" && tier == 0 {
-		words, err := r.operator()
-		if err != nil {
-			return nil, err
-		}
-		env = append(env, operatorEnv+"="+words)
+	if r.words != "" && tier == 0 {
+		env = append(env, operatorEnv+"="+r.words)
 		if len(args) > 0 { // not a child of ours
-			args = append(args[:len(args):len(args)], "--operator", words)
+			args = append(args[:len(args):len(args)], "--operator", r.words)
 		}
 	}
 	p.cmd = exec.Command(r.program[0], args...)
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -66,6 +66,7 @@
 	pairs     []between
 	peers     [][]string // by instance of the first tier, where it finds each sibling's messages
 	State     string     // whether proxies keep what they know over their end, and what becomes of it; one of States
+	words     string     // where the operators' file of the day is, if there is one
 	quiet     bool       // no judge: what is listed and killed is nobody's affair
 }
 
@@ -113,7 +114,7 @@
 	most := 0.0
 	for i, f := range r.plan {
 		if r.active[i] && f.Kind == k {
-			most = max(most, f.At(time.Since(r.start).Seconds()))
+			most = max(most, f.At(r.clock()))
 		}
 	}
 	return most
@@ -125,6 +126,9 @@
 		return out, err
 	}
 	defer os.RemoveAll(r.dir)
+	if err := r.operator(); err != nil {
+		return out, err
+	}
 	w := &r.world
 	r.books = &books{world: w, start: time.Now(), all: map[uint64]*record{}, judge: judge.New(judge.Terms{Slack: 0.05 + w.Rules.Slack,
 		Grace: w.Rules.Grace, Multiple: w.Rules.ColdMultiple, Window: w.Rules.ColdWindow, Copies: w.Rules.Copies, Relay: w.Prices.Relay,
@@ -314,7 +318,7 @@
 			go func() {
 				defer r.troubles.Done()
 				r.lists[b.tier].add(b, "draining")
-				if !wait(time.Since(r.start).Seconds() + r.world.Rules.Drain) {
+				if !wait(r.clock() + r.world.Rules.Drain) {
 					return
 				}
 				b.stop()
@@ -345,7 +349,7 @@
 			return
 		}
 		for time.Now().Before(r.at(end)) {
-			if !wait(time.Since(r.start).Seconds() + step.Seconds()) {
+			if !wait(r.clock() + step.Seconds()) {
 				return
 			}
 			r.burdenAll()
@@ -395,7 +399,7 @@
 	defer r.turn()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Since(r.start).Seconds()
+	now := r.clock()
 	for _, tier := range r.tiers {
 		for _, b := range tier {
 			var u faults.Burden
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -160,10 +160,7 @@
 			t.Parallel()
 			w := tiny()
 			w.Length, w.Rate = 2, 20
-			w.Tiers = w.Tiers[:1]
-			for i := range w.Verbs {
-				w.Verbs[i].Work, w.Verbs[i].Calls = w.Verbs[i].Work[:1], nil
-			}
+			w.OneTier()
 			a := play(t, w, nil, "WRONG_PROXY="+how).Account
 			if a.Rules[c.rule] == 0 || !strings.Contains(fmt.Sprint(a.Broken), c.want) {
 				t.Errorf("want rule %d and %q, have %v", c.rule, c.want, a.Broken)
--- a/internal/rig/ways.go
+++ b/internal/rig/ways.go
@@ -64,8 +64,8 @@
 func (r *Rig) left(b *backend, from net.Addr, bytes int64) (at float64, known bool) {
 	r.waysMu.Lock()
 	defer r.waysMu.Unlock()
-	for k, s := range r.ways { // at most one of them knows the connection
-		if k.address == b.address {
+	for z := range r.world.Zones { // at most one of them knows the connection
+		if s := r.ways[way{z, b.address}]; s != nil {
 			if t, ok := s.Left(from, bytes); ok {
 				return t.Sub(r.start).Seconds(), true
 			}
@@ -119,13 +119,12 @@
 			continue
 		}
 		now := r.clock()
-		touches := f.Zone < 0 || from != to && (f.Zone == from || f.Zone == to)
 		switch {
 		case f.Cuts(from, to):
 			w.Cut = true
-		case f.Kind == faults.Delay && touches:
+		case f.Kind == faults.Delay && f.Touches(from, to):
 			w.Delay += f.At(now)
-		case f.Kind == faults.Loss && touches:
+		case f.Kind == faults.Loss && f.Touches(from, to):
 			w.Loss = 1 - (1-w.Loss)*(1-f.At(now))
 		case f.Kind == faults.Muddle:
 			w.Twice, w.Swap = f.At(now), f.At(now)
