Read again: strict TOML, the operators' file, kept state and keepers each in one place

- internal/strict decodes TOML with one-line mistakes for sandlab's experiments and the operators' file, which had a copy each.
- Launch.Heed takes the operators' file for sandpass and the rig's own proxy; State is the file's own type, not copied by field.
- remember loads what was kept itself: no state is carried from one step of the start to the next, and a field nobody read is gone.
- inLine is the order of keepers, which keeper and knows each worked out; the page of living.go no longer says that allowances follow it.
- loop.Age asks the kernel how old bytes are, for the loop and for the rig's backends.
- Run keeps when it began to wait rather than working back to it.

--- a/balance/living.go
+++ b/balance/living.go
@@ -1,10 +1,10 @@
-// This file owns by how many siblings this instance believes to share what is common: shares, windows and allowances go
-// by it. It must never count more than there are, nor decide what a share is of.
+// This file owns by how many siblings this instance believes to share what is common: bounds and windows go by it;
+// customers' allowances do not. It must never count more than there are, nor decide what a share is of.
 package balance
 
 import "slices"
 
-const relayFrom = 1.3 // times by which the count must have changed for the window to be laid anew: each costs connections
+const layFrom = 1.3 // times by which the count must have changed for the window to be laid anew: each costs connections
 
 // arrived counts a command that comes, and takes anew who is there to share.
 func (b *Balancer) arrived() {
@@ -14,7 +14,7 @@
 	}
 	b.arrivals.Came(b.now)
 	b.alive = max(1, b.siblings()*b.arrivals.Part(b.now, b.usual))
-	if b.alive > b.laidFor*relayFrom || b.alive < b.laidFor/relayFrom || b.alive == b.siblings() && b.laidFor != b.alive {
+	if b.alive > b.laidFor*layFrom || b.alive < b.laidFor/layFrom || b.alive == b.siblings() && b.laidFor != b.alive {
 		b.arrange()
 	}
 }
@@ -41,11 +41,17 @@
 	return 1 + uint64(max(0, now)*lifeUnit)<<lifeBits | seed&(1<<lifeBits-1)
 }
 
-// keeper is the instance that counts for a cell: of an order that is the same everywhere, the first that lives.
+// inLine is the instance that counts for a cell where so many before it in an order that is the same everywhere do not
+// answer; the first goes by the cell alone, as at processes of earlier versions.
+func (b *Balancer) inLine(cell uint16, before int) int {
+	text := []byte{byte(cell), byte(cell >> 8), byte(before)}
+	return int(hash(text[:2+min(before, 1)]) % uint64(b.siblings()))
+}
+
+// keeper is the instance that counts for a cell: the first in line that lives.
 func (b *Balancer) keeper(cell uint16) int {
-	n := uint64(b.siblings())
-	for turn := range uint64(keepersMost) {
-		at := int(hash([]byte{byte(cell), byte(cell >> 8), byte(turn)}[:2+min(turn, 1)]) % n) // the first as ever
+	for turn := range keepersMost {
+		at := b.inLine(cell, turn)
 		if at == b.place.Me || b.view.Lives(b.now, at) {
 			return at
 		}
@@ -56,7 +62,7 @@
 // knows tells whether this instance has counted for the cell long enough that all who have something out there have
 // told it. Each repeats that well within a note's life.
 func (b *Balancer) knows(cell uint16) bool {
-	if first := int(hash([]byte{byte(cell), byte(cell >> 8)}) % uint64(b.siblings())); first == b.place.Me {
+	if b.inLine(cell, 0) == b.place.Me {
 		return b.now >= b.start+noteLife || b.siblings() == 1
 	}
 	d := b.duties[cell]
--- a/cmd/sandpass/main.go
+++ b/cmd/sandpass/main.go
@@ -14,7 +14,6 @@
 
 	"github.com/spf13/cobra"
 
-	"sandpass/internal/operator"
 	"sandpass/internal/proxy"
 )
 
@@ -36,12 +35,8 @@
 		l.Ops = at
 	}
 	l.Socket = os.Getenv("NODE_SOCKET_FD")
-	if words != "" {
-		f, err := operator.Read(words)
-		if err != nil {
-			return nil, err
-		}
-		l.State.Folder, l.State.Fleet, l.State.Every = f.State.Folder, f.State.Fleet, f.State.Every
+	if err := l.Heed(words); err != nil {
+		return nil, err
 	}
 	return l, nil
 }
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -17,6 +17,7 @@
 	"sandpass/internal/baseline"
 	"sandpass/internal/emulator"
 	"sandpass/internal/faults"
+	"sandpass/internal/strict"
 )
 
 // Experiment is what a file asks for.
@@ -66,14 +67,12 @@
 
 // Parse reads an experiment's text. An error names the line and column, or the key.
 func Parse(text []byte, over []string) (*Sheet, error) {
-	d := toml.NewDecoder(strings.NewReader(string(text)))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&Experiment{}); err != nil {
-		return nil, placed(err)
+	if err := strict.Decode(text, &Experiment{}); err != nil {
+		return nil, err
 	}
 	var tree map[string]any
 	if err := toml.Unmarshal(text, &tree); err != nil {
-		return nil, placed(err)
+		return nil, strict.Placed(err)
 	}
 	axes, err := axesOf(tree, over)
 	if err != nil {
@@ -112,22 +111,6 @@
 	return s, nil
 }
 
-// placed gives a decoder's error with its place, in one line.
-func placed(err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) && len(strict.Errors) > 0 {
-		e := strict.Errors[0]
-		line, column := e.Position()
-		return fmt.Errorf("line %d, column %d: key %s is unknown", line, column, strings.Join(e.Key(), "."))
-	}
-	var decode *toml.DecodeError
-	if errors.As(err, &decode) {
-		line, column := decode.Position()
-		return fmt.Errorf("line %d, column %d: %s", line, column, strings.TrimPrefix(decode.Error(), "toml: "))
-	}
-	return err
-}
-
 func axesOf(tree map[string]any, over []string) ([]Axis, error) {
 	var axes []Axis
 	grid, _ := tree["grid"].([]any)
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -95,8 +95,11 @@
 
 // Age is for how many seconds the latest bytes have been with the kernel: a process that stood still reads late what came
 // in time. It costs a system call.
-func (c *Conn) Age() float64 {
-	info, err := unix.GetsockoptTCPInfo(c.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+func (c *Conn) Age() float64 { return Age(c.fd) }
+
+// Age is the same of any TCP connection by its descriptor.
+func Age(fd int) float64 {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 	if err != nil {
 		return 0
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -146,7 +146,7 @@
 	var events [eventsATurn]unix.EpollEvent
 	for !l.stopped {
 		wait := l.wait()
-		due, began := l.clock()+float64(wait)/1000, l.turn
+		asked, began := l.clock(), l.turn
 		n, err := unix.EpollWait(l.epoll, events[:], wait)
 		rounds := 1
 		if err == unix.EINTR { // also after a stop: what has come meanwhile goes before what is due
@@ -157,7 +157,7 @@
 		}
 		l.looked, l.turn = began, l.clock()
 		l.now = l.turn
-		if by := max(l.turn-due, due-float64(wait)/1000-began); by > stoodFrom && l.Stood != nil {
+		if by := max(l.turn-asked-float64(wait)/1000, asked-began); by > stoodFrom && l.Stood != nil {
 			l.Stood(by)
 			l.backlog = l.turn + backlogFor
 			rounds = afterStand
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -3,23 +3,24 @@
 package operator
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"math"
 	"os"
-	"strings"
 
-	"github.com/pelletier/go-toml/v2"
+	"sandpass/internal/strict"
 )
 
 // File is what the operators say. Times are in seconds.
 type File struct {
-	State struct {
-		Folder string  `toml:"folder"` // where a process keeps what it knows over its end; empty: nowhere
-		Fleet  string  `toml:"fleet"`  // whose it is: what another fleet has left there is refused
-		Every  float64 `toml:"every"`  // between two writings, 0: 1
-	} `toml:"state"`
+	State State `toml:"state"`
+}
+
+// State says where a process keeps what it knows over its end.
+type State struct {
+	Folder string  `toml:"folder"` // empty: nowhere
+	Fleet  string  `toml:"fleet"`  // whose it is: what another fleet has left there is refused
+	Every  float64 `toml:"every"`  // between two writings, 0: 1
 }
 
 const (
@@ -43,10 +44,8 @@
 // Parse decodes and checks a file's text.
 func Parse(text []byte) (*File, error) {
 	var f File
-	d := toml.NewDecoder(bytes.NewReader(text))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&f); err != nil {
-		return nil, placed(err)
+	if err := strict.Decode(text, &f); err != nil {
+		return nil, err
 	}
 	s := &f.State
 	if s.Every == 0 {
@@ -62,19 +61,3 @@
 	}
 	return &f, nil
 }
-
-// placed gives a decoder's error with its place, in one line.
-func placed(err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) && len(strict.Errors) > 0 {
-		e := strict.Errors[0]
-		line, column := e.Position()
-		return fmt.Errorf("line %d, column %d: key %s is unknown", line, column, strings.Join(e.Key(), "."))
-	}
-	var decode *toml.DecodeError
-	if errors.As(err, &decode) {
-		line, column := decode.Position()
-		return fmt.Errorf("line %d, column %d: %s", line, column, strings.TrimPrefix(decode.Error(), "toml: "))
-	}
-	return err
-}
--- a/internal/proxy/memory.go
+++ b/internal/proxy/memory.go
@@ -23,8 +23,6 @@
 // kept is what is kept, and how the start goes.
 type kept struct {
 	keeper   *warm.Keeper // nil: nothing is kept
-	was      *warm.State  // what the process before left, until it is taken
-	life     uint64
 	recovery *recovery.Recovery
 	served   float64 // usual part of ended commands that are answered
 	late     float64 // usual part of answers that are late
@@ -32,9 +30,11 @@
 	ended    int
 }
 
-// recollect reads what the process before this one has left, before anything is opened.
-func (p *Proxy) recollect() error {
-	l := p.launch
+// remember takes what the process before this one has left, each thing as far as it still counts, once the Balancer is
+// there. Where the configuration names a newer list, that one counts.
+func (p *Proxy) remember(known *roster) error {
+	m, l, now := &p.kept, p.launch, p.loop.Now()
+	m.recovery = recovery.New(0, 0)
 	if l.State.Folder == "" {
 		return nil
 	}
@@ -46,18 +46,8 @@
 	if err != nil {
 		log.Printf("msg=state_not_taken error=%q", err)
 	}
-	p.kept.was = s
-	return nil
-}
-
-// remember takes it, each thing as far as it still counts, once the Balancer is there. Where the configuration names a
-// newer list, that one counts.
-func (p *Proxy) remember(known *roster) {
-	m, s, now := &p.kept, p.kept.was, p.loop.Now()
-	m.was = nil
 	if s == nil {
-		m.recovery = recovery.New(0, 0)
-		return
+		return nil
 	}
 	age := now - s.Saved
 	if age < -savedSoon {
@@ -89,6 +79,7 @@
 	m.served, m.late = s.Served, s.Late
 	m.recovery = recovery.New(s.Served, s.Late)
 	log.Printf("msg=state_taken age=%.1f backends=%d cordons=%d drained=%t", age, p.backends.usable, len(p.maintenance.Out), s.Drained)
+	return nil
 }
 
 // keep begins to write what is known, where operators say so.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -23,6 +23,7 @@
 	"sandpass/balance"
 	"sandpass/internal/http1"
 	"sandpass/internal/loop"
+	"sandpass/internal/operator"
 	"sandpass/internal/settings"
 )
 
@@ -44,17 +45,14 @@
 
 // Launch is what a proxy is told at its start, in the operators' words.
 type Launch struct {
-	Name      string   `json:"name"`
-	Listen    string   `json:"listen"`
-	Discovery string   `json:"discovery"`
-	Ops       string   `json:"ops"` // where operators call, if they can
-	Socket    string   `json:"-"`   // the inherited descriptor that listens, if there is one
-	State     struct { // where it keeps what it knows, in the operators' own file
-		Folder, Fleet string
-		Every         float64
-	} `json:"-"`
-	Seed   string `json:"seed"`
-	Limits struct {
+	Name      string         `json:"name"`
+	Listen    string         `json:"listen"`
+	Discovery string         `json:"discovery"`
+	Ops       string         `json:"ops"` // where operators call, if they can
+	Socket    string         `json:"-"`   // the inherited descriptor that listens, if there is one
+	State     operator.State `json:"-"`   // where it keeps what it knows, in the operators' own file
+	Seed      string         `json:"seed"`
+	Limits    struct {
 		MemoryMB int `json:"memory_mb"`
 		Sockets  int `json:"sockets"`
 	} `json:"limits"`
@@ -72,6 +70,18 @@
 	return &l, nil
 }
 
+// Heed takes what the operators say in a file of their own, if there is one.
+func (l *Launch) Heed(path string) error {
+	if path == "" {
+		return nil
+	}
+	f, err := operator.Read(path)
+	if err == nil {
+		l.State = f.State
+	}
+	return err
+}
+
 // Proxy is one front with its Balancer.
 type Proxy struct {
 	loop      *loop.Loop
@@ -130,13 +140,12 @@
 	if p.balancer, _, err = settings.Balancer(p, p.seed, p.loop.Now(), l.Settings); err != nil {
 		return nil, err
 	}
-	if err := p.recollect(); err != nil {
-		return nil, err
-	}
 	if known != nil {
 		p.take(known)
 	}
-	p.remember(known)
+	if err := p.remember(known); err != nil {
+		return nil, err
+	}
 	fd, err := inherited(l.Socket)
 	if err != nil {
 		return nil, err
--- a/internal/rig/backend.go
+++ b/internal/rig/backend.go
@@ -16,11 +16,10 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"sandpass/internal/emulator"
 	"sandpass/internal/faults"
 	"sandpass/internal/judge"
+	"sandpass/internal/loop"
 )
 
 // backend is one process of a tier.
@@ -182,11 +181,7 @@
 	if err != nil {
 		return 0
 	}
-	_ = raw.Control(func(fd uintptr) { // fails only on what is closed
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			seconds = float64(info.Last_data_recv) / 1000
-		}
-	})
+	_ = raw.Control(func(fd uintptr) { seconds = loop.Age(int(fd)) }) // fails only on what is closed
 	return seconds
 }
 
--- a/internal/rig/here.go
+++ b/internal/rig/here.go
@@ -16,7 +16,6 @@
 
 	"github.com/google/pprof/profile"
 
-	"sandpass/internal/operator"
 	"sandpass/internal/proxy"
 )
 
@@ -40,12 +39,8 @@
 	if err != nil {
 		return true, err
 	}
-	if words := os.Getenv(operatorEnv); words != "" {
-		f, err := operator.Read(words)
-		if err != nil {
-			return true, err
-		}
-		l.State.Folder, l.State.Fleet, l.State.Every = f.State.Folder, f.State.Fleet, f.State.Every
+	if err := l.Heed(os.Getenv(operatorEnv)); err != nil {
+		return true, err
 	}
 	runtime.GOMAXPROCS(1)
 	ends := make(chan os.Signal, 1)
