The planned end closes all that comes to rest and answers all that comes after it

One whose answer was leaving in that moment rested a turn later, had been told to stay open, and stayed to the last: clients send on every connection that stays open. finish() stopped the loop 0.2 s after the end with whatever was open, so a command sent shortly before was taken and lost. The same for the rest of a command that became whole after the end (relayed, never answered), and for an answer on its way, which terminateAll cut off: only a kill excuses that. Without the mend (tests on the tree before): "it stopped with 1 connections open on which a client could send"; the late rest of a command: "i/o timeout, 1 relays"; an answer on its way: "0, 73 bytes, 2.40 s after SIGTERM"; half a head: "0".

What rests is closed whenever it does, newcomers have 0.3 s to speak, what is read after the end is declined at once, answers on their way are left to finish, and the loop stops only when nobody can still send or is owed anything. Verbs that a reload changes meanwhile bring the end forward, never put it off.

--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -426,10 +426,10 @@
 	p.forget(cmd)
 }
 
-// terminateAll ends whatever is still open.
+// terminateAll ends whatever is still open, but for answers on their way: cut off here they would be this process's fault.
 func (p *Proxy) terminateAll() {
 	for _, cmd := range p.commands {
-		if !cmd.done {
+		if !cmd.done && cmd.stream == nil {
 			p.terminate(cmd)
 		}
 	}
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -291,6 +291,11 @@
 		return
 	}
 	p.came++
+	if p.end.over {
+		p.declined++
+		c.reply(503, "this proxy has ended\n", false) // never relayed, so harmless to repeat
+		return
+	}
 	if p.clients.owed >= p.clients.part || len(p.commands) >= p.links.Open {
 		p.noRoom++
 		c.reply(503, "too many commands\n", false) // never relayed, so harmless to repeat
@@ -499,12 +504,3 @@
 		}
 	}
 }
-
-// closeResting ends the connections on which nothing is under way, for the planned end.
-func (p *Proxy) closeResting() {
-	p.clients.each(func(c *client) {
-		if (c.state == silent || c.state == rested) && c.idle() {
-			c.close()
-		}
-	})
-}
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -61,7 +61,7 @@
 
 // closes tells whether answers end their connection now.
 func (p *Proxy) closes() bool {
-	return p.leaving || p.handover.succeeded || p.drain.on && p.loop.Now()-p.drain.since >= drainNotice
+	return p.end.leaving || p.handover.succeeded || p.drain.on && p.loop.Now()-p.drain.since >= drainNotice
 }
 
 // shed closes a part of the connections that rest, so that all are closed by until; t is how far it is.
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -212,7 +212,7 @@
 	case h.after:
 		h.after = nil
 		log.Printf("msg=successor_gone error=%q served=%t", err, h.succeeded)
-		if h.succeeded && !p.ending {
+		if h.succeeded && !p.end.on {
 			h.succeeded = false
 			p.listener.Take()
 			p.expectNext()
@@ -355,7 +355,7 @@
 // giveWayOn closes what rests and leaves once nothing is open.
 func (p *Proxy) giveWayOn(m *mate) {
 	h := &p.handover
-	if h.after != m || p.leaving {
+	if h.after != m || p.end.leaving {
 		return
 	}
 	t := p.loop.Now() - h.since
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,6 +1,6 @@
 // Package proxy is the front for the platform's protocol: it carries commands between clients, the Balancer and
-// backends on one loop. This file owns the proxy's life: its parts, the descriptor budget, readiness and the planned
-// end. It must never decide where a command goes or whether it is given up; that is the Balancer's.
+// backends on one loop. This file owns the proxy's life: its parts, the descriptor budget and readiness.
+// It must never decide where a command goes or whether it is given up; that is the Balancer's.
 package proxy
 
 import (
@@ -32,13 +32,6 @@
 	sweepEvery     = 0.25 // seconds between looks at what has stood too long
 	summaryEvery   = 10.0 // seconds between lines in the log
 	freshFor       = 0.5  // seconds that discovery has to say what is new before the known list will do
-	drainFor       = 0.6  // seconds after SIGTERM in which connections still come
-	serveFor       = 1.4  // seconds after SIGTERM in which open ones go on: the other proxies may be away as well
-	drainMost      = 3.4  // seconds after SIGTERM by which the last answer is out, whatever verbs may take
-	killAfter      = 0.7  // seconds after the longest time limit, counted from SIGTERM, at which the kill may follow
-	killMargin     = 0.3  // seconds before that by which the last answer is out
-	soon           = 0.02 // seconds between looks at whether the end has come
-	lastWords      = 0.2  // seconds after that for the last answers to leave
 	bufferPart     = 0.25 // of the memory that grown read buffers may fill: as much again waits for the collector
 	spareShare     = 6    // one in so many descriptors is for clients past their part: silent ones, and who is declined
 )
@@ -108,9 +101,7 @@
 	ids         map[string]*command // the same by their Req-Id
 	lastID      uint64
 	scratch     []byte // heads are put together here
-	ending      bool
-	leaving     bool // open connections are closed with their next answer
-	endBy       float64
+	end         end
 	freshBy     float64                // until when the first word of discovery is waited for
 	signal      func() bool            // tells that the end was asked for
 	reloaded    atomic.Pointer[Launch] // a configuration to turn to
@@ -297,6 +288,7 @@
 	}
 	p.names.Verbs, p.names.Customers = next.names.Verbs, next.names.Customers
 	p.verbs, p.customers, p.links = next.verbs, next.customers, next.links
+	p.replan()
 	p.turnTo(next.watch.at)
 	return nil
 }
@@ -329,8 +321,8 @@
 	p.keep()
 	log.Printf("msg=serving listen=%s clients=%d backends=%d ready=%t", p.At(), p.clients.part, p.backends.most, p.ready())
 	err := p.loop.Run(func() {
-		if !p.ending && p.signal() {
-			p.end()
+		if asked := p.signal(); asked && !p.end.on {
+			p.beginEnd()
 		}
 		if l := p.reloaded.Swap(nil); l != nil {
 			p.reload(l)
@@ -360,64 +352,12 @@
 
 // ready tells whether clients are to come: to this process or, while that lives, to the one after it.
 func (p *Proxy) ready() bool {
-	return !p.drain.on && p.listed() && (!p.ending || p.handover.succeeded)
+	return !p.drain.on && p.listed() && (!p.end.on || p.handover.succeeded)
 }
 
 // takesClients tells whether connections are accepted; a drained proxy still takes those that come.
 func (p *Proxy) takesClients() bool {
-	return p.handover.serving && !p.handover.succeeded && !p.ending
-}
-
-// end begins the planned end: connections are taken for a while yet, then what is open is finished.
-func (p *Proxy) end() {
-	p.ending = true
-	most := p.endWithin()
-	p.endBy = p.loop.Now() + most
-	log.Printf("msg=ending open=%d clients=%d within=%.2f", len(p.commands), p.clients.count, most)
-	p.loop.After(drainFor, p.closeDoor)
-	p.loop.After(min(serveFor, most), p.leave)
-	p.loop.After(most, func() {
-		p.terminateAll()
-		p.finish()
-	})
-}
-
-// endWithin is how many seconds after SIGTERM the last answer is out. The kill may follow as soon as the longest command
-// that had come by then has had its time, so where verbs are short it comes earlier.
-func (p *Proxy) endWithin() float64 {
-	longest := 0.0
-	for _, v := range p.names.Verbs {
-		longest = max(longest, v.TimeLimit)
-	}
-	return max(drainFor, min(drainMost, longest+killAfter-killMargin))
-}
-
-// closeDoor takes the last connections, as soon as there is room for them. With a successor they are its own.
-func (p *Proxy) closeDoor() {
-	if p.handover.succeeded {
-		p.listener.Leave()
-		return
-	}
-	if !p.listener.Close() {
-		p.loop.After(soon, p.closeDoor)
-	}
-}
-
-// leave closes the connections that rest; the others follow with their answers.
-func (p *Proxy) leave() {
-	p.leaving = true
-	p.closeResting()
-	p.finish()
-}
-
-// finish stops the loop once nothing is owed and the last answers have left.
-func (p *Proxy) finish() {
-	late := p.loop.Now() >= p.endBy+lastWords
-	if p.clients.count == 0 && p.listener.Closed() || late {
-		p.loop.Stop()
-		return
-	}
-	p.loop.After(soon, p.finish)
+	return p.handover.serving && !p.handover.succeeded && !p.end.on
 }
 
 func (p *Proxy) sweep() {
