Rig: a rolling restart with the kill at its earliest moment and clients that send to the last

Change: internal/rig/rolling.go draws limits from 0.2 to 10 s and one to three tiers, replaces half of the backends, has one hang, sends SIGHUP with every other SIGTERM, kills at the longest limit and 0.7 s, and counts by the clients' books: a process that ended by itself is forgiven nothing. Rig.open and Rig.begin are taken out of Play for both.

--- a/internal/rig/books.go
+++ b/internal/rig/books.go
@@ -121,6 +121,13 @@
 	what(b.judge)
 }
 
+// relayed is how often backends have had a command whole.
+func (b *books) relayed(id uint64) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.all[id].relays
+}
+
 // answer is the body that only a backend which has run the command makes.
 func (b *books) answer(id uint64) string {
 	return fmt.Sprintf("made %016x", emulator.Mix(id, 0x616e73))
--- a/internal/rig/clients.go
+++ b/internal/rig/clients.go
@@ -100,12 +100,8 @@
 	comeBack float64
 }
 
-// ask sends a command to a proxy as a client does, with a new id, and waits for its answer.
-func (r *Rig) ask(ctx context.Context, p *pool, w want) got {
-	id := emulator.Mix(r.seed, r.ids.Add(1))
-	if w.op == 0 {
-		w.op = id
-	}
+// request is the text of a command.
+func (r *Rig) request(id uint64, w want) string {
 	v := &r.world.Verbs[w.verb]
 	method, body, key := "GET", "", ""
 	if v.Effect != "pure" {
@@ -114,8 +110,17 @@
 	if v.Effect == "receipted" {
 		key = fmt.Sprintf("Idempotency-Key: %032x\r\n", w.op)
 	}
-	text := fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: app.svc\r\nReq-Id: %016x\r\nReq-Kind: %s\r\nReq-Owner: %s\r\nReq-Deadline: %.3f\r\n%sContent-Length: %d\r\n\r\n%s",
+	return fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: app.svc\r\nReq-Id: %016x\r\nReq-Kind: %s\r\nReq-Owner: %s\r\nReq-Deadline: %.3f\r\n%sContent-Length: %d\r\n\r\n%s",
 		method, v.Name, id, v.Name, customer(w.customer), w.limit, key, len(body), body)
+}
+
+// ask sends a command to a proxy as a client does, with a new id, and waits for its answer.
+func (r *Rig) ask(ctx context.Context, p *pool, w want) got {
+	id := emulator.Mix(r.seed, r.ids.Add(1))
+	if w.op == 0 {
+		w.op = id
+	}
+	text := r.request(id, w)
 	until := time.Now().Add(time.Duration((w.limit + overdue) * float64(time.Second)))
 	taken, began := false, r.clock()
 	for try := 0; ; try++ {
--- a/internal/rig/lives.go
+++ b/internal/rig/lives.go
@@ -210,3 +210,16 @@
 	}
 	return false
 }
+
+// asksToEnd and endAsked keep when it was asked to end.
+func (p *process) asksToEnd(at float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked = at
+}
+
+func (p *process) endAsked() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.asked
+}
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -37,6 +37,7 @@
 	again                  bool  // takes the place of one that failed
 	mu                     sync.Mutex
 	still                  [][2]float64 // from when to when it stood still, -1 while it does
+	asked                  float64      // when it was asked to end, 0 before
 }
 
 // free is an address that nobody listens at just now.
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -120,24 +120,23 @@
 	return most
 }
 
-// Play starts all, plays the day and ends all.
-func (r *Rig) Play(ctx context.Context) (out Outcome, err error) {
+// open starts all, with books that begin empty.
+func (r *Rig) open() (err error) {
 	if r.dir, err = os.MkdirTemp("", "sandlab-"); err != nil {
-		return out, err
+		return err
 	}
-	defer os.RemoveAll(r.dir)
 	if err := r.operator(); err != nil {
-		return out, err
+		return err
 	}
 	w := &r.world
 	r.books = &books{world: w, start: time.Now(), all: map[uint64]*record{}, judge: judge.New(judge.Terms{Slack: 0.05 + w.Rules.Slack,
 		Grace: w.Rules.Grace, Multiple: w.Rules.ColdMultiple, Window: w.Rules.ColdWindow, Copies: w.Rules.Copies, Relay: w.Prices.Relay,
 		LateNo: w.Prices.LateNo, Length: w.Length, Customers: len(w.Customers)})}
-	defer r.end()
-	if err := r.build(); err != nil {
-		return out, err
-	}
-	arrivals := emulator.Arrivals(*w, r.plan, r.seed)
+	return r.build()
+}
+
+// begin starts the day's clock and its troubles.
+func (r *Rig) begin(ctx context.Context) {
 	r.start = time.Now()
 	r.books.mu.Lock()
 	r.books.start = r.start
@@ -146,6 +145,17 @@
 		r.troubles.Add(1)
 		go r.trouble(ctx, i)
 	}
+}
+
+// Play starts all, plays the day and ends all.
+func (r *Rig) Play(ctx context.Context) (out Outcome, err error) {
+	defer r.end()
+	if err := r.open(); err != nil {
+		return out, err
+	}
+	w := &r.world
+	arrivals := emulator.Arrivals(*w, r.plan, r.seed)
+	r.begin(ctx)
 	for _, a := range arrivals {
 		select {
 		case <-time.After(time.Until(r.at(a.Due))):
@@ -263,6 +273,9 @@
 		b.stop()
 	}
 	r.endWays()
+	if r.dir != "" {
+		os.RemoveAll(r.dir)
+	}
 }
 
 // trouble carries one fault out.
--- /dev/null
+++ b/internal/rig/rolling.go
@@ -0,0 +1,293 @@
+// This file owns the day of a rolling restart: all proxies of the first tier are asked to end, some at a time, and killed at
+// the earliest moment that was announced, while clients send on every connection that stays open. It must never forgive
+// a process that ended by itself, nor count as lost what a connection's end only crossed.
+
+package rig
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"sandpass/internal/emulator"
+	"sandpass/internal/faults"
+	"sandpass/internal/judge"
+)
+
+const (
+	killAfter  = 0.7  // seconds after the longest time limit at which the kill comes, counted from SIGTERM
+	killLimit  = 3.0  // seconds, the longest limit that counts there
+	noticed    = 0.3  // seconds in which new connections still go to a process that was asked to end
+	crossed    = 0.1  // seconds before a connection's end from which a command on it may not have been read
+	hesitates  = 0.15 // part of the commands that come in two pieces
+	pieceApart = 0.4  // of a time limit at most, between these
+	restAtMost = 0.4  // of a time limit, between an answer and the next command, on the mean 0.2
+	restLeast  = 0.05 // seconds of the same: clients are no load test
+	tenth      = 0.1  // of the proxies are asked to end at a time
+)
+
+// Rolled is what came of a rolling restart, by the clients' own books.
+type Rolled struct {
+	Taken, Served, Declined, Failed int
+	Crossed                         int // sent again, since their connection had been closed unread
+	Unheard                         int // new connections closed without a word
+	Killed                          int // processes that had not ended by themselves when the kill came
+	Lost                            []string
+	Account                         *judge.Account // of the other rules
+	Limit                           float64        // seconds, the longest that was drawn
+	Tiers                           int
+}
+
+// Rolling draws a world and its troubles: so many proxies, time limits from 0.2 to 10 s, one to three tiers, half of the
+// backends replaced, one that hangs.
+func Rolling(proxies int, seed uint64) (emulator.World, faults.Plan) {
+	chance := rand.New(rand.NewPCG(seed, 0x726f6c6c))
+	w := emulator.Default()
+	limit := 0.2 * math.Exp(chance.Float64()*math.Log(10/0.2))
+	tiers := 1 + chance.IntN(3)
+	w.Zones, w.Instances, w.Warmup, w.Clients.Early, w.Skew = 1+chance.IntN(2), proxies, 0.5, 0, 0.5
+	w.Rules.ColdSpan = 2
+	steps := float64(len(slices.Collect(slices.Chunk(make([]int, proxies), max(1, int(tenth*float64(proxies)))))))
+	apart := (min(limit, killLimit) + killAfter) / 3 // three groups are away at a time at most
+	w.Length = 1 + steps*apart + min(limit, killLimit) + killAfter + 1
+	scale := limit / 2 // the longest limit of the world as it is
+	for i := range w.Verbs {
+		v := &w.Verbs[i]
+		v.Limit, v.Goal = v.Limit*scale, v.Goal*scale
+		for k := range v.Work {
+			v.Work[k] *= min(scale, 2)
+		}
+	}
+	if tiers == 1 {
+		w.OneTier()
+	} else if tiers == 3 {
+		w.Tiers = append(w.Tiers, w.Tiers[1])
+		for i := range w.Verbs {
+			v := &w.Verbs[i]
+			v.Work, v.Calls = append(v.Work, v.Work[1]), append(v.Calls, 1)
+		}
+	}
+	for k := range w.Tiers {
+		w.Tiers[k].Backends = max(4, proxies/(2+2*k))
+	}
+	a := func(kind faults.Kind, from, long, share float64) faults.Fault {
+		return faults.Fault{Kind: kind, Zone: -1, To: -1, From: from, For: long, Share: share, Seed: chance.Uint64() >> 1}
+	}
+	return w, faults.Plan{a(faults.Roll, 1.2, w.Length/2, 0.5), a(faults.Hang, 0.5, w.Length-1, 0.05)}
+}
+
+// longest is the longest time limit of the day.
+func (r *Rig) longest() (limit float64) {
+	for _, v := range r.world.Verbs {
+		limit = max(limit, v.Limit)
+	}
+	return limit
+}
+
+// Roll plays the day: so many clients to a proxy, each with one connection at a time. hup has a new configuration come in
+// the middle, where the program knows that signal.
+func (r *Rig) Roll(ctx context.Context, clients int, hup bool) (out Rolled, err error) {
+	defer r.end()
+	if err := r.open(); err != nil {
+		return out, err
+	}
+	out.Limit, out.Tiers = r.longest(), len(r.world.Tiers)
+	r.begin(ctx)
+	day, over := context.WithDeadline(ctx, r.at(r.world.Length))
+	defer over()
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	for n := range clients * len(r.fronts) {
+		all.Go(func() {
+			c := rolling{rig: r, chance: rand.New(rand.NewPCG(r.seed, 1000+uint64(n))), zone: n % r.world.Zones}
+			c.live(day)
+			mu.Lock()
+			defer mu.Unlock()
+			out.add(&c.got)
+		})
+	}
+	group := max(1, int(tenth*float64(len(r.fronts))))
+	var restarts sync.WaitGroup
+	apart := (min(out.Limit, killLimit) + killAfter) / 3
+	for n, places := range slices.Collect(slices.Chunk(rand.New(rand.NewPCG(r.seed, 9)).Perm(len(r.fronts)), group)) {
+		select {
+		case <-time.After(time.Until(r.at(1 + float64(n)*apart))):
+		case <-day.Done():
+		}
+		for _, i := range places {
+			restarts.Go(func() {
+				killed := r.restart(i, hup && n%2 == 1)
+				mu.Lock()
+				defer mu.Unlock()
+				if killed {
+					out.Killed++
+				}
+			})
+		}
+	}
+	restarts.Wait()
+	all.Wait()
+	r.troubles.Wait()
+	slices.Sort(out.Lost)
+	r.books.mu.Lock()
+	out.Account = r.books.judge.Close(r.books.now())
+	r.books.mu.Unlock()
+	return out, r.failure
+}
+
+// restart asks a proxy to end, kills it when that may come, and starts it anew; it tells whether the kill was needed. With hup it
+// is told to read its configuration again in the same moment.
+func (r *Rig) restart(i int, hup bool) (killed bool) {
+	p := r.front(i)
+	if p == nil {
+		return false
+	}
+	if hup {
+		p.signal(syscall.SIGHUP)
+	}
+	p.asksToEnd(r.clock())
+	time.AfterFunc(time.Duration(noticed*float64(time.Second)), func() { // the front sends it no new connections from now on
+		r.mu.Lock()
+		if r.fronts[i] == p {
+			r.fronts[i] = nil
+		}
+		r.mu.Unlock()
+	})
+	p.stop(time.Duration((min(r.longest(), killLimit) + killAfter) * float64(time.Second)))
+	time.Sleep(time.Duration(noticed * float64(time.Second))) // whoever still came in that time has been refused
+	s, ok := p.cmd.ProcessState.Sys().(syscall.WaitStatus)
+	r.revive(i, p)
+	return ok && s.Signaled()
+}
+
+func (o *Rolled) add(x *Rolled) {
+	o.Taken, o.Served, o.Declined, o.Failed = o.Taken+x.Taken, o.Served+x.Served, o.Declined+x.Declined, o.Failed+x.Failed
+	o.Crossed, o.Unheard, o.Lost = o.Crossed+x.Crossed, o.Unheard+x.Unheard, append(o.Lost, x.Lost...)
+}
+
+// rolling is a client that keeps its connection for as long as it stays open.
+type rolling struct {
+	rig    *Rig
+	chance *rand.Rand
+	zone   int
+	conn   *clientConn
+	to     *process
+	used   bool // the connection has carried a command
+	got    Rolled
+}
+
+func (c *rolling) live(day context.Context) {
+	defer c.leave()
+	for day.Err() == nil {
+		if c.conn == nil && !c.connect() {
+			time.Sleep(look)
+			continue
+		}
+		c.ask()
+		limit := c.rig.longest()
+		rest := max(restLeast, c.chance.Float64()*restAtMost*min(limit, 1))
+		select {
+		case <-time.After(time.Duration(rest * float64(time.Second))):
+		case <-day.Done():
+		}
+	}
+}
+
+func (c *rolling) leave() {
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+func (c *rolling) connect() bool {
+	p := c.rig.choose(c.zone, c.chance.Float64())
+	if p == nil {
+		return false
+	}
+	conn, err := net.DialTimeout("tcp", p.listen, time.Second)
+	if err != nil {
+		return false // refused: the next one is another's
+	}
+	c.conn, c.to, c.used = &clientConn{conn, bufio.NewReader(conn)}, p, false
+	return true
+}
+
+// ask sends one command and files what came of it.
+func (c *rolling) ask() {
+	r := c.rig
+	id := emulator.Mix(r.seed, r.ids.Add(1))
+	u, verb := c.chance.Float64(), 0
+	for verb < len(r.world.Verbs)-1 && u >= r.world.Verbs[verb].Share {
+		u -= r.world.Verbs[verb].Share
+		verb++
+	}
+	limit := r.world.Verbs[verb].Limit
+	text := r.request(id, want{verb: verb, limit: limit, op: id})
+	if c.chance.Float64() < hesitates { // not taken before it is whole
+		k := 1 + c.chance.IntN(len(text)-1)
+		c.conn.SetDeadline(time.Now().Add(time.Duration((limit + overdue) * float64(time.Second))))
+		if _, err := io.WriteString(c.conn, text[:k]); err != nil {
+			c.leave()
+			return
+		}
+		time.Sleep(time.Duration(c.chance.Float64() * pieceApart * min(limit, 1) * float64(time.Second)))
+		text = text[k:]
+	}
+	r.books.taken(id, record{seed: id, verb: verb, instance: c.to.serial, op: id}, limit)
+	from, wrote := r.clock(), time.Now()
+	g, reused, unread := r.exchange(context.Background(), c.conn, wrote.Add(time.Duration((limit+overdue)*float64(time.Second))), id, text)
+	r.books.ended(id, map[bool]result{true: broken, false: g.result}[g.result == silent], true)
+	took, used := time.Since(wrote).Seconds(), c.used
+	c.used = true
+	c.got.Taken++
+	switch g.result {
+	case served:
+		c.got.Served++
+	case declinedThat:
+		c.got.Declined++
+	case failed:
+		c.got.Failed++
+	case silent:
+		c.lost(id, from, "no whole answer in time")
+	case broken:
+		relays := r.books.relayed(id)
+		switch {
+		case relays == 0 && unread && !used:
+			c.got.Unheard++
+		case relays == 0 && unread && took < crossed:
+			c.got.Crossed++
+		default:
+			c.lost(id, from, fmt.Sprintf("its connection ended after %.3f s, %d relays, answer begun %t", took, relays, !unread))
+		}
+	}
+	if !reused {
+		c.leave()
+	}
+}
+
+// lost files a command that was taken and not answered, unless a kill excuses it.
+func (c *rolling) lost(id uint64, from float64, how string) {
+	asked := c.to.endAsked()
+	select {
+	case <-time.After(time.Duration(noticed * float64(time.Second))): // it lives
+	case <-c.to.ended:
+		s, ok := c.to.cmd.ProcessState.Sys().(syscall.WaitStatus)
+		if ok && s.Signaled() && asked > 0 && from <= asked+killAfter {
+			return
+		}
+	}
+	when := "never asked to end"
+	if asked > 0 {
+		when = fmt.Sprintf("%.3f s after SIGTERM", from-asked)
+	}
+	c.got.Lost = append(c.got.Lost, fmt.Sprintf("%016x at proxy %d, taken %s: %s", id, c.to.serial, when, how))
+}
--- /dev/null
+++ b/internal/rig/rolling_test.go
@@ -0,0 +1,59 @@
+package rig
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"testing"
+)
+
+// A rolling restart loses nothing, whatever the time limits and tiers: long ones, and such that the kill comes a second after
+// SIGTERM. ROLLING_PROXIES, ROLLING_SEEDS and ROLLING_PROGRAM play larger days by hand, also with another version.
+func TestARollingRestartLosesNothing(t *testing.T) {
+	program := os.Getenv("ROLLING_PROGRAM")
+	if program == "" {
+		program = filepath.Join(t.TempDir(), "sandpass")
+		if out, err := exec.Command("go", "build", "-o", program, "../../cmd/sandpass").CombinedOutput(); err != nil {
+			t.Fatalf("%v: %s", err, out)
+		}
+	}
+	proxies, seeds := 10, []uint64{4, 13, 15, 10} // limits of 0.2, 0.5, 0.9 and 2.2 s; one, two, three and two tiers
+	if n, err := strconv.Atoi(os.Getenv("ROLLING_PROXIES")); err == nil {
+		proxies = n
+	}
+	if n, err := strconv.Atoi(os.Getenv("ROLLING_SEEDS")); err == nil {
+		seeds = nil
+		for i := range n {
+			seeds = append(seeds, uint64(i+1))
+		}
+	}
+	for _, seed := range seeds {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			if os.Getenv("ROLLING_SEEDS") == "" {
+				t.Parallel()
+			}
+			w, plan := Rolling(proxies, seed)
+			if err := plan.Check(w.Extent()); err != nil {
+				t.Fatal(err)
+			}
+			r, err := New(w, plan, seed, []string{program, "serve"}, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			out, err := r.Roll(context.Background(), 4, true)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("limit %.2f s, %d tiers: taken %d served %d declined %d failed %d crossed %d unheard %d, killed %d, lost %d",
+				out.Limit, out.Tiers, out.Taken, out.Served, out.Declined, out.Failed, out.Crossed, out.Unheard, out.Killed, len(out.Lost))
+			for _, l := range out.Lost {
+				t.Error("lost: " + l)
+			}
+			if out.Unheard > 5+out.Taken/200 || out.Served*2 < out.Taken {
+				t.Errorf("%d unheard, %d served of %d", out.Unheard, out.Served, out.Taken)
+			}
+		})
+	}
+}
