Lists are read however they are laid out: indented over many lines, of 2,000 entries

Without the mend: "it never came to it that 2000 are listed", msg=watch_lost error="unexpected end of JSON input".

Change: internal/objects cuts a stream into objects whatever their layout and wherever the reads cut it; an empty line or a line's end in a string tells that one broke off, so that the next is not swallowed with it. 8 MiB of an object at most, as before.

--- /dev/null
+++ b/internal/proxy/large_test.go
@@ -0,0 +1,128 @@
+package proxy
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+const many = 2000
+
+// throng is a list of so many backends, of which the first is this one and the others listen nowhere.
+func throng(index int, n int, status string, b net.Listener) string {
+	var lines []line
+	for i := range n {
+		l := line{"name": fmt.Sprintf("s-%08x", i), "address": fmt.Sprintf("127.%d.%d.1:9000", 1+i/250, i%250), "zone": "a", "group": i / 8,
+			"type": "m2", "status": status, "weight": 1, "since_ms": 0}
+		if i == 0 {
+			l["address"], l["status"] = b.Addr().String(), "ready"
+		}
+		lines = append(lines, l)
+	}
+	return listing(index, true, lines...)
+}
+
+func indented(text string) string {
+	var b bytes.Buffer
+	json.Indent(&b, []byte(text), "", "  ")
+	return b.String() + "\n"
+}
+
+// A list of 2,000, indented over tens of thousands of lines and cut anywhere, was taken for a broken watch at its first line:
+// the proxy never had a list. Half of it goes and comes back; memory stays within what a small proxy is allowed, and no turn of
+// the loop stands out.
+func TestTwoThousandBackendsAndSiblings(t *testing.T) {
+	t.Parallel()
+	b := newToy(t, ok)
+	step := make(chan bool)
+	pieces := func(c net.Conn, text string) {
+		for size := 1; len(text) > 0; size = size*3%20011 + 1 {
+			n := min(size, len(text))
+			chunk(c, text[:n])
+			text = text[n:]
+		}
+	}
+	d := discovery(t, func(_ int, c net.Conn, _ *http.Request) {
+		pieces(c, indented(throng(1, many, "ready", b)))
+		<-step
+		pieces(c, indented(throng(2, many/2, "ready", b)))
+		<-step
+		pieces(c, throng(3, many, "ready", b)+"\n\n")
+		<-step
+	})
+	defer close(step)
+	settings := strings.Replace(settingsText, `"siblings": 1`, fmt.Sprintf(`"siblings": %d`, many), 1)
+	l := config("", d, settings)
+	l.Limits.MemoryMB = 48
+	p, err := New(l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := run(t, p)
+	for i, want := range []int{many, many / 2, many} {
+		r.await(t, fmt.Sprintf("%d are listed", want), func() bool { return r.backends.usable == want })
+		if i < 2 {
+			step <- true
+		}
+	}
+	{
+		held := 0
+		r.do(func() { r.summary(); held = int(r.memory[0].Value.Uint64() >> 20) })
+		if held > 48 {
+			t.Errorf("%d MB for %d backends", held, many)
+		}
+	}
+	if status, _, _ := r.caller(t).ask("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"); status != 200 {
+		t.Errorf("ready says %d", status)
+	}
+}
+
+// A configuration that knows as many, and the same names as siblings' addresses, is a start like any other.
+func TestAConfigurationThatKnowsTwoThousand(t *testing.T) {
+	t.Parallel()
+	l := config(throng(1, many, "ready", newToy(t, ok)), nil, strings.Replace(settingsText, `"siblings": 1`, fmt.Sprintf(`"siblings": %d`, many), 1))
+	began := time.Now()
+	p, err := New(l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("started in %v", time.Since(began))
+	r := run(t, p)
+	r.await(t, "all are listed", func() bool { return r.backends.usable == many && r.ready() })
+}
+
+// More than the listener's backlog of connections at once, each with a command: each has its answer, served or declined.
+func TestTwoThousandConnectionsAtOnce(t *testing.T) {
+	t.Parallel()
+	b := newToy(t, ok)
+	l := config(listing(1, true, ready("s-a", b)), nil, strings.Replace(settingsText, `"max_open": 1000`, `"max_open": 20000`, 1))
+	l.Limits.Sockets, l.Limits.MemoryMB = 6*many, 512
+	p, err := New(l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := run(t, p)
+	r.await(t, "it takes clients", r.ready)
+	var all []*caller
+	for range many {
+		all = append(all, r.caller(t))
+	}
+	for _, c := range all {
+		if _, err := c.Write([]byte(text("look"))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got := map[int]int{}
+	for _, c := range all {
+		status, _, _ := c.read()
+		got[status]++
+	}
+	if got[200]+got[503] != many {
+		t.Errorf("%v", got)
+	}
+}
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -3,7 +3,6 @@
 package proxy
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"log"
@@ -14,13 +13,14 @@
 	"sandpass/balance"
 	"sandpass/internal/http1"
 	"sandpass/internal/loop"
+	"sandpass/internal/objects"
 )
 
 const (
 	silence    = 5.0     // seconds without a line after which the watch is dead: two heartbeats and a half
 	againFirst = 0.1     // seconds before a lost watch is opened again, doubling, with jitter
 	againLast  = 2.0     // seconds, longest such wait: as long as a heartbeat
-	lineMost   = 8 << 20 // bytes of a line: thousands of backends
+	lineMost   = 8 << 20 // bytes of a message: tens of thousands of backends
 )
 
 // roster is a message of discovery's.
@@ -48,9 +48,9 @@
 	msg      http1.Message
 	chunks   http1.Chunks
 	index    int64
-	has      bool   // a list was had
-	heard    bool   // a line was had since the start
-	line     []byte // a line's beginning, from earlier reads
+	has      bool // a list was had
+	heard    bool // a line was had since the start
+	cutter   objects.Cutter
 	wait     float64
 	again    *loop.Timer // opens it after a loss
 	silentAt float64
@@ -60,7 +60,7 @@
 func (p *Proxy) connect() {
 	w := &p.watch
 	conn, err := p.loop.Dial(w.at, watcher{p}, lineMost)
-	w.conn, w.line, w.chunks = conn, nil, http1.Chunks{}
+	w.conn, w.cutter, w.chunks = conn, objects.Cutter{Most: lineMost}, http1.Chunks{}
 	w.msg.Reset()
 	if err != nil {
 		w.conn = nil
@@ -154,33 +154,29 @@
 	}
 }
 
-// lines takes each whole line in the data; what is left is kept for the next.
+// lines takes each whole object in the data, however it is laid out; what is left is kept for the next. An empty line says
+// that discovery lives.
 func (h watcher) lines(data []byte) error {
 	w := &h.p.watch
 	for {
-		end := bytes.IndexByte(data, '\n')
-		if end < 0 {
-			if w.line = append(w.line, data...); len(w.line) > lineMost {
-				return errors.New("a line is too long")
-			}
-			return nil
+		object, rest, err := w.cutter.Next(data)
+		if err != nil || object == nil {
+			return err
 		}
-		line := data[:end]
-		if len(w.line) > 0 {
-			line = append(w.line, line...)
+		data = rest
+		var l roster
+		if len(object) > 0 {
+			if err := json.Unmarshal(object, &l); err != nil {
+				return err
+			}
 		}
 		if w.wait > 0 {
 			log.Printf("msg=watch_back index=%d", w.index)
 		}
-		data, w.line, w.heard, w.wait = data[end+1:], nil, true, 0
-		if len(bytes.TrimSpace(line)) == 0 {
-			continue
-		}
-		var l roster
-		if err := json.Unmarshal(line, &l); err != nil {
-			return err
+		w.heard, w.wait = true, 0
+		if len(object) > 0 {
+			h.p.take(&l)
 		}
-		h.p.take(&l)
 	}
 }
 
