--- a/cmd/sandpass/main.go
+++ b/cmd/sandpass/main.go
@@ -58,15 +58,14 @@
 	p.OnMemory(func(bytes int64) { debug.SetMemoryLimit(int64(memoryPart * float64(bytes))) })
 	var asked atomic.Bool
 	go func() {
-		for {
-			select {
-			case <-ends:
-				signal.Reset(syscall.SIGINT) // a second Ctrl-C ends it at once
-				asked.Store(true)
-				p.Ring()
-			case <-reloads:
-				reload(path, words, p)
-			}
+		<-ends
+		signal.Reset(syscall.SIGINT) // a second Ctrl-C ends it at once; a second SIGTERM changes nothing
+		asked.Store(true)
+		p.Ring()
+	}()
+	go func() { // apart from the end, which must not wait for a file
+		for range reloads {
+			reload(path, words, p)
 		}
 	}()
 	return p.Run(asked.Load)
--- a/cmd/sandpass/main_test.go
+++ b/cmd/sandpass/main_test.go
@@ -90,7 +90,9 @@
 	}
 }
 
-func TestServe(t *testing.T) {
+// serving starts the program with the example's configuration, and waits until it listens.
+func serving(t *testing.T) (cmd *exec.Cmd, out *output, config, changed string) {
+	t.Helper()
 	text, err := os.ReadFile("../../example/config.json")
 	if err != nil {
 		t.Fatal(err)
@@ -101,16 +103,16 @@
 	}
 	at := free.Addr().String()
 	free.Close()
-	config := filepath.Join(t.TempDir(), "c.json")
-	changed := strings.NewReplacer("127.0.0.1:9000", at, "127.0.0.1:9100", "127.0.0.1:0", "127.0.0.1:8500", "127.0.0.1:1").Replace(string(text))
+	config = filepath.Join(t.TempDir(), "c.json")
+	changed = strings.NewReplacer("127.0.0.1:9000", at, "127.0.0.1:9100", "127.0.0.1:0", "127.0.0.1:8500", "127.0.0.1:1").Replace(string(text))
 	if err := os.WriteFile(config, []byte(changed), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd, out := sandpass(config, "serve")
+	cmd, out = sandpass(config, "serve")
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer cmd.Process.Kill()
+	t.Cleanup(func() { cmd.Process.Kill() })
 	for range 500 { // it listens within five seconds
 		if c, err := net.Dial("tcp", at); err == nil {
 			c.Close()
@@ -118,6 +120,48 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
+	return cmd, out, config, changed
+}
+
+// said waits until the process has said something.
+func (o *output) said(t *testing.T, want string) {
+	t.Helper()
+	for range 500 {
+		if strings.Contains(o.String(), want) {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("no %s in %s", want, o)
+}
+
+// SIGTERM that came while a configuration was being read waited for that: here for a file that never comes to its end. A second
+// one is no other end than the first.
+func TestSIGTERMInTheMiddleOfAReload(t *testing.T) {
+	cmd, out, config, _ := serving(t)
+	if err := os.Remove(config); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(config, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd.Process.Signal(syscall.SIGHUP)
+	writer, err := os.OpenFile(config, os.O_WRONLY, 0) // waits until it is read
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer writer.Close()
+	cmd.Process.Signal(syscall.SIGTERM)
+	out.said(t, "msg=ending")
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil || !strings.Contains(out.String(), "msg=ended") {
+		t.Errorf("a planned end: %v, %s", err, out)
+	}
+}
+
+// SIGTERM before there is any list is a planned end as well.
+func TestServe(t *testing.T) {
+	cmd, out, config, changed := serving(t)
 	// SIGHUP has it read the file again: a good one is turned to, a bad one only named.
 	for _, step := range []struct{ from, to, want string }{
 		{"127.0.0.1:1", "127.0.0.1:2", "msg=reloaded discovery=127.0.0.1:2"}, {`"seed"`, `"seed`, "msg=reload_not_taken"},
@@ -127,15 +171,7 @@
 			t.Fatal(err)
 		}
 		cmd.Process.Signal(syscall.SIGHUP)
-		for range 500 {
-			if strings.Contains(out.String(), step.want) {
-				break
-			}
-			time.Sleep(10 * time.Millisecond)
-		}
-		if !strings.Contains(out.String(), step.want) {
-			t.Errorf("no %s in %s", step.want, out)
-		}
+		out.said(t, step.want)
 	}
 	cmd.Process.Signal(syscall.SIGTERM)
 	if err := cmd.Wait(); err != nil {
--- a/internal/rig/rolling.go
+++ b/internal/rig/rolling.go
@@ -31,6 +31,7 @@
 	pieceApart = 0.4  // of a time limit at most, between these
 	restAtMost = 0.4  // of a time limit, between an answer and the next command, on the mean 0.2
 	restLeast  = 0.05 // seconds of the same: clients are no load test
+	workTimes  = 6.0  // the work of the world as it is: most answers take a good part of the limit, many are under way at any end
 	tenth      = 0.1  // of the proxies are asked to end at a time
 )
 
@@ -63,7 +64,7 @@
 		v := &w.Verbs[i]
 		v.Limit, v.Goal = v.Limit*scale, v.Goal*scale
 		for k := range v.Work {
-			v.Work[k] *= min(scale, 2)
+			v.Work[k] *= workTimes * min(scale, 0.5)
 		}
 	}
 	if tiers == 1 {
@@ -76,7 +77,7 @@
 		}
 	}
 	for k := range w.Tiers {
-		w.Tiers[k].Backends = max(4, proxies/(2+2*k))
+		w.Tiers[k].Backends = max(4, proxies/2)
 	}
 	a := func(kind faults.Kind, from, long, share float64) faults.Fault {
 		return faults.Fault{Kind: kind, Zone: -1, To: -1, From: from, For: long, Share: share, Seed: chance.Uint64() >> 1}
