--- a/internal/rig/rolling.go
+++ b/internal/rig/rolling.go
@@ -43,6 +43,7 @@
 	Killed                          int // processes that had not ended by themselves when the kill came
 	Lost                            []string
 	Account                         *judge.Account // of the other rules
+	Lateness                        float64        // seconds, the most by which the rig itself woke late: a starved process is no measure
 	Limit                           float64        // seconds, the longest that was drawn
 	Tiers                           int
 }
@@ -106,6 +107,15 @@
 	defer over()
 	var all sync.WaitGroup
 	var mu sync.Mutex
+	all.Go(func() {
+		for due := time.Now(); day.Err() == nil; due = time.Now() {
+			due = due.Add(look)
+			time.Sleep(time.Until(due))
+			mu.Lock()
+			out.Lateness = max(out.Lateness, time.Since(due).Seconds())
+			mu.Unlock()
+		}
+	})
 	for n := range clients * len(r.fronts) {
 		all.Go(func() {
 			c := rolling{rig: r, chance: rand.New(rand.NewPCG(r.seed, 1000+uint64(n))), zone: n % r.world.Zones}
