--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -9,6 +9,7 @@
 	door       = 0.6  // seconds in which connections still come: 0.4, and some to spare
 	least      = 0.45 // seconds in which open connections go on at least, for the same reason
 	resting    = 1.4  // seconds in which they go on at most: the other proxies may be away as well
+	restPart   = 0.6  // of the time until the end, the same: who comes last still has the rest of it for the answer
 	killAfter  = 0.7  // seconds after the longest time limit at which the kill may follow
 	killMost   = 3.7  // seconds after which it may follow whatever the limits
 	killMargin = 0.3  // seconds before the kill by which the last answer is out
@@ -25,13 +26,12 @@
 	Last  float64 // what is still being sent is declined; the process may stop once all answers are with the kernel
 }
 
-// For plans by the longest time limit and the longest response goal of the verbs, in seconds. The kill may follow as soon
-// as the longest command that had come by SIGTERM has had its time, so where verbs are short it comes early; who comes
-// before Leave then still has the time in which an answer is usually there.
-func For(limit, goal float64) Plan {
+// For plans by the longest time limit of the verbs, in seconds. The kill may follow as soon as the longest command that had
+// come by SIGTERM has had its time, so where verbs are short it comes early, and connections rest for less.
+func For(limit float64) Plan {
 	kill := min(killMost, limit+killAfter)
 	end := max(least, kill-killMargin)
-	return Plan{Door: min(door, end), Leave: min(resting, max(least, end-goal)), End: end, Last: min(end+lastWords, kill-lastMargin)}
+	return Plan{Door: min(door, end), Leave: min(resting, max(least, restPart*end)), End: end, Last: min(end+lastWords, kill-lastMargin)}
 }
 
 // Sooner is the plan in which each step comes as early as in either.
--- a/internal/proxy/end.go
+++ b/internal/proxy/end.go
@@ -33,11 +33,11 @@
 
 // planEnd plans by the verbs as they are.
 func (p *Proxy) planEnd() ending.Plan {
-	limit, goal := 0.0, 0.0
+	longest := 0.0
 	for _, v := range p.names.Verbs {
-		limit, goal = max(limit, v.TimeLimit), max(goal, v.Goal)
+		longest = max(longest, v.TimeLimit)
 	}
-	return ending.For(limit, goal)
+	return ending.For(longest)
 }
 
 // replan heeds verbs that have changed on the way: the kill was announced by the old ones or the new.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -216,7 +216,6 @@
 type Verb struct {
 	Name      string
 	TimeLimit float64 // seconds
-	Goal      float64 // seconds, the response goal
 	Receipted bool    // a command carries a mark by which a repeat is known
 	Pure      bool    // may be repeated
 }
@@ -263,7 +262,6 @@
 			Name   *string  `json:"name"`
 			Effect *string  `json:"effect"`
 			Limit  *float64 `json:"time_limit_ms"`
-			Goal   *float64 `json:"response_goal_ms"`
 		} `json:"verbs"`
 	}
 	if err := json.Unmarshal(text, &l); err != nil {
@@ -273,7 +271,7 @@
 		return names, links, fmt.Errorf("settings: %s is missing", m)
 	}
 	for _, v := range l.Verbs {
-		names.Verbs = append(names.Verbs, Verb{*v.Name, *v.Limit / 1000, *v.Goal / 1000,
+		names.Verbs = append(names.Verbs, Verb{*v.Name, *v.Limit / 1000,
 			effects[*v.Effect] == balance.Receipted, effects[*v.Effect] == balance.Pure})
 	}
 	for _, r := range l.Realms {
