Rig: who was killed comes back with the number of another, rules kept

Change: Rig.Swap has those of one kill come back with one another's numbers, each at its own address, so that messages for a number go elsewhere than before.

--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -87,6 +87,28 @@
 	}
 }
 
+// Who was killed comes back at its address with the number of another that was killed: each has words of a former life under its
+// number, and its siblings know it by an address that answers for another now.
+func TestTheKilledComeBackWithOneAnothersNumbers(t *testing.T) {
+	t.Parallel()
+	w := eight(true)
+	r, err := New(w, faults.Plan{a(faults.Kill, 2, 1, 0.5, 0)}, 5, []string{os.Args[0]}, []string{HereEnv + "=1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Swap = true
+	out, err := r.Play(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := out.Account.Count(); n > 0 && out.Lateness < 0.04 {
+		t.Errorf("rules: %v", out.Account.Broken)
+	}
+	if served := out.Account.Served / out.Account.Asked; (served < 0.7 || out.Back == 0) && out.Lateness < 0.04 {
+		t.Errorf("served %.2f, back at %.1f s; lost %v", served, out.Back, out.Account.Losses)
+	}
+}
+
 // The books have to see each way in which a process can go on with what it knew before it stood still.
 func TestStandingStillIsForgivenAndNothingElse(t *testing.T) {
 	j := judge.New(judge.Terms{Slack: 0.05, Grace: 0.4, Length: 20})
--- a/internal/rig/lives.go
+++ b/internal/rig/lives.go
@@ -41,12 +41,15 @@
 }
 
 // revive starts a proxy in the place of one, at its address.
-func (r *Rig) revive(i int, p *process) *process {
+func (r *Rig) revive(i int, p *process) *process { return r.reviveAs(i, p, p.me) }
+
+// reviveAs is the same with a number that may be another's: then its messages go where that one's went.
+func (r *Rig) reviveAs(i int, p *process, me int) *process {
 	if err := r.spoil(p); err != nil {
 		r.fail(err)
 		return nil
 	}
-	q, err := r.startProcess(0, p.me, p.zone, len(r.fronts), p.listen)
+	q, err := r.startProcess(0, me, p.zone, len(r.fronts), p.listen)
 	if err != nil {
 		r.fail(err)
 		return nil
@@ -107,6 +110,14 @@
 // turnOver kills or restarts a share of the first tier's proxies.
 func (r *Rig) turnOver(f faults.Fault, wait func(float64) bool) {
 	all := f.Places(len(r.fronts))
+	numbers := map[int]int{} // that each comes back with
+	for n, i := range all {
+		if p := r.front(all[(n+1)%len(all)]); p != nil && r.Swap {
+			numbers[i] = p.me
+		} else if p := r.front(i); p != nil {
+			numbers[i] = p.me
+		}
+	}
 	one := func(i int, planned bool) {
 		p := r.front(i)
 		if p == nil {
@@ -123,7 +134,7 @@
 				return
 			}
 		}
-		r.revive(i, p)
+		r.reviveAs(i, p, numbers[i])
 	}
 	var done sync.WaitGroup
 	for n, i := range all {
