--- a/internal/proxy/large_test.go
+++ b/internal/proxy/large_test.go
@@ -118,3 +118,37 @@
 		t.Errorf("%v", got)
 	}
 }
+
+// BenchmarkListOfTwoThousand is the turn of the loop in which the last piece of such a list comes: all of it is decoded, taken and told
+// to the Balancer.
+func BenchmarkListOfTwoThousand(b *testing.B) {
+	quiet, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer quiet.Close()
+	for _, siblings := range []int{1, many} {
+		b.Run(fmt.Sprintf("siblings=%d", siblings), func(b *testing.B) {
+			p, err := New(config("", nil, strings.Replace(settingsText, `"siblings": 1`, fmt.Sprintf(`"siblings": %d`, siblings), 1)))
+			if err != nil {
+				b.Fatal(err)
+			}
+			p.watch.cutter.Most = lineMost
+			text := []byte(indented(throng(1, many, "ready", quiet)))
+			last := len(text) - 4096 // what a read brings
+			for b.Loop() {
+				b.StopTimer()
+				if err := (watcher{p}).lines(text[:last]); err != nil {
+					b.Fatal(err)
+				}
+				b.StartTimer()
+				if err := (watcher{p}).lines(text[last:]); err != nil {
+					b.Fatal(err)
+				}
+			}
+			if p.backends.usable != many {
+				b.Fatalf("%d are listed", p.backends.usable)
+			}
+		})
+	}
+}
