--- a/internal/proxy/end_test.go
+++ b/internal/proxy/end_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -191,3 +192,44 @@
 		t.Errorf("%v %v", rsp, err)
 	}
 }
+
+// SIGTERM comes to the old process while the new one has said hello and does not serve yet: what is open is finished by the one,
+// what comes new is taken by the one or the other, and nothing falls between them.
+func TestSIGTERMInTheMiddleOfAnUpgrade(t *testing.T) {
+	t.Parallel()
+	l := inherits(t, listing(1, true, ready("s-1", newToy(t, ok))))
+	one := begin(t, l)
+	one.await(t, "the old one serves", one.ready)
+	fd, _ := strconv.Atoi(l.Socket)
+	rest := one.caller(t)
+	rest.ask(text("look"))
+	two := begin(t, next(t, l, fd))
+	one.await(t, "the new one has said hello", func() bool { return one.handover.after != nil })
+	one.do(func() {
+		if one.handover.succeeded {
+			t.Error("the new one serves already")
+		}
+	})
+	one.end()
+	if status, _, _ := rest.ask(text("look")); status != 200 {
+		t.Errorf("on a connection that stayed open: %d", status)
+	}
+	for over := false; !over; {
+		select {
+		case err := <-one.ended:
+			one.ended <- err
+			over = true
+		default:
+		}
+		c, err := net.Dial("tcp", l.Listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(5 * time.Second))
+		if status, body, _ := (&caller{c, bufio.NewReader(c)}).ask(text("look")); status != 200 {
+			t.Errorf("%d %q, the old one ended: %t", status, body, over)
+		}
+		c.Close()
+	}
+	two.await(t, "the new one serves alone", func() bool { return two.takesClients() && two.handover.before == nil })
+}
