Read again: one way to turn a command away, the kill's time and the groups once

Three places declined a command that had gone nowhere, each with its own count: client.turnAway does. Behaviour is the same.

--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -292,8 +292,7 @@
 	}
 	p.came++
 	if p.end.over {
-		p.declined++
-		c.reply(503, "this proxy has ended\n", false) // never relayed, so harmless to repeat
+		c.turnAway("this proxy has ended\n")
 		return
 	}
 	if p.clients.owed >= p.clients.part || len(p.commands) >= p.links.Open {
@@ -368,6 +367,12 @@
 	c.answered(keep)
 }
 
+// turnAway declines what has not been relayed, so that it is harmless to repeat, and closes.
+func (c *client) turnAway(text string) {
+	c.p.declined++
+	c.reply(503, text, false)
+}
+
 // bad answers what can't be understood and closes.
 func (c *client) bad(status int, text string) {
 	c.p.bad++
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -51,8 +51,7 @@
 		for e := p.clients.in[sending].Front(); e != nil; {
 			c := e.Value.(*client)
 			if e = e.Next(); t > drainLast || c.conn.Quiet() {
-				p.declined++
-				c.reply(503, "this proxy is being drained\n", false) // never relayed, so harmless to repeat
+				c.turnAway("this proxy is being drained\n")
 			}
 		}
 	}
--- a/internal/proxy/end.go
+++ b/internal/proxy/end.go
@@ -98,8 +98,7 @@
 func (p *Proxy) declineUnread() {
 	p.clients.each(func(c *client) {
 		if c.state == sending {
-			p.declined++
-			c.reply(503, "this proxy has ended\n", false)
+			c.turnAway("this proxy has ended\n")
 		}
 	})
 }
--- a/internal/rig/lives.go
+++ b/internal/rig/lives.go
@@ -112,10 +112,12 @@
 	all := f.Places(len(r.fronts))
 	numbers := map[int]int{} // that each comes back with
 	for n, i := range all {
-		if p := r.front(all[(n+1)%len(all)]); p != nil && r.Swap {
-			numbers[i] = p.me
-		} else if p := r.front(i); p != nil {
-			numbers[i] = p.me
+		of := r.front(all[(n+1)%len(all)])
+		if of == nil || !r.Swap {
+			of = r.front(i)
+		}
+		if of != nil {
+			numbers[i] = of.me
 		}
 	}
 	one := func(i int, planned bool) {
--- a/internal/rig/rolling.go
+++ b/internal/rig/rolling.go
@@ -57,9 +57,8 @@
 	tiers := 1 + chance.IntN(3)
 	w.Zones, w.Instances, w.Warmup, w.Clients.Early, w.Skew = 1+chance.IntN(2), proxies, 0.5, 0, 0.5
 	w.Rules.ColdSpan = 2
-	steps := float64(len(slices.Collect(slices.Chunk(make([]int, proxies), max(1, int(tenth*float64(proxies)))))))
-	apart := (min(limit, killLimit) + killAfter) / 3 // three groups are away at a time at most
-	w.Length = 1 + steps*apart + min(limit, killLimit) + killAfter + 1
+	steps := math.Ceil(float64(proxies) / float64(group(proxies)))
+	w.Length = 1 + steps*apart(limit) + killAt(limit) + 1
 	scale := limit / 2 // the longest limit of the world as it is
 	for i := range w.Verbs {
 		v := &w.Verbs[i]
@@ -86,6 +85,15 @@
 	return w, faults.Plan{a(faults.Roll, 1.2, w.Length/2, 0.5), a(faults.Hang, 0.5, w.Length-1, 0.05)}
 }
 
+// group is how many of so many proxies are asked to end at a time.
+func group(proxies int) int { return max(1, int(tenth*float64(proxies))) }
+
+// killAt is how many seconds after SIGTERM the kill comes, by the longest time limit.
+func killAt(limit float64) float64 { return min(limit, killLimit) + killAfter }
+
+// apart is how many seconds after one group the next is asked to end: three are away at a time at most.
+func apart(limit float64) float64 { return killAt(limit) / 3 }
+
 // longest is the longest time limit of the day.
 func (r *Rig) longest() (limit float64) {
 	for _, v := range r.world.Verbs {
@@ -125,12 +133,10 @@
 			out.add(&c.got)
 		})
 	}
-	group := max(1, int(tenth*float64(len(r.fronts))))
 	var restarts sync.WaitGroup
-	apart := (min(out.Limit, killLimit) + killAfter) / 3
-	for n, places := range slices.Collect(slices.Chunk(rand.New(rand.NewPCG(r.seed, 9)).Perm(len(r.fronts)), group)) {
+	for n, places := range slices.Collect(slices.Chunk(rand.New(rand.NewPCG(r.seed, 9)).Perm(len(r.fronts)), group(len(r.fronts)))) {
 		select {
-		case <-time.After(time.Until(r.at(1 + float64(n)*apart))):
+		case <-time.After(time.Until(r.at(1 + float64(n)*apart(out.Limit)))):
 		case <-day.Done():
 		}
 		for _, i := range places {
@@ -148,9 +154,7 @@
 	all.Wait()
 	r.troubles.Wait()
 	slices.Sort(out.Lost)
-	r.books.mu.Lock()
-	out.Account = r.books.judge.Close(r.books.now())
-	r.books.mu.Unlock()
+	r.books.client(func(j *judge.Judge) { out.Account = j.Close(r.books.now()) })
 	return out, r.failure
 }
 
@@ -172,7 +176,7 @@
 		}
 		r.mu.Unlock()
 	})
-	p.stop(time.Duration((min(r.longest(), killLimit) + killAfter) * float64(time.Second)))
+	p.stop(time.Duration(killAt(r.longest()) * float64(time.Second)))
 	time.Sleep(time.Duration(noticed * float64(time.Second))) // whoever still came in that time has been refused
 	s, ok := p.cmd.ProcessState.Sys().(syscall.WaitStatus)
 	r.revive(i, p)
