A further relay whose connection comes up past the window for repeats is not written

Lines at fault: internal/proxy/backends.go, Up, looked at the backend's state alone; balance/balancer.go, may, is asked only when a backend is picked.

Balancer.Opened is told that a connection is up and says whether the relay may still be written, by the same rule as the pick, which now goes over all relays that may have run instead of the first. What may not is moot: it never ran. From reading, the same window: a receipted command that may have run was declined (trying again is harmless) also when its client would come back past the window; it is terminated then.

TestShortWindows in balance. TestLargeCommands/one_that_stands_still failed twice under a load of 25 and passes alone: flaky there, not looked into yet.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -191,25 +191,24 @@
 	k.weight, k.aside = min(weightMax, k.weight+weightGain), 0
 }
 
-// may tells whether the rules allow a relay of the command to the backend at all.
-func (b *Balancer) may(c *command, k *backend) bool {
-	if k.State != Ready {
-		return false
-	}
+// may tells whether the rules allow relay n of the command at the backend now, by all others that may have run.
+func (b *Balancer) may(c *command, k *backend, n int) bool {
 	v := c.verb
-	if c.mayHaveRun == nil || v.Effect == Pure {
-		return true
-	}
-	if v.Effect == Effectful || b.now > c.ranFrom+v.Window-b.tick {
-		return false
-	}
-	switch v.Scope {
-	case ScopeZone:
-		return k.Zone == c.mayHaveRun.Zone
-	case ScopeCell:
-		return k.Cell == c.mayHaveRun.Cell
+	for i, r := range c.relays {
+		if i != n && !r.neverRan && v.Effect != Pure && (v.Effect == Effectful || b.now > r.sent+v.Window-b.tick ||
+			v.Scope == ScopeZone && k.Zone != r.to.Zone || v.Scope == ScopeCell && k.Cell != r.to.Cell) {
+			return false
+		}
 	}
-	return true
+	return k.State == Ready
+}
+
+// Opened is told that the connection for a relay is up, and tells whether it may still be written: what allowed it may
+// have passed meanwhile, a window for repeats above all.
+func (b *Balancer) Opened(now float64, id uint64, n int) bool {
+	b.now = now
+	c, ok := b.commands[id]
+	return ok && !c.done && !c.streaming && n < len(c.relays) && c.relays[n].out && b.may(c, c.relays[n].to, n)
 }
 
 // pick draws a backend by weight, skipping those with far more of our commands than the mean, or nil.
@@ -242,7 +241,7 @@
 		total := 0.0
 		b.picks = b.picks[:0]
 		for _, k := range from {
-			if b.may(c, k) && !slices.Contains(c.asked, uint16(k.Cell)) && (asking || b.coldAllows(k)) &&
+			if b.may(c, k, len(c.relays)) && !slices.Contains(c.asked, uint16(k.Cell)) && (asking || b.coldAllows(k)) &&
 				!c.triedOn(k) && k.aside <= b.now && (pass > 0 || k.busy(b.now) <= far+localSlack*one(k.local > 0)) {
 				b.picks = append(b.picks, k)
 				total += share(k)
@@ -723,7 +722,7 @@
 // out is believed as far as the own bound goes.
 func (b *Balancer) granted(c *command, k *backend, knows bool) {
 	b.answered(c)
-	if k != nil && (knows || !b.crowded(c)) && b.may(c, k) && !c.triedOn(k) {
+	if k != nil && (knows || !b.crowded(c)) && b.may(c, k, len(c.relays)) && !c.triedOn(k) {
 		b.release(c)
 		b.relay(c, k)
 		return
@@ -821,9 +820,6 @@
 	b.report(k, flagSent)
 	k.budget.tokens-- // counts only while it is cold
 	b.relayed.add(b.now, slowSpan, 1)
-	if c.mayHaveRun == nil {
-		c.mayHaveRun, c.ranFrom = k, b.now
-	}
 	b.host.Relay(c.id, k.ID)
 	if b.limits.Peers {
 		b.after(noteAgain, func() { b.remind(c, n) })
@@ -976,10 +972,6 @@
 
 // again sends a command whose relays have all failed elsewhere, or gives it up.
 func (b *Balancer) again(c *command) {
-	c.mayHaveRun = nil
-	if i := slices.IndexFunc(c.relays, func(r relay) bool { return !r.neverRan }); i >= 0 {
-		c.mayHaveRun, c.ranFrom = c.relays[i].to, c.relays[i].sent
-	}
 	rate := retryShare * b.came.rate(b.now, callSpan, b.start)
 	if !c.apart() && len(c.relays) < b.limits.Relays && c.expires > b.now+2*b.tick &&
 		b.affords(spareFirst+(1-spareFirst)*c.priority) && b.retries.read(b.now, rate, max(retryBurst, rate)) >= 1 {
@@ -993,17 +985,22 @@
 	b.giveUp(c)
 }
 
-// mayDecline tells whether trying again is harmless.
+// mayDecline tells whether trying again is harmless when the client comes back: of a receipted one only while all of its
+// backends would still know it then.
 func (b *Balancer) mayDecline(c *command) bool {
 	v := c.verb
-	return v.Effect == Pure || v.Effect == Receipted && v.Scope == ScopeAll ||
-		!slices.ContainsFunc(c.relays, func(r relay) bool { return r.out || !r.neverRan })
+	return v.Effect == Pure || !slices.ContainsFunc(c.relays, func(r relay) bool {
+		return !r.neverRan && (v.Effect == Effectful || v.Scope != ScopeAll || b.now+b.comeBack(v) > r.sent+v.Window-b.tick)
+	})
 }
 
+// comeBack is when a declined client is told to come back, 0 where nothing is said.
+func (b *Balancer) comeBack(v *verb) float64 { return min(b.limits.ComeBack, comeBack*v.Goal) }
+
 // giveUp ends a command at once, by declining it where that promise holds.
 func (b *Balancer) giveUp(c *command) {
 	if b.mayDecline(c) {
-		b.host.Decline(c.id, min(b.limits.ComeBack, comeBack*c.verb.Goal))
+		b.host.Decline(c.id, b.comeBack(c.verb))
 	} else {
 		b.host.Terminate(c.id)
 	}
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -106,6 +106,50 @@
 	})
 }
 
+// A connection takes its time to come up, and a window for repeats may be shorter than that or than a client stays away.
+func TestShortWindows(t *testing.T) {
+	verb := Verb{Effect: Receipted, Scope: ScopeAll, Goal: 2.5, TimeLimit: 6, Utility: 1, Late: 0.5, Window: 0.4}
+	limits := Limits{Relays: 4, SecondCopies: true, Cancel: true, ComeBack: 2}
+	t.Run("a further relay whose connection is up past the window is not written", func(t *testing.T) {
+		for wait, want := range map[float64]bool{0.3: true, 0.396: false, 0.5: false} {
+			h := start(t, setup{verb: verb, limits: limits})
+			h.b.Command(h.now, 1, 0, 0, h.now+6, 0)
+			if !h.b.Opened(h.now+0.3, 1, 0) {
+				t.Error("a first relay is nobody's repeat")
+			}
+			h.outcome(1, 0, Reset)
+			if len(h.toOf(1)) != 2 {
+				t.Fatalf("sent to %v", h.toOf(1))
+			}
+			if got := h.b.Opened(h.now+wait, 1, 1); got != want {
+				t.Errorf("after %v s: %t", wait, got)
+			}
+		}
+	})
+	t.Run("nor one of a backend that began to drain, or of a command that ended", func(t *testing.T) {
+		h := start(t, setup{verb: verb, limits: limits})
+		h.b.Command(h.now, 1, 0, 0, h.now+6, 0)
+		h.b.Command(h.now, 2, 0, 0, h.now+6, 0)
+		h.b.Fleet(h.now, false, []Entry{{ID: h.toOf(1)[0], State: Draining}})
+		h.b.Departed(h.now, 2)
+		if h.b.Opened(h.now, 1, 0) || h.b.Opened(h.now, 2, 0) || h.b.Opened(h.now, 9, 0) || h.b.Opened(h.now, 1, 7) {
+			t.Error("may be written")
+		}
+	})
+	t.Run("one that may have run is declined only if its client comes back within the window", func(t *testing.T) {
+		for window, declines := range map[float64]bool{0.4: false, 1.9: false, 2.1: true, 10: true} {
+			verb := verb
+			verb.Window = window
+			h := start(t, setup{verb: verb, limits: limits, backends: ready(1)})
+			h.b.Command(h.now, 1, 0, 0, h.now+6, 0)
+			h.outcome(1, 0, Reset)
+			if declined := slices.Contains(h.declined, 1); declined != declines || declined == slices.Contains(h.terminated, 1) {
+				t.Errorf("window %v: declined %t", window, declined)
+			}
+		}
+	})
+}
+
 func TestDrainsKept(t *testing.T) {
 	for how, whole := range map[string]bool{"as changes": false, "missing from a whole list": true} {
 		t.Run(how, func(t *testing.T) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -38,8 +38,6 @@
 	priority              float64 // its utility against the highest, 0 to 1
 	relays                []relay
 	out                   int
-	mayHaveRun            *backend // of the first relay that may have run
-	ranFrom               float64  // when that was sent
 	sorts                 [2]*sort
 	held, done, streaming bool
 	nested                bool     // a call from below, which whoever waits for it needs answered first
--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -248,13 +248,13 @@
 	l.conn.Write(p.scratch, body)
 }
 
-// Up sends what the connection was opened for, unless that may no longer go: the command can have ended where
-// nothing is cancelled, and the backend can have begun to drain.
+// Up sends what the connection was opened for, unless that may no longer go: the command can have ended where nothing is
+// cancelled, the backend can have begun to drain, and the time in which the rules allowed the relay can be over.
 func (l *link) Up(*loop.Conn) {
 	l.up = true
 	l.timer.Stop()
 	r := l.relay
-	if r.cmd.done || r.cmd.fed || l.to.state != balance.Ready {
+	if r.cmd.done || r.cmd.fed || l.to.state != balance.Ready || !l.p.balancer.Opened(l.p.loop.Now(), r.cmd.id, r.n) {
 		r.link = nil
 		l.rest(true)
 		l.p.report(r, balance.Moot)
--- a/internal/proxy/helper_test.go
+++ b/internal/proxy/helper_test.go
@@ -142,6 +142,12 @@
 }
 
 func run(t *testing.T, p *Proxy) *running {
+	t.Helper()
+	return runHeld(t, p, func() {})
+}
+
+// runHeld runs it with a hook of the test's, which is called first in every turn, on the loop, and may hold it.
+func runHeld(t *testing.T, p *Proxy, hold func()) *running {
 	t.Helper()
 	r := &running{Proxy: p, ended: make(chan error, 1), todo: make(chan func(), 1)}
 	go func() {
@@ -151,6 +157,7 @@
 				f()
 			default:
 			}
+			hold()
 			return r.asked.Load()
 		})
 	}()
