The watch is back within 6 s also when an opening hangs, and only whole lines keep it

Change: silence 3 s of whole lines (heartbeats come every 2 s), 2 s for dial and head, at most 1.3 s of wait, begun anew only after a watch that lasted a heartbeat; changes without a list are taken and the whole is asked for; an answer with an end ends. The constants are bound to the rule by TestWatchFitsInSixSeconds.

The stand-in of the tests counted a body that broke off as a whole command; it does not any more.

--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -1,9 +1,16 @@
 package proxy
 
 import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
+
+	"sandpass/balance"
 )
 
 // Two events cross: each test puts both into the order, or the one turn of the loop, that does harm. A hook of the test's
@@ -64,3 +71,219 @@
 		t.Errorf("held %t, status %d, ran %d and %d times", held, status, first.commands.Load(), second.commands.Load())
 	}
 }
+
+// ---- The watch.
+
+// on is a stand-in for discovery that does with each watch what its story says; the head, too, is the story's.
+func on(t *testing.T, story func(n int, c net.Conn, r *http.Request)) (net.Listener, chan string) {
+	asked := make(chan string, 100)
+	return newToy(t, func(b *toy, c net.Conn, r *http.Request) {
+		asked <- r.RequestURI
+		story(int(b.commands.Load()), c, r)
+	}), asked
+}
+
+const chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func wants(t *testing.T, asked chan string, uri string) {
+	t.Helper()
+	select {
+	case got := <-asked:
+		if got != uri {
+			t.Errorf("asked for %s, want %s", got, uri)
+		}
+	case <-time.After(8 * time.Second):
+		t.Fatalf("nobody asked for %s", uri)
+	}
+}
+
+// What a silent watch misses counts as told 6 s after it fell silent, and what an opening that hangs misses 6 s after
+// discovery could be reached: each way to have the list again must fit in, also with another opening that hangs.
+func TestWatchFitsInSixSeconds(t *testing.T) {
+	const dial, told = 1.5, 6.0 // the latest connection, and the rule
+	if worst := silence + sweepEvery + againFirst + dial; worst > told-1 {
+		t.Errorf("%v s from the last line of a watch that falls silent", worst)
+	}
+	if worst := silence + sweepEvery + againFirst + opensIn + sweepEvery + 2*againFirst; worst > told {
+		t.Errorf("%v s where the next opening hangs", worst)
+	}
+	if worst := opensIn + sweepEvery + againLast + dial; worst > told {
+		t.Errorf("%v s from an opening that hangs until just after the return", worst)
+	}
+	if silence < 1.25*heartbeat || opensIn <= dial {
+		t.Error("what lives would be given up")
+	}
+}
+
+func TestOnlyWholeLinesKeepAWatch(t *testing.T) {
+	t.Parallel()
+	b := newToy(t, ok)
+	step := make(chan string)
+	d, asked := on(t, func(n int, c net.Conn, _ *http.Request) {
+		io.WriteString(c, chunkedHead)
+		for text := range step {
+			chunk(c, text)
+		}
+		c.Read(make([]byte, 1))
+	})
+	p := run(t, launch(t, 200, listing(3, true, ready("s-b", b)), d))
+	wants(t, asked, "/api/targets?follow=1&since=3")
+	dead := func() (at, now float64) {
+		p.do(func() { at, now = p.watch.silentAt, p.loop.Now() })
+		return at, now
+	}
+	says := func(text string) {
+		held := 0
+		p.do(func() { held = p.watch.had })
+		step <- text
+		until(t, "the text", func() (came bool) { p.do(func() { came = p.watch.had > held }); return came })
+	}
+	says("\n")
+	whole, now := dead()
+	if whole > now+silence {
+		t.Errorf("dead in %v s", whole-now)
+	}
+	parts := strings.SplitAfter(listing(4, false, ready("s-c", b)), ",")
+	for i, part := range parts {
+		says(part)
+		if at, _ := dead(); (at != whole) != (i == len(parts)-1) {
+			t.Fatalf("%q put the end off by %v s", part, at-whole)
+		}
+	}
+	close(step)
+}
+
+// An opening of the watch that hangs, or that is up and brings no head, is given up in time for another.
+func TestWatchThatDoesNotOpen(t *testing.T) {
+	t.Parallel()
+	d, asked := on(t, func(n int, c net.Conn, _ *http.Request) {
+		if n > 1 {
+			io.WriteString(c, chunkedHead)
+		}
+		c.Read(make([]byte, 1))
+	})
+	p := run(t, launch(t, 200, "", d))
+	wants(t, asked, "/api/targets?follow=1")
+	p.do(func() {
+		if left := p.watch.silentAt - p.loop.Now(); left > opensIn {
+			t.Errorf("%v s for a head", left)
+		}
+	})
+	wants(t, asked, "/api/targets?follow=1")
+}
+
+// A part must never stand for the whole: the list would be the one backend that changed.
+func TestChangesBeforeAnyList(t *testing.T) {
+	t.Parallel()
+	a, b := newToy(t, ok), newToy(t, ok)
+	gone := line{"name": "s-a", "status": "gone"}
+	draining := ready("s-b", b)
+	draining["status"] = "draining"
+	first, askedFirst := on(t, func(n int, c net.Conn, _ *http.Request) {
+		io.WriteString(c, chunkedHead)
+		chunk(c, listing(7, true, ready("s-a", a), ready("s-b", b))+"\n")
+		c.Read(make([]byte, 1))
+	})
+	second, askedSecond := on(t, func(n int, c net.Conn, _ *http.Request) {
+		io.WriteString(c, chunkedHead)
+		if n == 1 {
+			chunk(c, listing(2, false, gone)+"\n") // changes, though the whole list was asked for
+		} else {
+			chunk(c, listing(3, true, draining)+"\n")
+		}
+		c.Read(make([]byte, 1))
+	})
+	p := run(t, launch(t, 200, "", first))
+	wants(t, askedFirst, "/api/targets?follow=1")
+	until(t, "the list", func() (has bool) { p.do(func() { has = p.watch.has }); return has })
+	p.Reload(config("", second, settingsText))
+	wants(t, askedSecond, "/api/targets?follow=1")
+	wants(t, askedSecond, "/api/targets?follow=1") // and not from version 2 on
+	until(t, "the whole", func() (has bool) { p.do(func() { has = p.watch.has }); return has })
+	p.do(func() {
+		if p.backends.byName["s-a"] != nil || p.backends.byName["s-b"].state != balance.Draining || p.watch.index != 3 {
+			t.Errorf("%v at %d", p.backends.byName, p.watch.index)
+		}
+	})
+}
+
+// An answer with an end is a list, not a watch: it is taken and asked for again, and not ten times a second.
+func TestWatchThatEndsAtOnce(t *testing.T) {
+	b := newToy(t, ok)
+	list := listing(7, true, ready("s-b", b)) + "\n"
+	for name, answer := range map[string]string{
+		"of a stated length":       fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list),
+		"of no bytes":              "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"in chunks, with the last": chunkedHead + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(list), list),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d, asked := on(t, func(n int, c net.Conn, _ *http.Request) { io.WriteString(c, answer) })
+			p := run(t, launch(t, 200, "", d))
+			wait, has := 0.0, false
+			for range 5 {
+				<-asked
+			}
+			until(t, "the end", func() (lost bool) {
+				p.do(func() { lost, wait, has = p.watch.lost, p.watch.wait, p.watch.has })
+				return lost
+			})
+			if has != strings.Contains(answer, "s-b") || wait < 8*againFirst {
+				t.Errorf("a list %t, asked again in %v s at the fifth time", has, wait)
+			}
+		})
+	}
+}
+
+// A new configuration crosses what the old discovery still had to say, its loss, and the timer that would open it again.
+func TestReloadCrossesTheOldWatch(t *testing.T) {
+	t.Parallel()
+	a, b := newToy(t, ok), newToy(t, ok)
+	for name, last := range map[string]func(c net.Conn){
+		"its last line": func(c net.Conn) { chunk(c, listing(9, true, ready("s-a", a))+"\n") },
+		"its end":       func(c net.Conn) { c.Close() },
+		"its reset":     func(c net.Conn) { fall(nil, c, nil) },
+		"its reopening": func(c net.Conn) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			now, done := make(chan bool), make(chan bool)
+			first, askedFirst := on(t, func(n int, c net.Conn, _ *http.Request) {
+				io.WriteString(c, chunkedHead)
+				chunk(c, listing(7, true, ready("s-a", a))+"\n")
+				<-now
+				last(c)
+				close(done)
+				c.Read(make([]byte, 1))
+			})
+			second, askedSecond := on(t, func(n int, c net.Conn, _ *http.Request) {
+				io.WriteString(c, chunkedHead)
+				chunk(c, listing(1, true, ready("s-b", b))+"\n")
+				c.Read(make([]byte, 1))
+			})
+			p := run(t, launch(t, 200, "", first))
+			wants(t, askedFirst, "/api/targets?follow=1")
+			until(t, "the list", func() (has bool) { p.do(func() { has = p.watch.has }); return has })
+			// Both in one turn: the old one's last is with the kernel when the configuration is turned to.
+			p.do(func() {
+				now <- true
+				if <-done; name == "its reopening" {
+					p.lostWatch(io.EOF)
+				}
+				p.turnTo(netip.MustParseAddrPort(second.Addr().String()))
+			})
+			wants(t, askedSecond, "/api/targets?follow=1")
+			until(t, "the new list", func() (has bool) { p.do(func() { has = p.watch.index == 1 }); return has })
+			p.do(func() {
+				if p.backends.byName["s-a"] != nil || p.backends.byName["s-b"] == nil || p.watch.lost {
+					t.Errorf("%v, lost %t", p.backends.byName, p.watch.lost)
+				}
+			})
+			select {
+			case uri := <-askedSecond:
+				t.Errorf("opened twice: %s", uri)
+			case <-time.After(2 * againFirst * 1e9):
+			}
+		})
+	}
+}
--- a/internal/proxy/helper_test.go
+++ b/internal/proxy/helper_test.go
@@ -60,7 +60,10 @@
 					if err != nil {
 						return
 					}
-					body, _ := io.ReadAll(r.Body)
+					body, err := io.ReadAll(r.Body)
+					if err != nil {
+						return // it broke off: no whole command came
+					}
 					r.Body = io.NopCloser(strings.NewReader(string(body)))
 					b.commands.Add(1)
 					b.mu.Lock()
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -17,9 +17,13 @@
 )
 
 const (
-	silence    = 5.0     // seconds without a line after which the watch is dead: two heartbeats and a half
+	// What is missed counts as told 6 s after the watch fell silent, or discovery could be reached again: silence, a wait and
+	// one opening that hangs must fit in, and so must an opening that hangs, the longest wait and another.
+	heartbeat  = 2.0     // seconds between empty lines while nothing changes
+	silence    = 3.0     // seconds without a whole line after which the watch is dead: a heartbeat and a half
+	opensIn    = 2.0     // seconds in which it must be up and its head there: connections may come up 1.5 s late
 	againFirst = 0.1     // seconds before a lost watch is opened again, doubling, with jitter
-	againLast  = 2.0     // seconds, longest such wait: as long as a heartbeat
+	againLast  = 1.3     // seconds, longest such wait: one call a second, and see above
 	lineMost   = 8 << 20 // bytes of a message: tens of thousands of backends
 )
 
@@ -51,23 +55,26 @@
 	has      bool // a list was had
 	heard    bool // a line was had since the start
 	cutter   objects.Cutter
+	had      int // bytes of the answer's body
+	lost     bool
 	wait     float64
 	again    *loop.Timer // opens it after a loss
-	silentAt float64
+	lineAt   float64     // when this answer's first line came, 0 before
+	silentAt float64     // from when on it counts as dead
 }
 
 // connect opens the watch.
 func (p *Proxy) connect() {
 	w := &p.watch
 	conn, err := p.loop.Dial(w.at, watcher{p}, lineMost)
-	w.conn, w.cutter, w.chunks = conn, objects.Cutter{Most: lineMost}, http1.Chunks{}
+	w.conn, w.cutter, w.chunks, w.had, w.lineAt = conn, objects.Cutter{Most: lineMost}, http1.Chunks{}, 0, 0
 	w.msg.Reset()
 	if err != nil {
 		w.conn = nil
 		p.lostWatch(err)
 		return
 	}
-	w.silentAt = p.loop.Now() + silence
+	w.silentAt = p.loop.Now() + opensIn
 }
 
 // turnTo leaves discovery where it was for another address. Indexes need not mean the same there, so the whole list is
@@ -85,16 +92,21 @@
 	p.connect()
 }
 
-// lostWatch opens it again after a while.
+// lostWatch opens it again after a while, a longer one each time that it did not last: an answer that ends at once is no
+// reason to ask ten times a second.
 func (p *Proxy) lostWatch(err error) {
 	w := &p.watch
 	if w.conn != nil {
 		w.conn.Close()
 		w.conn = nil
 	}
-	if w.wait == 0 {
+	if w.lineAt > 0 && p.loop.Now()-w.lineAt >= heartbeat {
+		w.wait = 0
+	}
+	if !w.lost {
 		log.Printf("msg=watch_lost error=%q", err)
 	}
+	w.lost, w.lineAt = true, 0
 	w.wait = min(againLast, max(againFirst, 2*w.wait))
 	w.again = p.loop.After(w.wait*(0.5+0.5*p.chance()), p.connect)
 	p.balancer.ListFailed(p.loop.Now())
@@ -130,13 +142,10 @@
 			return
 		}
 		c.Consume(w.msg.HeadSize())
+		w.silentAt = h.p.loop.Now() + silence
 	}
-	w.silentAt = h.p.loop.Now() + silence + h.p.chance()
-	for len(c.In()) > 0 {
-		data, used, done, err := c.In(), len(c.In()), false, error(nil)
-		if w.msg.Chunked() {
-			data, used, done, err = w.chunks.Next(c.In())
-		}
+	for len(c.In()) > 0 || w.msg.Length() == w.had {
+		data, used, done, err := h.piece(c.In())
 		if err == nil {
 			err = h.lines(data)
 		}
@@ -154,6 +163,20 @@
 	}
 }
 
+// piece is the next part of the answer's body, which may be as long as it likes where its length is not said.
+func (h watcher) piece(in []byte) (data []byte, used int, done bool, err error) {
+	w := &h.p.watch
+	data, used = in, len(in)
+	if w.msg.Chunked() {
+		data, used, done, err = w.chunks.Next(in)
+	} else if n := w.msg.Length(); n >= 0 {
+		data = in[:min(len(in), n-w.had)]
+		used, done = len(data), w.had+len(data) == n
+	}
+	w.had += len(data)
+	return data, used, done, err
+}
+
 // lines takes each whole object in the data, however it is laid out; what is left is kept for the next. An empty line says
 // that discovery lives.
 func (h watcher) lines(data []byte) error {
@@ -170,24 +193,34 @@
 				return err
 			}
 		}
-		if w.wait > 0 {
+		now := h.p.loop.Now()
+		if w.lost {
 			log.Printf("msg=watch_back index=%d", w.index)
 		}
-		w.heard, w.wait = true, 0
+		if w.lineAt == 0 {
+			w.lineAt = now
+		}
+		// Only what is whole renews it: an object that comes byte by byte and never ends tells nothing.
+		w.heard, w.lost, w.silentAt = true, false, now+silence
 		if len(object) > 0 {
-			h.p.take(&l)
+			if h.p.take(&l); !w.has {
+				return errors.New("changes before any list")
+			}
 		}
 	}
 }
 
-// take brings the backends up to date and tells the Balancer.
+// take brings the backends up to date and tells the Balancer. Changes where no list was had are true of those they name,
+// drains above all, but never stand for the whole: that is still to be asked for.
 func (p *Proxy) take(l *roster) {
 	s := &p.backends
 	if !l.Snapshot && p.watch.has && l.Index < p.watch.index {
 		log.Printf("msg=old_news index=%d known=%d", l.Index, p.watch.index) // a later line may have said the contrary
 		return
 	}
-	p.watch.index, p.watch.has = l.Index, true
+	if l.Snapshot || p.watch.has {
+		p.watch.index, p.watch.has = l.Index, true
+	}
 	var entries []balance.Entry
 	named := map[string]bool{}
 	for _, e := range l.Endpoints {
