Nothing is begun for a client whose end waits unread in a late turn

A loop that is in time is told of the end before; one that stood still, or has little of its core, finds it in the same turn as what begins an attempt: a first relay's failure (Balancer.again), a connection that came up (link.Up), the command itself read with its client's end, timers for copies. Lines at fault: internal/proxy/host.go Relay and backends.go Up looked at what had been read alone; loop.go gave all timers and posted work of a turn the time at which the first began.

Change: where the loop is late (looked over 20 ms ago, or the turn is that old) Relay and Up look at the client's connection (one peek) and the client's end is taken first. Timers and posted work read the clock each. In time nothing is looked at.

Three tests hold the loop until both events are with the kernel.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -185,6 +185,17 @@
 	return err == unix.EAGAIN && !c.down
 }
 
+// Gone tells whether the other side has ended the connection or reset it, behind what was read: the loop may not have come
+// to that yet. Where more has come before the end it does not show.
+func (c *Conn) Gone() bool {
+	if c.fd < 0 || c.down {
+		return true
+	}
+	var b [1]byte
+	n, _, err := unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n == 0 && err == nil || err != nil && err != unix.EAGAIN && err != unix.EINTR
+}
+
 // Pause stops reading, so that In stays in place; that the other side is gone is still noticed. The kernel is told only
 // if something comes meanwhile: most pauses are over before, and each word to it is a system call. In a long message
 // something will.
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -91,6 +91,9 @@
 // Slept tells that the loop last looked, or stood still, so long ago that what is read now may have come a while before.
 func (l *Loop) Slept() bool { return l.turn-l.looked > sleptFrom || l.turn < l.backlog }
 
+// Late tells the same, also of a turn that has gone on for so long: others' ends may wait to be read since.
+func (l *Loop) Late() bool { return l.Slept() || l.clock()-l.turn > sleptFrom }
+
 // Post has f run on the next turn; only for the loop's own goroutine.
 func (l *Loop) Post(f func()) { l.posted = append(l.posted, f) }
 
@@ -175,8 +178,8 @@
 				n, _ = unix.EpollWait(l.epoll, events[:], 0) // interrupted: the next turn has them
 			}
 		}
-		l.now = l.clock()
 		for len(l.timers) > 0 && l.timers[0].at <= l.turn {
+			l.now = l.clock() // for each: those due after a pause are many, and what they do goes by the time
 			if t := l.timers.pop(); t.do != nil {
 				t.do()
 			} else if t.wake != nil {
@@ -185,6 +188,7 @@
 		}
 		l.running, l.posted = l.posted, l.running[:0]
 		for i, f := range l.running {
+			l.now = l.clock()
 			f()
 			l.running[i] = nil
 		}
--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -254,6 +254,11 @@
 	l.up = true
 	l.timer.Stop()
 	r := l.relay
+	if c := r.cmd.from; c != nil && c.leftUnseen() {
+		if c.Down(c.conn, io.EOF); r.over {
+			return // called back
+		}
+	}
 	if r.cmd.done || r.cmd.fed || l.to.state != balance.Ready || !l.p.balancer.Opened(l.p.loop.Now(), r.cmd.id, r.n) {
 		r.link = nil
 		l.rest(true)
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -153,8 +153,16 @@
 	}
 }
 
+// leftUnseen tells that the client has gone and the loop, being late, has not come to that: a process that stood still, or
+// one with little of its core, finds timers and others' failures due before it has read who left. Nothing more is begun for
+// such a client. A loop that is in time is told soon enough.
+func (c *client) leftUnseen() bool { return c.p.loop.Late() && c.conn.Gone() }
+
 // Down says that the client has gone away.
 func (c *client) Down(*loop.Conn, error) {
+	if c.gone {
+		return
+	}
 	cmd, feed := c.cmd, c.feed
 	if cmd != nil {
 		c.cmd, c.feed = nil, nil
--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -287,3 +288,126 @@
 		})
 	}
 }
+
+// ---- A client that has gone.
+
+// trap is two backends that answer until it is set; then whoever gets a command tells so, and breaks it off when told.
+type trap struct {
+	set      atomic.Bool
+	got, cue chan bool
+	of       [2]*toy
+}
+
+func newTrap(t *testing.T) *trap {
+	x := &trap{got: make(chan bool, 9), cue: make(chan bool)}
+	for i := range x.of {
+		x.of[i] = newToy(t, func(b *toy, c net.Conn, r *http.Request) {
+			if !x.set.Load() {
+				ok(b, c, r)
+				return
+			}
+			x.got <- true
+			if <-x.cue {
+				fall(b, c, r)
+			}
+		})
+	}
+	return x
+}
+
+// warmed is a proxy with a connection at rest to each of the two.
+func (x *trap) warmed(t *testing.T) *running {
+	p := run(t, launch(t, 200, listing(1, true, ready("s-1", x.of[0]), ready("s-2", x.of[1])), nil))
+	c := p.caller(t)
+	until(t, "connections at rest", func() (both bool) {
+		if status, _, _ := c.ask(text("look")); status != 200 {
+			t.Errorf("answered %d", status)
+		}
+		p.do(func() {
+			both = true
+			for _, b := range p.backends.byName {
+				both = both && len(b.idle) > 0 && p.loop.Now()-b.idle[0].since > aired
+			}
+		})
+		return both
+	})
+	x.set.Store(true)
+	return p
+}
+
+func (x *trap) commands() int32 { return x.of[0].commands.Load() + x.of[1].commands.Load() }
+
+// hold lets the time pass in which a loop counts as late.
+func (p *Proxy) hold(t *testing.T, seconds float64) {
+	began := time.Now()
+	until(t, "the time", func() bool { return time.Since(began).Seconds() > seconds })
+}
+
+// The failure of a first relay and its client's end wait for the same turn, the failure first: no further relay is begun.
+func TestClientLeavesAsItsRelayFails(t *testing.T) {
+	t.Parallel()
+	x := newTrap(t)
+	p := x.warmed(t)
+	c, before := p.caller(t), x.commands()
+	io.WriteString(c, text("look"))
+	<-x.got
+	p.do(func() {
+		var cmd *command
+		for _, cmd = range p.commands {
+		}
+		from, l := cmd.from.conn, cmd.relays[0].link.conn
+		x.cue <- true
+		until(t, "the reset", l.Gone)
+		c.Close()
+		until(t, "the client's end", from.Gone)
+		p.hold(t, 0.03)
+	})
+	until(t, "the departure", func() (gone bool) { p.do(func() { gone = p.departed == 1 && len(p.commands) == 0 }); return gone })
+	if ran := x.commands() - before; ran != 1 {
+		t.Errorf("ran %d times", ran)
+	}
+}
+
+// A connection to a backend comes up in the turn in which the client's end waits to be read: nothing is written on it.
+func TestClientLeavesAsItsConnectionComesUp(t *testing.T) {
+	t.Parallel()
+	b := newToy(t, ok)
+	p := launch(t, 200, listing(1, true, ready("s-1", b)), nil)
+	var c *caller
+	held := false
+	r := runHeld(t, p, func() {
+		if l := p.dialling("s-1"); l != nil && !held {
+			held = true
+			from := l.relay.cmd.from.conn
+			c.Close()
+			until(t, "the client's end", from.Gone)
+			p.hold(t, 0.03)
+		}
+	})
+	c = r.caller(t)
+	io.WriteString(c, text("look"))
+	until(t, "the departure", func() (gone bool) { r.do(func() { gone = p.departed == 1 && len(p.commands) == 0 }); return gone })
+	if !held || b.commands.Load() != 0 {
+		t.Errorf("held %t, ran %d times", held, b.commands.Load())
+	}
+}
+
+// A process that stood still finds a command and its client's end at once: the client has long gone.
+func TestCommandAndEndReadTogether(t *testing.T) {
+	t.Parallel()
+	x := newTrap(t)
+	p := x.warmed(t)
+	before := x.commands()
+	p.do(func() {
+		c := p.caller(t)
+		io.WriteString(c, text("look"))
+		c.Close()
+		p.hold(t, stoodLong)
+	})
+	until(t, "the departure", func() (gone bool) { p.do(func() { gone = p.departed == 1 && len(p.commands) == 0 }); return gone })
+	if ran := x.commands() - before; ran != 0 {
+		t.Errorf("ran %d times", ran)
+	}
+}
+
+const stoodLong = 0.15 // seconds: more than what a loop takes for standing still
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -2,7 +2,11 @@
 // the Balancer from inside these methods; what is known at once is reported on the next turn.
 package proxy
 
-import "sandpass/balance"
+import (
+	"io"
+
+	"sandpass/balance"
+)
 
 // Relay sends a command to a backend.
 func (p *Proxy) Relay(id uint64, to balance.BackendID) {
@@ -18,6 +22,11 @@
 		p.later(r, balance.Moot)
 		return
 	}
+	if c := cmd.from; c.leftUnseen() {
+		p.loop.Post(func() { c.Down(c.conn, io.EOF) }) // before the relay's end is told, which would begin another
+		p.later(r, balance.Moot)
+		return
+	}
 	p.start(r)
 }
 
