A connection to a process that the list has replaced carries nothing more

Cause, from reading, then forced: Up and rest looked at the backend's state alone, while take had put another address or start under the same name meanwhile (watch.go closes only the connections at rest then). A dial begun before came up at an address that may be anybody's, and was written to; an answer of the old process brought its connection back among the new one's. Change: a link knows the address and start that it was opened for; one that strays from its backend's is moot in Up and closed in rest.

--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -72,6 +72,8 @@
 type link struct {
 	p     *Proxy
 	to    *target
+	at    netip.AddrPort // where it leads, and when the process there started, as the list had it
+	born  float64
 	conn  *loop.Conn
 	msg   http1.Message
 	relay *relay // under way, nil while idle
@@ -144,7 +146,7 @@
 		p.later(r, balance.Moot) // no descriptor: never sent, and not the backend's fault
 		return
 	}
-	l := &link{p: p, to: t, relay: r}
+	l := &link{p: p, to: t, at: t.at, born: t.since, relay: r}
 	conn, err := p.loop.Dial(t.at, l, http1.MaxWhole)
 	if err != nil {
 		if err == unix.EMFILE || err == unix.ENFILE {
@@ -186,7 +188,7 @@
 
 // rest keeps the connection for another relay, if it may carry one.
 func (l *link) rest(keep bool) {
-	if !keep || l.to.state != balance.Ready || l.conn.Unsent() || len(l.conn.In()) > 0 {
+	if !keep || l.to.state != balance.Ready || l.stray() || l.conn.Unsent() || len(l.conn.In()) > 0 {
 		l.close()
 		return
 	}
@@ -259,7 +261,7 @@
 			return // called back
 		}
 	}
-	if r.cmd.done || r.cmd.fed || l.to.state != balance.Ready || !l.p.balancer.Opened(l.p.loop.Now(), r.cmd.id, r.n) {
+	if r.cmd.done || r.cmd.fed || l.to.state != balance.Ready || l.stray() || !l.p.balancer.Opened(l.p.loop.Now(), r.cmd.id, r.n) {
 		r.link = nil
 		l.rest(true)
 		l.p.report(r, balance.Moot)
@@ -268,6 +270,10 @@
 	l.send()
 }
 
+// stray tells that the list has put another process in the place of the one that it leads to, or the same elsewhere: who
+// answers at an address that was left may be anybody.
+func (l *link) stray() bool { return l.at != l.to.at || l.born != l.to.since }
+
 func (l *link) Flushed(*loop.Conn) {
 	if r := l.relay; r != nil && r.cmd.from != nil && r.cmd.from.feed == l {
 		r.cmd.from.feedMore()
--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -411,3 +411,51 @@
 }
 
 const stoodLong = 0.15 // seconds: more than what a loop takes for standing still
+
+// ---- An attempt and the list.
+
+func moves(name string, to net.Listener) line {
+	l := ready(name, to)
+	l["since_ms"] = 5 // long ago, and yet another process
+	return l
+}
+
+// The list puts another process in a backend's place while a connection to the first is being opened: it comes up, and who
+// answers there may be anybody.
+func TestBackendReplacedWhileDialling(t *testing.T) {
+	t.Parallel()
+	left, now := newToy(t, ok), newToy(t, ok)
+	p := launch(t, 200, listing(1, true, ready("s-1", left)), nil)
+	moved, held := decode(t, listing(2, false, moves("s-1", now))), false
+	r := runHeld(t, p, func() {
+		if l := p.dialling("s-1"); l != nil && !held {
+			held = true
+			p.take(moved)
+		}
+	})
+	status, _, _ := r.caller(t).ask(text("pay", "Content-Length: 0\r\n"))
+	if !held || status != 503 || left.commands.Load()+now.commands.Load() != 0 { // there is no other: declined, harmlessly
+		t.Errorf("held %t, status %d, the first ran %d, the second %d", held, status, left.commands.Load(), now.commands.Load())
+	}
+}
+
+// It does so while the first still works: its answer is taken, and its connection carries nothing more.
+func TestBackendReplacedWhileItWorks(t *testing.T) {
+	t.Parallel()
+	finish := make(chan bool)
+	left, now := newToy(t, func(b *toy, c net.Conn, r *http.Request) { <-finish; ok(b, c, r) }), newToy(t, ok)
+	r := run(t, launch(t, 200, listing(1, true, ready("s-1", left)), nil))
+	c := r.caller(t)
+	io.WriteString(c, text("pay", "Content-Length: 0\r\n"))
+	until(t, "the command", func() bool { return left.commands.Load() == 1 })
+	moved := decode(t, listing(2, false, moves("s-1", now)))
+	r.do(func() { r.take(moved) })
+	close(finish)
+	if status, _, _ := c.read(); status != 200 {
+		t.Errorf("the first answered %d", status)
+	}
+	time.Sleep(2 * aired * 1e9)
+	if status, _, _ := c.ask(text("pay", "Content-Length: 0\r\n")); status != 200 || left.commands.Load() != 1 || now.commands.Load() != 1 {
+		t.Errorf("status %d, the first ran %d, the second %d", status, left.commands.Load(), now.commands.Load())
+	}
+}
