--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -51,14 +51,15 @@
 		t.Fatal(err)
 	}
 	both := decode(t, listing(2, true, ready("s-1", first), ready("s-2", second)))
-	held, told := false, false
+	var held atomic.Bool
+	told := false
 	r := runHeld(t, p, func() {
 		if !told && len(p.commands) > 0 { // it went to the one that fails: the other is listed only now
 			told = true
 			p.take(both)
 		}
-		if l := p.dialling("s-2"); l != nil && !held {
-			held = true
+		if l := p.dialling("s-2"); l != nil && !held.Load() {
+			held.Store(true)
 			until(t, "the window's end", func() bool { return float64(time.Now().UnixMicro())/1e6 > l.relay.cmd.relays[0].sent+window })
 		}
 	})
@@ -68,8 +69,8 @@
 		t.Error(err)
 	}
 	r.ended <- nil
-	if !held || status != 502 || first.commands.Load() != 1 || second.commands.Load() != 0 {
-		t.Errorf("held %t, status %d, ran %d and %d times", held, status, first.commands.Load(), second.commands.Load())
+	if !held.Load() || status != 502 || first.commands.Load() != 1 || second.commands.Load() != 0 {
+		t.Errorf("held %t, status %d, ran %d and %d times", held.Load(), status, first.commands.Load(), second.commands.Load())
 	}
 }
 
@@ -374,10 +375,10 @@
 	b := newToy(t, ok)
 	p := launch(t, 200, listing(1, true, ready("s-1", b)), nil)
 	var c *caller
-	held := false
+	var held atomic.Bool
 	r := runHeld(t, p, func() {
-		if l := p.dialling("s-1"); l != nil && !held {
-			held = true
+		if l := p.dialling("s-1"); l != nil && !held.Load() {
+			held.Store(true)
 			from := l.relay.cmd.from.conn
 			c.Close()
 			until(t, "the client's end", from.Gone)
@@ -387,8 +388,8 @@
 	c = r.caller(t)
 	io.WriteString(c, text("look"))
 	until(t, "the departure", func() (gone bool) { r.do(func() { gone = p.departed == 1 && len(p.commands) == 0 }); return gone })
-	if !held || b.commands.Load() != 0 {
-		t.Errorf("held %t, ran %d times", held, b.commands.Load())
+	if !held.Load() || b.commands.Load() != 0 {
+		t.Errorf("held %t, ran %d times", held.Load(), b.commands.Load())
 	}
 }
 
@@ -426,16 +427,17 @@
 	t.Parallel()
 	left, now := newToy(t, ok), newToy(t, ok)
 	p := launch(t, 200, listing(1, true, ready("s-1", left)), nil)
-	moved, held := decode(t, listing(2, false, moves("s-1", now))), false
+	moved := decode(t, listing(2, false, moves("s-1", now)))
+	var held atomic.Bool
 	r := runHeld(t, p, func() {
-		if l := p.dialling("s-1"); l != nil && !held {
-			held = true
+		if l := p.dialling("s-1"); l != nil && !held.Load() {
+			held.Store(true)
 			p.take(moved)
 		}
 	})
 	status, _, _ := r.caller(t).ask(text("pay", "Content-Length: 0\r\n"))
-	if !held || status != 503 || left.commands.Load()+now.commands.Load() != 0 { // there is no other: declined, harmlessly
-		t.Errorf("held %t, status %d, the first ran %d, the second %d", held, status, left.commands.Load(), now.commands.Load())
+	if !held.Load() || status != 503 || left.commands.Load()+now.commands.Load() != 0 { // there is no other: declined, harmlessly
+		t.Errorf("held %t, status %d, the first ran %d, the second %d", held.Load(), status, left.commands.Load(), now.commands.Load())
 	}
 }
 
