An answer of no stated length that trickles on ends at its command's time limit

Cause, from reading, then forced: such an answer goes on as it comes after 0.25 s (stream.go, pass), which stopped the command's timer for good; each byte renewed the 10 s in which it may stand still, so that only 32 MiB ended it. Its client is owed an answer by its time. Change: one that has not passed 64 KiB by the time limit is broken off so that the client can tell; of a longer one the first bytes are timed, and it goes on.

--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -461,3 +461,31 @@
 		t.Errorf("status %d, the first ran %d, the second %d", status, left.commands.Load(), now.commands.Load())
 	}
 }
+
+// ---- Cut answers.
+
+// An answer of no stated length that goes on byte by byte had no end at all once it was passed on. Its client is owed one by
+// its time limit, and must see that it is not whole.
+func TestAnswerThatNeverEnds(t *testing.T) {
+	t.Parallel()
+	for name, head := range map[string]string{"in chunks": chunkedHead, "to the end": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newToy(t, func(_ *toy, c net.Conn, _ *http.Request) {
+				piece := "drip"
+				if head == chunkedHead {
+					piece = "4\r\ndrip\r\n"
+				}
+				for _, err := io.WriteString(c, head); err == nil; _, err = io.WriteString(c, piece) {
+					time.Sleep(20 * time.Millisecond)
+				}
+			})
+			c := run(t, launch(t, 200, listing(1, true, ready("s-1", b)), nil)).caller(t)
+			began := time.Now()
+			status, text, _ := c.ask(strings.Replace(text("look"), "2.5", "0.8", 1))
+			if took := time.Since(began).Seconds(); status != 0 || took < 0.7 || took > 1.3 {
+				t.Errorf("status %d, %q after %.2f s", status, text, took)
+			}
+		})
+	}
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -66,6 +66,9 @@
 	in := l.conn.In()
 	cmd.stream, cmd.fed, r.took = l, true, now-r.sent
 	cmd.timer.Stop()
+	if l.msg.Length() < 0 {
+		cmd.timer = p.loop.After(cmd.expires-now, func() { l.endless(cmd) })
+	}
 	l.timer.Stop()
 	c.keep = c.msg.Keep && !p.closes() && !c.coming && (l.msg.Length() >= 0 || !c.msg.Old())
 	c.chunked = l.msg.Length() < 0 && !c.msg.Old()
@@ -163,6 +166,16 @@
 	p.report(r, balance.Answered)
 }
 
+// endless ends a passage at its command's time limit if it is no long answer by then: one that trickles on would never end,
+// while of a long one only the first bytes are timed.
+func (l *link) endless(cmd *command) {
+	if cmd.stream == l && l.msg.Decoded() <= http1.Held {
+		log.Printf("msg=answer_endless command=%d bytes=%d", cmd.id, l.msg.Decoded())
+		l.p.bad++
+		l.breakOff(balance.TimedOut)
+	}
+}
+
 // breakOff ends a passage that can't be made whole, so that the client can tell.
 func (l *link) breakOff(result balance.Result) {
 	l.p.cut(l.relay.cmd)
