New settings: what was held against one customer goes with it, not with its place

Cause, from reading, then forced: the table of sorts was keyed by the customer's number in the settings (balancer.go, Command), and Turn carried allowances over by Was but left that table: after a SIGHUP that names customers in another order, the places of one whose commands wait for a lock were cut from who had its number. Change: each customer has a mark of its own that Turn carries. Test without it: 'held are the one with the lock false, the new one true, the other false'.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -760,7 +760,7 @@
 		c.priority *= b.overage
 	}
 	b.commands[id] = c
-	c.sorts[0] = b.table.of(uint64(customer)<<1|1, now, sortSpan)
+	c.sorts[0] = b.table.of(b.mark(customer)<<1|1, now, sortSpan)
 	if key != 0 {
 		c.sorts[1] = b.table.of(key<<1, now, sortSpan)
 	}
--- a/balance/instance.go
+++ b/balance/instance.go
@@ -35,8 +35,8 @@
 	}
 	b.now, b.tick, b.place, b.overage, b.limits, b.cold = now, tick, place, overage, limits, cold
 	b.mustAsk, b.topUtil = mustAsk, 0
-	oldVerbs, oldShares := b.verbs, b.shares
-	b.verbs, b.customers, b.shares = nil, customers, nil
+	oldVerbs, oldShares, oldMarks := b.verbs, b.shares, b.marks
+	b.verbs, b.customers, b.shares, b.marks = nil, customers, nil, nil
 	for _, v := range verbs {
 		l := &learnt{copies: bucket{0, now}, delay: newDelay(now)}
 		if v.Was >= 0 && v.Was < len(oldVerbs) {
@@ -46,11 +46,12 @@
 		b.verbs = append(b.verbs, &verb{v, l})
 	}
 	for _, c := range customers {
-		share := bucket{max(1, c.Allowance*shareBurst), now}
+		b.lastMark++
+		share, mark := bucket{max(1, c.Allowance*shareBurst), now}, b.lastMark
 		if c.Was >= 0 && c.Was < len(oldShares) {
-			share = oldShares[c.Was]
+			share, mark = oldShares[c.Was], oldMarks[c.Was]
 		}
-		b.shares = append(b.shares, share)
+		b.shares, b.marks = append(b.shares, share), append(b.marks, mark)
 	}
 	b.view.Resize(max(1, place.Siblings))
 	b.arrange()
@@ -60,6 +61,15 @@
 	b.dispatch()
 }
 
+// mark is a customer's own for good: its place among the others changes with the settings, and what was learned of one must
+// never be held against who has its place now. Those without a name share 0.
+func (b *Balancer) mark(customer int) uint64 {
+	if customer >= len(b.marks) {
+		return 0
+	}
+	return b.marks[customer]
+}
+
 // Verbs is the number of verbs it was started with.
 func (b *Balancer) Verbs() int { return len(b.verbs) }
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -65,6 +65,8 @@
 	verbs         []*verb
 	customers     []Customer
 	shares        []bucket
+	marks         []uint64 // of the customers, whatever their places
+	lastMark      uint64
 	service       breaker
 	anyDelay      delay      // of all verbs together
 	fleet         []*backend // by id
--- a/balance/troubles_test.go
+++ b/balance/troubles_test.go
@@ -288,6 +288,40 @@
 	}
 }
 
+// New settings name the customers in another order. What was held against one, whose commands wait for a lock, was held
+// against who had its place from then on, and no longer against itself.
+func TestNewSettingsMixNoCustomers(t *testing.T) {
+	customers := []Customer{{Allowance: 1e6, Was: -1}, {Allowance: 1e6, Was: -1}}
+	l := newLoad(t, setup{backends: ready(6), customers: customers, limits: Limits{Relays: 3, Cancel: true}})
+	ill := 1
+	l.took = func(cmd, _ uint64) float64 { return 0.2 + 4.8*one(cmd%5 == 0) } // the goal is 2.5
+	serve := func() {
+		for range 1000 {
+			if l.pass(0.02); (l.cmd+1)%5 == 0 {
+				l.begin(1000+l.cmd, ill)
+			} else {
+				l.begin(1000+l.cmd, 1-ill)
+			}
+		}
+	}
+	held := func(customer int) bool {
+		l.begin(9, customer)
+		c := l.b.commands[l.cmd]
+		return c != nil && c.apart() || slices.Contains(l.declined, l.cmd)
+	}
+	serve()
+	if held(0) || !held(1) {
+		t.Fatal("the customer that waits for a lock should be held, alone")
+	}
+	verbs := []Verb{l.b.verbs[0].Verb, l.b.verbs[1].Verb}
+	verbs[0].Was, verbs[1].Was = 0, 1
+	l.b.Turn(l.now, l.b.tick, l.b.place, verbs, []Customer{{Allowance: 1e6, Was: 1}, {Allowance: 1e6, Was: -1}, {Allowance: 1e6, Was: 0}},
+		0.1, l.b.limits, l.b.cold, false)
+	if !held(0) || held(2) || held(1) {
+		t.Errorf("held are the one with the lock %t, the new one %t, the other %t", held(0), held(1), held(2))
+	}
+}
+
 func TestWhatFailsEverywhereCostsOneRelayEach(t *testing.T) {
 	l := newLoad(t, setup{backends: ready(6), limits: Limits{Relays: 4, SecondCopies: true, Cancel: true}})
 	l.took = func(cmd, key uint64) float64 {
