--- a/balance/size_test.go
+++ b/balance/size_test.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 )
@@ -193,3 +195,120 @@
 		budget(t)
 	})
 }
+
+// Cold backends bear what the settings allow from all processes together, and beyond it only what chance may add, however
+// many processes there are and however little each sees: a sum of first tokens, processes that have just started and know no
+// rate, the traffic of seven in ten that were killed arriving at the rest, half of the backends cold at once.
+func TestColdSumOfAll(t *testing.T) {
+	const backends, span, step = 20, 1.5, 0.05
+	cold := func(now float64, n int) (list []Entry) {
+		for i := range n {
+			list = append(list, Entry{ID: id(i), State: Gone}, Entry{ID: id(100 + i), Size: 1, Started: now})
+		}
+		return list
+	}
+	for _, story := range []struct {
+		name   string
+		new    int
+		kill   bool
+		served float64 // seconds before the news
+	}{
+		{name: "one of them is new", new: 1, served: 12},
+		{name: "half of them are new", new: backends / 2, served: 12},
+		{name: "half are new and seven in ten processes are killed, and back 2 s later", new: backends / 2, kill: true, served: 12},
+		{name: "all processes have just started", new: backends / 2, served: 0},
+	} {
+		for _, instances := range []int{2, 30, 300} {
+			worst, over, of, used := 0.0, 0, 0, 0
+			for seed := range 20 {
+				chance := rand.New(rand.NewPCG(uint64(seed), uint64(instances)))
+				hosts := make([]*fakeHost, instances)
+				begin := func(i int, now float64, list []Entry) {
+					h := start(t, setup{backends: list, place: Place{Me: i, Siblings: instances}, seed: uint64(seed*1000 + i)})
+					h.now, h.b.start, h.b.now = now, now, now
+					h.b.Fleet(now, true, list)
+					hosts[i] = h
+				}
+				now := 1000.0
+				for i := range hosts {
+					begin(i, now, ready(backends))
+				}
+				rate := 40.0 // a second, of all; each backend's usual is a twentieth of it
+				got, cmd, told, list := map[BackendID][]float64{}, uint64(0), now+story.served, []Entry(nil)
+				for end := told + 6; now < end; now += step {
+					if list == nil && now >= told {
+						list = cold(now, story.new)
+						for _, h := range hosts {
+							h.until(now)
+							h.b.Fleet(now, false, list)
+						}
+						whole := []Entry{}
+						for _, e := range append(ready(backends), list...) {
+							if e.State != Gone && !slices.ContainsFunc(list, func(x Entry) bool { return x.ID == e.ID && x.State == Gone }) {
+								whole = append(whole, e)
+							}
+						}
+						list = whole
+						if story.kill {
+							for i := range hosts {
+								if i%10 < 7 {
+									hosts[i] = nil
+								}
+							}
+						}
+					}
+					if story.kill && now >= told+2 {
+						for i, h := range hosts {
+							if h == nil {
+								begin(i, now, list)
+							}
+						}
+					}
+					var alive []*fakeHost
+					for _, h := range hosts {
+						if h != nil {
+							alive = append(alive, h)
+						}
+					}
+					for n := rate * step; n > 0 && len(alive) > 0; n-- {
+						if n < 1 && chance.Float64() > n {
+							break
+						}
+						h := alive[chance.IntN(len(alive))]
+						cmd++
+						h.until(now)
+						h.b.Command(now, cmd, 0, 0, now+6, 0)
+						for n, to := range h.toOf(cmd) {
+							got[to] = append(got[to], now)
+							h.outcome(cmd, n, Answered)
+						}
+						h.relays = h.relays[:0]
+					}
+				}
+				for i := range story.new {
+					at := got[id(100+i)]
+					used += len(at)
+					for a, from := range at {
+						part := 0.2 + 0.8*(from-told)/10
+						allowed := 3 * part * rate / backends * span
+						n := 0
+						for _, x := range at[a:] {
+							if x < from+span {
+								n++
+							}
+						}
+						of++
+						if past := float64(n) - (allowed + 2*math.Sqrt(allowed) + 2); past > 0 {
+							over++
+							worst = max(worst, past)
+						}
+					}
+				}
+			}
+			t.Logf("%s, %d processes: %d commands, %d of %d windows over, by %.1f at most", story.name, instances, used, over, of, worst)
+			if over > 0 || used == 0 {
+				t.Errorf("%s, %d processes: %d of %d windows over, by %.1f at most; %d commands", story.name, instances, over, of, worst, used)
+			}
+		}
+	}
+}
