A bell rung after the loop's end reaches nobody

Seen: TestTheEndGoesByTheLongestVerb read 'malformed HTTP version \x01\x00\x00\x00\x00\x00\x00\x00HTTP/1.1': the eight bytes are those that Ring writes to the loop's eventfd (loop.go). Close gave the descriptor back and Ring, which signals and reloads call from other goroutines, wrote to its number all the same: a client's connection by then. In the program it can only meet a process that is ending; in the tests it met other tests' clients. Change: Ring and Close take turns, and a closed loop's bell is not rung. TestABellRungAfterCloseReachesNobody without it: '8 bytes came to who has its number'.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -34,6 +35,7 @@
 // Loop waits for descriptors, timers and posted work, and calls back.
 type Loop struct {
 	epoll, bell int
+	ringing     sync.Mutex // the bell is rung from other goroutines, and is gone after Close
 	started     time.Time
 	base        float64 // Unix time in seconds at the start
 	turn        float64 // when this turn began
@@ -100,13 +102,24 @@
 // Held is how many bytes beyond first buffers connections hold.
 func (l *Loop) Held() int { return l.grown }
 
-// Ring ends a wait from another goroutine, such as the one that receives signals.
-func (l *Loop) Ring() { unix.Write(l.bell, []byte{1, 0, 0, 0, 0, 0, 0, 0}) }
+// Ring ends a wait from another goroutine, such as the one that receives signals. Once the loop is closed it does nothing:
+// the bell's number may be another's by then, a connection's, and would get these bytes.
+func (l *Loop) Ring() {
+	l.ringing.Lock()
+	defer l.ringing.Unlock()
+	if l.bell >= 0 {
+		unix.Write(l.bell, []byte{1, 0, 0, 0, 0, 0, 0, 0})
+	}
+}
 
 // Close gives back what the loop itself holds, after Run.
 func (l *Loop) Close() {
+	l.ringing.Lock()
+	defer l.ringing.Unlock()
 	unix.Close(l.bell)
 	unix.Close(l.epoll)
+	l.bell = -1
+
 }
 
 // Stop lets Run return after this turn.
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -253,3 +253,34 @@
 		}
 	})
 }
+
+// A signal that comes as the process ends rang the bell of a loop that was closed: a connection had its number by then, and
+// its client read eight bytes that nobody had sent.
+func TestABellRungAfterCloseReachesNobody(t *testing.T) {
+	l, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	bell := l.bell
+	l.Close()
+	for range 1000 { // until one end of a pair has its number: the kernel gives the lowest that is free
+		ends, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer unix.Close(ends[0])
+		defer unix.Close(ends[1])
+		if ends[0] != bell && ends[1] != bell {
+			continue
+		}
+		l.Ring()
+		var got [8]byte
+		for _, end := range ends {
+			if n, _ := unix.Read(end, got[:]); n > 0 {
+				t.Errorf("%d bytes came to who has its number", n)
+			}
+		}
+		return
+	}
+	t.Fatal("nobody got its number")
+}
