Where all backends are set aside for failed connections, they are tried all the same

Change: the last pass, any of the fleet, no longer leaves them out. Test without it: 'held with three backends ready'.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -38,12 +38,12 @@
 	weightMin, weightMax = 0.1, 3.0 // no unit; a thirtieth of the best still learns when a backend mends
 	weightGain           = 0.1      // for each quick answer: ten make up for one halving at the mean
 	farSlack             = 0.5      // commands under the mean count from which it is skipped: queues stay even
-	spillAt              = 1.5      // times the others' mean latency at which the own zone has no preference any more
+	spillAt              = 1.5      // times the others' mean latency at which the own zone is preferred no more
 	localSlack           = 1.0      // commands more at one of the own zone, where crossing is priced
 	asideFor             = 2.0      // seconds left alone after a connection failed: it is down or full
 	homePull             = 60.0     // times the weight of backends in the cell of a command's key
 	zonePull             = 3.0      // times the weight of backends in the own zone
-	localPull            = 30.0     // the same where crossing is priced and no keeper counts: a tenth still crosses
+	localPull            = 30.0     // the same where crossing is priced, without keepers: a tenth still crosses
 
 	// Keepers.
 	room                = 5.0      // commands out for each backend, by all: fewer idle it, more choke it
@@ -58,7 +58,7 @@
 	nearShared        = 2.0      // windows that each backend lies in at least, where there are as many
 	askFirst, askLast = 1.0, 8.0 // seconds between calls for a list out of reach, doubling, with jitter
 	coldPart          = 0.55     // of the multiple at which a cold backend falls that all may send together
-	coldMemory        = 30.0     // seconds in which it fades how many backends there were: of fewer each gets more
+	coldMemory        = 30.0     // seconds in which it fades how many there were: of fewer each gets more
 
 	// Admission.
 	rateSpan     = 2.0   // seconds over which the rate of answers is counted: a few response times
@@ -85,7 +85,7 @@
 	easePower    = 0.25  // of the part that few instances are of all, by which that room shrinks
 	easeLeast    = 7.0   // commands out for each backend, by all instances, that no ease forbids
 	easeStep     = 0.005 // step at which that is followed, for each answer: slower than a burst chokes
-	missFrom     = 0.2   // part of commands that miss their goal from which that bound gives way, and is not followed
+	missFrom     = 0.2   // part of commands that miss their goal from which that bound gives way
 	nestPart     = 0.02  // of own commands that come from below from which the others leave places for them
 	nestRoot     = 0.5   // in place of easeRoot then
 	nestTimes    = 2.0   // the bound of those from below: what waits for them holds places already
@@ -101,7 +101,7 @@
 	shareBurst   = 2.0   // seconds of its allowance that a customer may send at once
 	retryShare   = 0.2   // further relays after a failure for each own call, so refusals are no storm
 	retryBurst   = 3.0   // further relays that may go at once
-	copyPart     = 0.5   // of a stated budget of further relays open to copies: a failed command gains more by one
+	copyPart     = 0.5   // of a stated budget of further relays open to copies: failed ones gain more
 	pastPart     = 0.15  // of the places for answers that late commands may hold
 	expiryTicks  = 1.0   // ticks before its time limit at which a command is terminated
 	recheck      = 0.05  // seconds after which a held command is looked at when nothing else happens
@@ -191,7 +191,7 @@
 	k.weight, k.aside = min(weightMax, k.weight+weightGain), 0
 }
 
-// may tells whether the rules allow relay n of the command at the backend now, by all others that may have run.
+// may tells whether the rules allow relay n of the command at the backend, by all others that may have run.
 func (b *Balancer) may(c *command, k *backend, n int) bool {
 	v := c.verb
 	for i, r := range c.relays {
@@ -203,8 +203,8 @@
 	return k.State == Ready
 }
 
-// Opened is told that the connection for a relay is up, and tells whether it may still be written: what allowed it may
-// have passed meanwhile, a window for repeats above all.
+// Opened is told that the connection for a relay is up, and tells whether it may still be written: what
+// allowed it may have passed meanwhile, a window for repeats above all.
 func (b *Balancer) Opened(now float64, id uint64, n int) bool {
 	b.now = now
 	c, ok := b.commands[id]
@@ -219,7 +219,8 @@
 		count, all = count+part*k.busy(b.now), all+part
 	}
 	far := max(count/max(1, all)-farSlack, farSlack)
-	// First what the weight rule and the skip leave of the window, then any of it, then any of the fleet.
+	// First what the weight rule and the skip leave of the window, then any of it, then any of the fleet: where
+	// all that is left was set aside for connections that failed, that says more of the network than of them.
 	home, from, whole := b.home(c), b.window, asking
 	share := func(k *backend) float64 {
 		s := k.weight * (k.near + pull*k.local)
@@ -241,8 +242,9 @@
 		total := 0.0
 		b.picks = b.picks[:0]
 		for _, k := range from {
-			if b.may(c, k, len(c.relays)) && !slices.Contains(c.asked, uint16(k.Cell)) && (asking || b.coldAllows(k)) &&
-				!c.triedOn(k) && k.aside <= b.now && (pass > 0 || k.busy(b.now) <= far+localSlack*one(k.local > 0)) {
+			if b.may(c, k, len(c.relays)) && !slices.Contains(c.asked, uint16(k.Cell)) && !c.triedOn(k) &&
+				(asking || b.coldAllows(k)) && (k.aside <= b.now || pass == 2) &&
+				(pass > 0 || k.busy(b.now) <= far+localSlack*one(k.local > 0)) {
 				b.picks = append(b.picks, k)
 				total += share(k)
 			}
@@ -364,8 +366,8 @@
 	}
 }
 
-// pull is how much more a backend of the own zone gets where crossing is priced: all the more the sooner the zone
-// answers against the others, nothing once these are clearly sooner: then the zone has too little.
+// pull is how much more a backend of the own zone gets where crossing is priced: all the more the sooner the
+// zone answers against the others, nothing once these are clearly sooner: then the zone has too little.
 func (b *Balancer) pull() float64 {
 	own, others := b.zoneTook[1].read(b.now, callSpan), b.zoneTook[0].read(b.now, callSpan)
 	mean := (others + tiny) / (b.zoneEnded[0].read(b.now, callSpan) + tiny)
@@ -452,8 +454,8 @@
 	return c.sorts[0] != nil && c.sorts[0].most > 0 || c.sorts[1] != nil && c.sorts[1].most > 0
 }
 
-// sorted learns how the sorts of a command fare. One that fares ill while the rest does not, a lock, a spoilt key, is
-// no backend's fault and does so wherever it is sent: it may hold few places, fewer with each that ends ill.
+// sorted learns how the sorts of a command fare. One that fares ill while the rest does not, a lock, a spoilt
+// key, is no backend's fault and does so wherever it is sent: it may hold few places, fewer with each that ends ill.
 func (b *Balancer) sorted(c *command, ill bool) {
 	b.sortEnded.add(b.now, sortSpan, 1)
 	b.sortBad.add(b.now, sortSpan, one(ill))
@@ -718,8 +720,8 @@
 	return true
 }
 
-// granted sends a command where its keeper said, or asks another, or holds it. One that does not yet know all that is
-// out is believed as far as the own bound goes.
+// granted sends a command where its keeper said, or asks another, or holds it. One that does not yet know all
+// that is out is believed as far as the own bound goes.
 func (b *Balancer) granted(c *command, k *backend, knows bool) {
 	b.answered(c)
 	if k != nil && (knows || !b.crowded(c)) && b.may(c, k, len(c.relays)) && !c.triedOn(k) {
@@ -791,7 +793,7 @@
 	}
 }
 
-// linger is called when a goal has passed: late answers hold only a part of few places, and the oldest makes way.
+// linger is called when a goal has passed: late answers hold a part of few places, and the oldest makes way.
 func (b *Balancer) linger(c *command) {
 	if c.done || c.out == 0 {
 		return
@@ -856,11 +858,12 @@
 	refill := copyShare * v.calls.rate(b.now, callSpan, b.start)
 	tokens := v.copies.read(b.now, refill, max(1, copyBurst*refill))
 	return v.Effect != Effectful && b.limits.SecondCopies && len(c.relays) < b.limits.Relays &&
-		tokens-float64(v.losers) >= 1 && b.affords(copyPart) && v.breaker.allows(b.now) && b.service.allows(b.now) && !b.allSlow()
+		tokens-float64(v.losers) >= 1 && b.affords(copyPart) && v.breaker.allows(b.now) &&
+		b.service.allows(b.now) && !b.allSlow()
 }
 
-// affords tells whether one relay more beyond a command's first keeps to that part of a stated budget. What may lie
-// in the window counts in full, what may not is left out, and an event may be a tick older than it was told.
+// affords tells whether one relay more beyond a command's first keeps to that part of a stated budget. What may
+// lie in the window counts in full, what may not is left out, and an event may be a tick older than it was told.
 func (b *Balancer) affords(part float64) bool {
 	f := b.limits.Further
 	from := b.now - f.Span
@@ -931,7 +934,7 @@
 			b.answers.add(now, rateSpan, 1)
 			b.carried.add(now, callSpan, 1)
 		}
-		if result == Answered && !c.streaming && !c.stood { // how long a stream takes is its length's and the client's affair
+		if result == Answered && !c.streaming && !c.stood { // a stream's time is its length's and the client's
 			// From the first relay on: a winning copy must not hide how slow the first one was.
 			v.delay.learn(now, now-c.relays[0].sent)
 			b.anyDelay.learn(now, now-c.relays[0].sent)
@@ -985,12 +988,13 @@
 	b.giveUp(c)
 }
 
-// mayDecline tells whether trying again is harmless when the client comes back: of a receipted one only while all of its
-// backends would still know it then.
+// mayDecline tells whether trying again is harmless when the client comes back: of a receipted one only while
+// all of its backends would still know it then.
 func (b *Balancer) mayDecline(c *command) bool {
 	v := c.verb
 	return v.Effect == Pure || !slices.ContainsFunc(c.relays, func(r relay) bool {
-		return !r.neverRan && (v.Effect == Effectful || v.Scope != ScopeAll || b.now+b.comeBack(v) > r.sent+v.Window-b.tick)
+		return !r.neverRan && (v.Effect == Effectful || v.Scope != ScopeAll ||
+			b.now+b.comeBack(v) > r.sent+v.Window-b.tick)
 	})
 }
 
--- a/balance/troubles_test.go
+++ b/balance/troubles_test.go
@@ -288,6 +288,32 @@
 	}
 }
 
+// A third of all new connections comes up too late: within two seconds each backend had been set aside for one of them, and
+// commands were declined with the whole fleet at rest.
+func TestAllSetAsideAreTriedAllTheSame(t *testing.T) {
+	h := start(t, setup{backends: ready(3)})
+	h.serve(1, 5, 0.1)
+	for _, k := range h.b.fleet[:2] {
+		k.aside = h.now + asideFor
+	}
+	for cmd := uint64(100); cmd < 120; cmd++ {
+		h.b.Command(h.now, cmd, 0, 0, h.now+6, 0)
+		if to := h.toOf(cmd); len(to) != 1 || to[0] != h.b.fleet[2].ID {
+			t.Fatalf("sent to %v while one is not set aside", to)
+		}
+		h.outcome(cmd, 0, Answered)
+	}
+	h.b.fleet[2].aside = h.now + asideFor
+	h.b.Command(h.now, 200, 0, 0, h.now+6, 0)
+	if len(h.toOf(200)) != 1 {
+		t.Error("held with three backends ready")
+	}
+	h.outcome(200, 0, Unconnected)
+	if to := h.toOf(200); len(to) != 2 || to[0] == to[1] {
+		t.Errorf("then sent to %v", to)
+	}
+}
+
 // New settings name the customers in another order. What was held against one, whose commands wait for a lock, was held
 // against who had its place from then on, and no longer against itself.
 func TestNewSettingsMixNoCustomers(t *testing.T) {
