--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -455,7 +455,7 @@
 }
 
 // sorted learns how the sorts of a command fare. One that fares ill while the rest does not, a lock, a spoilt
-// key, is no backend's fault and does so wherever it is sent: it may hold few places, fewer with each that ends ill.
+// key, is no backend's fault and does so wherever it is sent: it may hold few places, fewer with each.
 func (b *Balancer) sorted(c *command, ill bool) {
 	b.sortEnded.add(b.now, sortSpan, 1)
 	b.sortBad.add(b.now, sortSpan, one(ill))
@@ -862,8 +862,8 @@
 		b.service.allows(b.now) && !b.allSlow()
 }
 
-// affords tells whether one relay more beyond a command's first keeps to that part of a stated budget. What may
-// lie in the window counts in full, what may not is left out, and an event may be a tick older than it was told.
+// affords tells whether one relay more beyond a command's first keeps to that part of a budget. What may
+// lie in the window counts in full, what may not is left out, and an event may be a tick older than told.
 func (b *Balancer) affords(part float64) bool {
 	f := b.limits.Further
 	from := b.now - f.Span
