A receipted command that may have run is declined only if its window outlasts its client's time

Cause, from reading: a decline says that trying again is harmless, and when the client comes back is its own affair, not only the wait that it is told; with a window shorter than its time it may come back past it.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -988,13 +988,13 @@
 	b.giveUp(c)
 }
 
-// mayDecline tells whether trying again is harmless when the client comes back: of a receipted one only while
-// all of its backends would still know it then.
+// mayDecline tells whether trying again is harmless whenever the client comes back: a receipted one only if
+// all of its backends will still know it at the end of the client's time, and of the wait that it is told.
 func (b *Balancer) mayDecline(c *command) bool {
 	v := c.verb
 	return v.Effect == Pure || !slices.ContainsFunc(c.relays, func(r relay) bool {
 		return !r.neverRan && (v.Effect == Effectful || v.Scope != ScopeAll ||
-			b.now+b.comeBack(v) > r.sent+v.Window-b.tick)
+			c.expires+b.comeBack(v) > r.sent+v.Window-b.tick)
 	})
 }
 
