--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"time"
 
 	"sandpass/balance"
+	"sandpass/internal/objects"
 )
 
 // Two events cross: each test puts both into the order, or the one turn of the loop, that does harm. A hook of the test's
@@ -595,3 +597,70 @@
 		t.Errorf("answered %d", status)
 	}
 }
+
+// ---- Bad input.
+
+// A list of any bytes, cut or changed at any byte, ends the watch or is read; what was known stays unless a whole list says
+// otherwise.
+func TestListsOfAnyBytes(t *testing.T) {
+	b := newToy(t, ok)
+	p := launch(t, 200, listing(1, true, ready("s-1", b)), nil)
+	good := listing(7, false, ready("s-2", b), line{"name": "s-3", "status": "gone"}) + "\n"
+	for _, junk := range []string{"", "\x00", "}", "]", "\"", "\n", "{", "9", "\xff\xfe", ",", "null", "[[[["} {
+		for i := range len(good) {
+			w := &p.watch
+			w.cutter = objects.Cutter{Most: lineMost}
+			text := good[:i] + junk + good[min(len(good), i+len(junk)):]
+			for len(text) > 0 { // and in pieces
+				n := min(len(text), 1+i%37)
+				if err := (watcher{p}).lines([]byte(text[:n])); err != nil {
+					if strings.Contains(err.Error(), "\n") {
+						t.Fatalf("%q at %d: %v", junk, i, err)
+					}
+					break
+				}
+				text = text[n:]
+			}
+			if x := p.backends.byName["s-1"]; x == nil || x.state != balance.Ready || p.backends.usable < 1 {
+				t.Fatalf("%q at %d: what was known is gone", junk, i)
+			}
+		}
+	}
+}
+
+// Settings that leave out any part are read without it, or refused in one line that names it.
+func TestSettingsWithoutAnyPart(t *testing.T) {
+	t.Parallel()
+	var whole map[string]any
+	if err := json.Unmarshal([]byte(settingsText), &whole); err != nil {
+		t.Fatal(err)
+	}
+	refused, taken := 0, 0
+	var without func(path string, at map[string]any)
+	without = func(path string, at map[string]any) {
+		for key, value := range at {
+			delete(at, key)
+			text, _ := json.Marshal(whole)
+			if err := Check(config("", nil, string(text))); err == nil {
+				taken++
+			} else if refused++; !strings.Contains(err.Error(), key) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("without %s.%s: %v", path, key, err)
+			}
+			at[key] = value
+			switch x := value.(type) {
+			case map[string]any:
+				without(path+"."+key, x)
+			case []any:
+				for _, e := range x {
+					if m, is := e.(map[string]any); is {
+						without(path+"."+key, m)
+					}
+				}
+			}
+		}
+	}
+	without("settings", whole)
+	if taken == 0 || refused == 0 {
+		t.Errorf("%d taken, %d refused", taken, refused)
+	}
+}
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -57,6 +57,7 @@
 	cutter   objects.Cutter
 	had      int // bytes of the answer's body
 	lost     bool
+	why      string // the error with which it was lost last
 	wait     float64
 	again    *loop.Timer // opens it after a loss
 	lineAt   float64     // when this answer's first line came, 0 before
@@ -103,8 +104,9 @@
 	if w.lineAt > 0 && p.loop.Now()-w.lineAt >= heartbeat {
 		w.wait = 0
 	}
-	if !w.lost {
-		log.Printf("msg=watch_lost error=%q", err)
+	if text := err.Error(); !w.lost || text != w.why { // not again and again while discovery is away
+		log.Printf("msg=watch_lost error=%q index=%d byte=%d", text, w.index, w.had)
+		w.why = text
 	}
 	w.lost, w.lineAt = true, 0
 	w.wait = min(againLast, max(againFirst, 2*w.wait))
