What a backend gave before its reset is passed on though the client reads slowly

Line at fault: loop/conn.go, event: a held connection's reset ended it at once, with what had come before unread. Change: a held connection to a backend keeps its end (edge-triggered while held) until it is read on; one of a client still ends. TestResetBehindAWholeAnswer without it: '0, 14 bytes of 442368'. Three more stories hold already: a reset of an answer with no length while its client does not read, a second command behind an answer that says close, a request that crosses a close.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -206,7 +206,8 @@
 	}
 }
 
-// Hold stops reading for a while: the other side's end is noticed once all before it has been read.
+// Hold stops reading for a while: the other side's end is noticed once all before it has been read, a reset as well, since
+// what came before that may be all. Only of an accepted connection is a reset noticed at once: who sent is no more.
 func (c *Conn) Hold() { c.held = true; c.want() }
 
 // Resume reads on.
@@ -221,8 +222,10 @@
 
 func (c *Conn) want() {
 	mask := uint32(unix.EPOLLRDHUP)
-	if c.held {
+	if c.held && c.accepted {
 		mask = 0
+	} else if c.held {
+		mask = unix.EPOLLET // an end that can't be masked out is told once and not in every turn
 	} else if !c.paused {
 		mask = reading
 	}
@@ -336,7 +339,7 @@
 	const ended = unix.EPOLLRDHUP | unix.EPOLLHUP | unix.EPOLLERR
 	switch {
 	case c.held:
-		if mask&(unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+		if c.accepted && mask&(unix.EPOLLHUP|unix.EPOLLERR) != 0 {
 			c.end(io.ErrUnexpectedEOF)
 		}
 	case c.paused:
--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"sandpass/balance"
 	"sandpass/internal/objects"
 )
@@ -664,3 +666,131 @@
 		t.Errorf("%d taken, %d refused", taken, refused)
 	}
 }
+
+// ---- What is cut or closed in the wrong moment.
+
+// The backend resets the connection while what came of its answer, of no stated length, waits for a client that does not read:
+// that is no end, and the client must see so once it reads on.
+func TestResetWhileTheClientDoesNotRead(t *testing.T) {
+	t.Parallel()
+	cut := make(chan bool)
+	b := newToy(t, func(b *toy, c net.Conn, r *http.Request) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+		block := filling(1 << 20)
+		c.SetWriteDeadline(time.Now().Add(time.Second)) // until nobody takes any more
+		for _, err := c.Write(block); err == nil; _, err = c.Write(block) {
+		}
+		<-cut
+		fall(b, c, r)
+	})
+	p := run(t, launch(t, 200, listing(1, true, ready("s-1", b)), nil))
+	for name, old := range map[string]string{"HTTP/1.1": "HTTP/1.1", "HTTP/1.0": "HTTP/1.0"} {
+		c := p.caller(t)
+		io.WriteString(c, strings.Replace(text("pay", "Content-Length: 0\r\n"), "HTTP/1.1", old, 1))
+		var l *link
+		p.await(t, "the answer waits for its client", func() bool {
+			for x := range p.backends.links {
+				if x.waits {
+					l = x
+				}
+			}
+			return l != nil
+		})
+		cut <- true
+		p.await(t, "the reset", func() bool { return l.conn.Gone() || !l.conn.Quiet() })
+		if status, got, _ := c.read(); status == 200 {
+			t.Errorf("%s: %d bytes passed for whole", name, len(got))
+		}
+	}
+	if b.commands.Load() != 2 {
+		t.Errorf("two commands were sent %d times", b.commands.Load())
+	}
+}
+
+// The backend has given its whole answer and is reset, or dies, while the last of it waits here for a client that does not
+// read: what came before the reset is all of it, and was thrown away.
+func TestResetBehindAWholeAnswer(t *testing.T) {
+	t.Parallel()
+	held, end := make(chan bool, 1), make(chan bool)
+	var whole atomic.Int64
+	b := newToy(t, func(b *toy, c net.Conn, r *http.Request) {
+		io.WriteString(c, chunkedHead)
+		for piece, full := strings.Repeat("x", 16<<10), false; !full; {
+			chunk(c, piece)
+			whole.Add(16 << 10)
+			select {
+			case full = <-held:
+			case <-time.After(time.Millisecond):
+			}
+		}
+		chunk(c, "the last")
+		io.WriteString(c, "0\r\n\r\n")
+		raw, _ := c.(*net.TCPConn).SyscallConn()
+		until(t, "all is with the proxy's kernel", func() (sent bool) {
+			raw.Control(func(fd uintptr) { n, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ); sent = err == nil && n == 0 })
+			return sent
+		})
+		fall(b, c, r)
+		end <- true
+	})
+	p := run(t, launch(t, 200, listing(1, true, ready("s-1", b)), nil))
+	c := p.caller(t)
+	io.WriteString(c, text("pay", "Content-Length: 0\r\n"))
+	p.await(t, "the answer waits for its client", func() bool {
+		for l := range p.backends.links {
+			if l.waits {
+				return true
+			}
+		}
+		return false
+	})
+	held <- true
+	<-end
+	if status, got, _ := c.read(); status != 200 || int64(len(got)) != whole.Load()+int64(len("the last")) {
+		t.Errorf("%d, %d bytes of %d", status, len(got), whole.Load())
+	}
+}
+
+// Two commands are written one after the other, and the answer to the first says that the connection closes: the second is
+// never sent on, and its client is told by the end, not by a reset.
+func TestSecondCommandBehindAnAnswerThatSaysClose(t *testing.T) {
+	t.Parallel()
+	b := newToy(t, ok)
+	p := run(t, launch(t, 200, listing(1, true, ready("s-1", b)), nil))
+	c := p.caller(t)
+	p.do(func() {
+		p.drain = drain{on: true, since: p.loop.Now() - drainNotice}
+		io.WriteString(c, text("pay", "Content-Length: 0\r\n")+text("pay", "Content-Length: 0\r\n"))
+	})
+	if status, _, h := c.read(); status != 200 || h.Get("Connection") != "close" {
+		t.Errorf("the first: %d %v", status, h)
+	}
+	if status, why, _ := c.read(); status != 0 || !strings.Contains(why, "EOF") || b.commands.Load() != 1 {
+		t.Errorf("the second: %d %s; %d were sent on", status, why, b.commands.Load())
+	}
+}
+
+// A request comes in the moment in which its resting connection is ended: after the look that found it at rest. It is not
+// sent on, and its client, which has had no byte, sends it again.
+func TestARequestCrossesTheCloseOfItsConnection(t *testing.T) {
+	t.Parallel()
+	b := newToy(t, ok)
+	p := run(t, launch(t, 200, listing(1, true, ready("s-1", b)), nil))
+	c := p.caller(t)
+	if status, _, _ := c.ask(text("look")); status != 200 {
+		t.Fatalf("answered %d", status)
+	}
+	p.await(t, "it rests", func() bool { return p.clients.in[rested].Len() == 1 })
+	p.do(func() {
+		x := p.clients.in[rested].Front().Value.(*client)
+		if !x.idle() {
+			t.Error("it does not rest")
+		}
+		io.WriteString(c, text("pay", "Content-Length: 0\r\n"))
+		until(t, "the request", func() bool { return !x.conn.Quiet() })
+		x.close()
+	})
+	if status, why, _ := c.read(); status != 0 || b.commands.Load() != 1 {
+		t.Errorf("%d %s, %d were sent on", status, why, b.commands.Load())
+	}
+}
