A long answer that begins just in time goes on, a trickle ends within half a second of its limit

Change: near the limit it goes on at once, and what has not passed 64 KiB is cut 0.4 s past the limit: up to half a second late it only earns nothing. TestLongAnswerThatBeginsJustInTime without it: 'status 502, 0 bytes'.

--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -302,19 +302,33 @@
 		l.moved = l.p.loop.Now()
 		if l.begun == 0 {
 			l.begun = l.moved
-			l.timer = l.p.loop.After(gasp, l.stalled)
+			l.timer = l.p.loop.After(l.untilLook(gasp), l.stalled)
 		}
 	}
 }
 
+// untilLook is in how many seconds, of those at most, an answer that has begun is looked at: at the latest when one of no stated
+// length has to go on.
+func (l *link) untilLook(most float64) float64 {
+	if last := l.relay.cmd.expires - passLast - l.p.loop.Now(); last >= 0 {
+		return min(most, last+0.001)
+	}
+	return most
+}
+
 // stalled ends a relay whose answer gets no further. One that moves has until its command's time limit.
 func (l *link) stalled() {
-	if left := l.moved + gasp - l.p.loop.Now(); left > 0 {
-		l.timer = l.p.loop.After(left, l.stalled)
-		return
+	now := l.p.loop.Now()
+	left := l.moved + gasp - now
+	switch {
+	case left <= 0:
+		l.p.bad++
+		l.ended(l.broken())
+	case now > l.relay.cmd.expires-passLast && l.passes(now):
+		l.pass()
+	default:
+		l.timer = l.p.loop.After(l.untilLook(left), l.stalled)
 	}
-	l.p.bad++
-	l.ended(l.broken())
 }
 
 // Down says that the connection has ended.
--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -494,6 +494,28 @@
 	}
 }
 
+// A long answer of no stated length begins a moment before the time limit: its first bytes are in time, and nothing of it may be
+// cut while its backend gives it.
+func TestLongAnswerThatBeginsJustInTime(t *testing.T) {
+	t.Parallel()
+	const limit = 0.6
+	body := filling(120 << 10)
+	b := newToy(t, func(_ *toy, c net.Conn, _ *http.Request) {
+		time.Sleep((limit - 0.12) * 1e9)
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+		for at := 0; at < len(body); at += 4 << 10 {
+			c.Write(body[at : at+4<<10])
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.Close()
+	})
+	c := run(t, launch(t, 200, listing(1, true, ready("s-1", b)), nil)).caller(t)
+	status, got, _ := c.ask(strings.Replace(text("pay", "Content-Length: 0\r\n"), "2.5", "0.6", 1))
+	if status != 200 || got != string(body) {
+		t.Errorf("status %d, %d bytes", status, len(got))
+	}
+}
+
 // ---- A restart.
 
 // A command meets a process in its first moment, found under the address of the one before. What discovery has counts as told
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -16,6 +16,8 @@
 	passMark    = 64 << 10 // bytes that may wait to be written on one side before the other is read on
 	passTight   = 4 << 10  // the same while more than half of the buffers' part of the memory is in use
 	passAfter   = 0.25     // seconds of an answer of unknown length after which it goes on as it comes, if it moves
+	passLast    = 0.05     // seconds before the time limit by which it goes on in any case: of a long one the first bytes are timed
+	endlessFrom = 0.4      // seconds after the limit at which what is no long answer by then is cut: half a second late it is lost
 	answerStill = 10.0     // seconds that a backend may stand still in an answer that the client has begun to get
 	bodyStill   = 2.5      // seconds that a client may stand still in a body that is passed on: it is owed an answer within 3
 	leastRate   = 32e3     // bytes a second that a client must send at least of a body: half of what slow ones do
@@ -48,7 +50,7 @@
 		return false
 	}
 	return m.Length() > http1.Held || m.Decoded() > http1.Held || l.conn.Full() ||
-		m.Length() < 0 && m.Decoded() > 0 && l.begun > 0 && now-l.begun > passAfter
+		m.Length() < 0 && m.Decoded() > 0 && l.begun > 0 && now > min(l.begun+passAfter, l.relay.cmd.expires-passLast)
 }
 
 // pass begins to pass the answer on: from here on the command belongs to this relay.
@@ -67,7 +69,7 @@
 	cmd.stream, cmd.fed, r.took = l, true, now-r.sent
 	cmd.timer.Stop()
 	if l.msg.Length() < 0 {
-		cmd.timer = p.loop.After(cmd.expires-now, func() { l.endless(cmd) })
+		cmd.timer = p.loop.After(cmd.expires+endlessFrom-now, func() { l.endless(cmd) })
 	}
 	l.timer.Stop()
 	c.keep = c.msg.Keep && !p.closes() && !c.coming && (l.msg.Length() >= 0 || !c.msg.Old())
@@ -166,8 +168,8 @@
 	p.report(r, balance.Answered)
 }
 
-// endless ends a passage at its command's time limit if it is no long answer by then: one that trickles on would never end,
-// while of a long one only the first bytes are timed.
+// endless ends a passage soon after its command's time limit if it is no long answer by then: one that trickles on would never
+// end, while of a long one only the first bytes are timed.
 func (l *link) endless(cmd *command) {
 	if cmd.stream == l && l.msg.Decoded() <= http1.Held {
 		log.Printf("msg=answer_endless command=%d bytes=%d", cmd.id, l.msg.Decoded())
