--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -318,7 +318,7 @@
 	if w.Maintenance != nil {
 		p.maintenance = *w.Maintenance
 	}
-	if w.List != nil && !p.watch.heard {
+	if w.List != nil && !p.watch.Heard {
 		p.take(w.List)
 		p.watch.has = w.Discovery == p.watch.at.String()
 	} else {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -347,13 +347,13 @@
 // listed tells whether a command could be relayed: the list has somebody in it and is not merely the old one, unless
 // discovery stays silent.
 func (p *Proxy) listed() bool {
-	return p.backends.usable > 0 && (p.watch.heard || p.loop.Now() > p.freshBy)
+	return p.backends.usable > 0 && (p.watch.Heard || p.loop.Now() > p.freshBy)
 }
 
 // unheard tells that discovery is being asked for the first time and has had no time to answer. What it has counts as told
 // from a process's first moment, and the known list is older: who began to drain since must get nothing by it.
 func (p *Proxy) unheard() bool {
-	return !p.watch.heard && !p.watch.lost && p.loop.Now() <= p.freshBy
+	return !p.watch.Heard && !p.watch.Lost && p.loop.Now() <= p.freshBy
 }
 
 // ready tells whether clients are to come: to this process or, while that lives, to the one after it.
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -12,20 +12,12 @@
 
 	"sandpass/balance"
 	"sandpass/internal/http1"
+	"sandpass/internal/liveness"
 	"sandpass/internal/loop"
 	"sandpass/internal/objects"
 )
 
-const (
-	// What is missed counts as told 6 s after the watch fell silent, or discovery could be reached again: silence, a wait and
-	// one opening that hangs must fit in, and so must an opening that hangs, the longest wait and another.
-	heartbeat  = 2.0     // seconds between empty lines while nothing changes
-	silence    = 3.0     // seconds without a whole line after which the watch is dead: a heartbeat and a half
-	opensIn    = 2.0     // seconds in which it must be up and its head there: connections may come up 1.5 s late
-	againFirst = 0.1     // seconds before a lost watch is opened again, doubling, with jitter
-	againLast  = 1.3     // seconds, longest such wait: one call a second, and see above
-	lineMost   = 8 << 20 // bytes of a message: tens of thousands of backends
-)
+const lineMost = 8 << 20 // bytes of a message: tens of thousands of backends
 
 // roster is a message of discovery's.
 type roster struct {
@@ -47,35 +39,29 @@
 var states = map[string]balance.State{"ready": balance.Ready, "draining": balance.Draining, "gone": balance.Gone}
 
 type watch struct {
-	at       netip.AddrPort
-	conn     *loop.Conn
-	msg      http1.Message
-	chunks   http1.Chunks
-	index    int64
-	has      bool // a list was had
-	heard    bool // a line was had since the start
-	cutter   objects.Cutter
-	had      int // bytes of the answer's body
-	lost     bool
-	why      string // the error with which it was lost last
-	wait     float64
-	again    *loop.Timer // opens it after a loss
-	lineAt   float64     // when this answer's first line came, 0 before
-	silentAt float64     // from when on it counts as dead
+	at     netip.AddrPort
+	conn   *loop.Conn
+	msg    http1.Message
+	chunks http1.Chunks
+	index  int64
+	has    bool // a list was had
+	cutter objects.Cutter
+	had    int         // bytes of the answer's body
+	again  *loop.Timer // opens it after a loss
+	liveness.Watch
 }
 
 // connect opens the watch.
 func (p *Proxy) connect() {
 	w := &p.watch
 	conn, err := p.loop.Dial(w.at, watcher{p}, lineMost)
-	w.conn, w.cutter, w.chunks, w.had, w.lineAt = conn, objects.Cutter{Most: lineMost}, http1.Chunks{}, 0, 0
+	w.conn, w.cutter, w.chunks, w.had = conn, objects.Cutter{Most: lineMost}, http1.Chunks{}, 0
 	w.msg.Reset()
+	w.Opened(p.loop.Now())
 	if err != nil {
 		w.conn = nil
 		p.lostWatch(err)
-		return
 	}
-	w.silentAt = p.loop.Now() + opensIn
 }
 
 // turnTo leaves discovery where it was for another address. Indexes need not mean the same there, so the whole list is
@@ -89,28 +75,23 @@
 		w.conn.Close()
 	}
 	w.again.Stop()
-	w.at, w.has, w.wait = at, false, 0
+	w.at, w.has = at, false
+	w.Anew()
 	p.connect()
 }
 
-// lostWatch opens it again after a while, a longer one each time that it did not last: an answer that ends at once is no
-// reason to ask ten times a second.
+// lostWatch opens it again after a while.
 func (p *Proxy) lostWatch(err error) {
 	w := &p.watch
 	if w.conn != nil {
 		w.conn.Close()
 		w.conn = nil
 	}
-	if w.lineAt > 0 && p.loop.Now()-w.lineAt >= heartbeat {
-		w.wait = 0
+	wait, news := w.Ended(p.loop.Now(), err.Error(), p.chance())
+	if news {
+		log.Printf("msg=watch_lost error=%q index=%d byte=%d", err, w.index, w.had)
 	}
-	if text := err.Error(); !w.lost || text != w.why { // not again and again while discovery is away
-		log.Printf("msg=watch_lost error=%q index=%d byte=%d", text, w.index, w.had)
-		w.why = text
-	}
-	w.lost, w.lineAt = true, 0
-	w.wait = min(againLast, max(againFirst, 2*w.wait))
-	w.again = p.loop.After(w.wait*(0.5+0.5*p.chance()), p.connect)
+	w.again = p.loop.After(wait, p.connect)
 	p.balancer.ListFailed(p.loop.Now())
 }
 
@@ -144,7 +125,7 @@
 			return
 		}
 		c.Consume(w.msg.HeadSize())
-		w.silentAt = h.p.loop.Now() + silence
+		w.Head(h.p.loop.Now())
 	}
 	for len(c.In()) > 0 || w.msg.Length() == w.had {
 		data, used, done, err := h.piece(c.In())
@@ -195,15 +176,9 @@
 				return err
 			}
 		}
-		now := h.p.loop.Now()
-		if w.lost {
+		if w.Line(h.p.loop.Now()) {
 			log.Printf("msg=watch_back index=%d", w.index)
 		}
-		if w.lineAt == 0 {
-			w.lineAt = now
-		}
-		// Only what is whole renews it: an object that comes byte by byte and never ends tells nothing.
-		w.heard, w.lost, w.silentAt = true, false, now+silence
 		if len(object) > 0 {
 			if h.p.take(&l); !w.has {
 				return errors.New("changes before any list")
@@ -304,7 +279,7 @@
 
 // sweepWatch opens the watch anew when it is silent past its heartbeats.
 func (p *Proxy) sweepWatch(now float64) {
-	if w := &p.watch; w.conn != nil && now > w.silentAt {
+	if w := &p.watch; w.conn != nil && w.Dead(now) {
 		p.lostWatch(errors.New("silent"))
 	}
 }
