--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -124,7 +124,7 @@
 		held := 0
 		p.do(func() { held = p.watch.had })
 		step <- text
-		until(t, "the text", func() (came bool) { p.do(func() { came = p.watch.had > held }); return came })
+		p.await(t, "the text", func() bool { return p.watch.had > held })
 	}
 	says("\n")
 	whole, now := dead()
@@ -183,11 +183,11 @@
 	})
 	p := run(t, launch(t, 200, "", first))
 	wants(t, askedFirst, "/api/targets?follow=1")
-	until(t, "the list", func() (has bool) { p.do(func() { has = p.watch.has }); return has })
+	p.await(t, "the list", func() bool { return p.watch.has })
 	p.Reload(config("", second, settingsText))
 	wants(t, askedSecond, "/api/targets?follow=1")
 	wants(t, askedSecond, "/api/targets?follow=1") // and not from version 2 on
-	until(t, "the whole", func() (has bool) { p.do(func() { has = p.watch.has }); return has })
+	p.await(t, "the whole", func() bool { return p.watch.has })
 	p.do(func() {
 		if p.backends.byName["s-a"] != nil || p.backends.byName["s-b"].state != balance.Draining || p.watch.index != 3 {
 			t.Errorf("%v at %d", p.backends.byName, p.watch.index)
@@ -251,7 +251,7 @@
 			})
 			p := run(t, launch(t, 200, "", first))
 			wants(t, askedFirst, "/api/targets?follow=1")
-			until(t, "the list", func() (has bool) { p.do(func() { has = p.watch.has }); return has })
+			p.await(t, "the list", func() bool { return p.watch.has })
 			// Both in one turn: the old one's last is with the kernel when the configuration is turned to.
 			p.do(func() {
 				now <- true
@@ -261,7 +261,7 @@
 				p.turnTo(netip.MustParseAddrPort(second.Addr().String()))
 			})
 			wants(t, askedSecond, "/api/targets?follow=1")
-			until(t, "the new list", func() (has bool) { p.do(func() { has = p.watch.index == 1 }); return has })
+			p.await(t, "the new list", func() bool { return p.watch.index == 1 })
 			p.do(func() {
 				if p.backends.byName["s-a"] != nil || p.backends.byName["s-b"] == nil || p.watch.Lost {
 					t.Errorf("%v, lost %t", p.backends.byName, p.watch.Lost)
@@ -349,7 +349,7 @@
 		until(t, "the client's end", from.Gone)
 		p.hold(t, 0.03)
 	})
-	until(t, "the departure", func() (gone bool) { p.do(func() { gone = p.departed == 1 && len(p.commands) == 0 }); return gone })
+	p.await(t, "the departure", func() bool { return p.departed == 1 && len(p.commands) == 0 })
 	if ran := x.commands() - before; ran != 1 {
 		t.Errorf("ran %d times", ran)
 	}
@@ -373,7 +373,7 @@
 	})
 	c = r.caller(t)
 	io.WriteString(c, text("look"))
-	until(t, "the departure", func() (gone bool) { r.do(func() { gone = p.departed == 1 && len(p.commands) == 0 }); return gone })
+	r.await(t, "the departure", func() bool { return p.departed == 1 && len(p.commands) == 0 })
 	if !held.Load() || b.commands.Load() != 0 {
 		t.Errorf("held %t, ran %d times", held.Load(), b.commands.Load())
 	}
@@ -391,7 +391,7 @@
 		c.Close()
 		p.hold(t, stoodLong)
 	})
-	until(t, "the departure", func() (gone bool) { p.do(func() { gone = p.departed == 1 && len(p.commands) == 0 }); return gone })
+	p.await(t, "the departure", func() bool { return p.departed == 1 && len(p.commands) == 0 })
 	if ran := x.commands() - before; ran != 0 {
 		t.Errorf("ran %d times", ran)
 	}
