--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -489,7 +489,7 @@
 		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
 		for at := 0; at < len(body); at += 4 << 10 {
 			c.Write(body[at : at+4<<10])
-			time.Sleep(10 * time.Millisecond)
+			time.Sleep(15 * time.Millisecond) // so that 64 KiB take longer than that
 		}
 		c.Close()
 	})
