--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -360,19 +360,19 @@
 	t.Parallel()
 	b := newToy(t, ok)
 	p := launch(t, 200, listing(1, true, ready("s-1", b)), nil)
-	var c *caller
+	var c atomic.Pointer[caller]
 	var held atomic.Bool
 	r := runHeld(t, p, func() {
 		if l := p.dialling("s-1"); l != nil && !held.Load() {
 			held.Store(true)
 			from := l.relay.cmd.from.conn
-			c.Close()
+			c.Load().Close()
 			until(t, "the client's end", from.Gone)
 			p.hold(t, 0.03)
 		}
 	})
-	c = r.caller(t)
-	io.WriteString(c, text("look"))
+	c.Store(r.caller(t))
+	io.WriteString(c.Load(), text("look"))
 	r.await(t, "the departure", func() bool { return p.departed == 1 && len(p.commands) == 0 })
 	if !held.Load() || b.commands.Load() != 0 {
 		t.Errorf("held %t, ran %d times", held.Load(), b.commands.Load())
