Tests: what a backend did not run is counted once it has read all that was sent

It counted what the backends ran when the client's departure was known to the proxy, and a relay written just before may not have been read by then. Change: the stand-in counts open connections, and the three tests wait until it has read all (settled). No program code is touched.

--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -156,6 +156,9 @@
 		if left := p.watch.DeadAt() - p.loop.Now(); left > 2 {
 			t.Errorf("%v s for a head", left)
 		}
+		if sweepEvery > 0.25 { // what internal/liveness counts with
+			t.Errorf("looked at every %v s", sweepEvery)
+		}
 	})
 	wants(t, asked, "/api/targets?follow=1")
 }
@@ -324,12 +327,6 @@
 
 func (x *trap) commands() int32 { return x.of[0].commands.Load() + x.of[1].commands.Load() }
 
-// hold lets the time pass in which a loop counts as late.
-func (p *Proxy) hold(t *testing.T, seconds float64) {
-	began := time.Now()
-	until(t, "the time", func() bool { return time.Since(began).Seconds() > seconds })
-}
-
 // The failure of a first relay and its client's end wait for the same turn, the failure first: no further relay is begun.
 func TestClientLeavesAsItsRelayFails(t *testing.T) {
 	t.Parallel()
@@ -347,9 +344,11 @@
 		until(t, "the reset", l.Gone)
 		c.Close()
 		until(t, "the client's end", from.Gone)
-		p.hold(t, 0.03)
+		time.Sleep(lateLoop)
 	})
 	p.await(t, "the departure", func() bool { return p.departed == 1 && len(p.commands) == 0 })
+	close(x.cue)
+	p.settled(t, x.of[:]...)
 	if ran := x.commands() - before; ran != 1 {
 		t.Errorf("ran %d times", ran)
 	}
@@ -368,12 +367,13 @@
 			from := l.relay.cmd.from.conn
 			c.Load().Close()
 			until(t, "the client's end", from.Gone)
-			p.hold(t, 0.03)
+			time.Sleep(lateLoop)
 		}
 	})
 	c.Store(r.caller(t))
 	io.WriteString(c.Load(), text("look"))
 	r.await(t, "the departure", func() bool { return p.departed == 1 && len(p.commands) == 0 })
+	r.settled(t, b)
 	if !held.Load() || b.commands.Load() != 0 {
 		t.Errorf("held %t, ran %d times", held.Load(), b.commands.Load())
 	}
@@ -389,15 +389,21 @@
 		c := p.caller(t)
 		io.WriteString(c, text("look"))
 		c.Close()
-		p.hold(t, stoodLong)
+		time.Sleep(stoodLong)
 	})
 	p.await(t, "the departure", func() bool { return p.departed == 1 && len(p.commands) == 0 })
+	close(x.cue)
+	p.settled(t, x.of[:]...)
 	if ran := x.commands() - before; ran != 0 {
 		t.Errorf("ran %d times", ran)
 	}
 }
 
-const stoodLong = 0.15 // seconds: more than what a loop takes for standing still
+// A held loop counts as late, or as having stood still, by the time alone.
+const (
+	lateLoop  = 30 * time.Millisecond
+	stoodLong = 150 * time.Millisecond
+)
 
 // ---- An attempt and the list.
 
@@ -567,21 +573,11 @@
 		p.caller(t)
 	}
 	p.await(t, "the clients' descriptors are full", func() bool { return p.clients.count == p.clients.most })
-	l, err := net.Listen("tcp", place.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			io.WriteString(c, chunkedHead)
-			chunk(c, listing(7, true, ready("s-1", b))+"\n")
-		}
-	}()
+	newToyAt(t, place.Addr().String(), func(_ *toy, c net.Conn, _ *http.Request) {
+		io.WriteString(c, chunkedHead)
+		chunk(c, listing(7, true, ready("s-1", b))+"\n")
+		c.Read(make([]byte, 1))
+	})
 	p.await(t, "it is ready", p.ready)
 	if status, _, _ := p.caller(t).ask(text("look")); status != 200 {
 		t.Errorf("answered %d", status)
--- a/internal/proxy/helper_test.go
+++ b/internal/proxy/helper_test.go
@@ -32,14 +32,20 @@
 type toy struct {
 	net.Listener
 	conns, commands atomic.Int32
-	ended           chan bool // a connection was ended by the proxy while a command was out
+	open            atomic.Int32 // connections whose end it has not read yet
+	ended           chan bool    // a connection was ended by the proxy while a command was out
 	mu              sync.Mutex
 	last            *http.Request
 }
 
 func newToy(t *testing.T, do func(b *toy, c net.Conn, r *http.Request)) *toy {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return newToyAt(t, "127.0.0.1:0", do)
+}
+
+func newToyAt(t *testing.T, at string, do func(b *toy, c net.Conn, r *http.Request)) *toy {
+	t.Helper()
+	l, err := net.Listen("tcp", at)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -51,8 +57,10 @@
 			if err != nil {
 				return
 			}
+			b.open.Add(1)
 			b.conns.Add(1)
 			go func() {
+				defer b.open.Add(-1)
 				defer c.Close()
 				in := bufio.NewReader(c)
 				for {
@@ -188,6 +196,20 @@
 	}
 }
 
+// settled closes what rests and waits until the backends have read all that was ever sent to them: only then do their counts
+// say what did not run.
+func (r *running) settled(t *testing.T, all ...*toy) {
+	t.Helper()
+	for _, b := range all {
+		r.await(t, "all was read", func() bool {
+			for _, x := range r.backends.byName {
+				x.dropIdle()
+			}
+			return b.conns.Load() > 0 && b.open.Load() == 0
+		})
+	}
+}
+
 // caller is a client's connection.
 type caller struct {
 	net.Conn
