--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -242,14 +242,7 @@
 		return names
 	}
 	for i, want := range []string{"/api/targets?follow=1", "/api/targets?follow=1&since=7", "/api/targets?follow=1&since=7"} {
-		select {
-		case uri := <-asked:
-			if uri != want {
-				t.Errorf("watch %d asked for %s", i, uri)
-			}
-		case <-time.After(8 * time.Second):
-			t.Fatalf("watch %d was not opened", i)
-		}
+		wants(t, asked, want)
 		if got := listed(); i == 1 && got != "s-a s-b " {
 			t.Errorf("after half a line %q is listed", got)
 		}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -616,10 +616,11 @@
 
 // discovery writes to each watch what its story says and keeps it open until the test ends.
 func discovery(t *testing.T, story func(n int, c net.Conn, r *http.Request)) net.Listener {
-	return newToy(t, func(b *toy, c net.Conn, r *http.Request) {
-		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-		story(int(b.commands.Load()), c, r)
+	l, _ := on(t, func(n int, c net.Conn, r *http.Request) {
+		io.WriteString(c, chunkedHead)
+		story(n, c, r)
 	})
+	return l
 }
 
 func chunk(c net.Conn, text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
@@ -678,15 +679,8 @@
 			}
 		})
 		p := run(t, launch(t, 200, listing(3, true, ready("s-b", b)), d))
-		for i, want := range []string{"3", "7", "7", "7"} {
-			select {
-			case uri := <-asked:
-				if uri != "/api/targets?follow=1&since="+want {
-					t.Errorf("watch %d asked for %s", i, uri)
-				}
-			case <-time.After(8 * time.Second):
-				t.Fatalf("watch %d was not opened", i)
-			}
+		for _, want := range []string{"3", "7", "7", "7"} {
+			wants(t, asked, "/api/targets?follow=1&since="+want)
 		}
 		if status, _, _ := p.caller(t).ask(text("look")); status != 200 {
 			t.Errorf("answered %d", status)
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -141,16 +141,10 @@
 // break under commands, backends that hang and are replaced, discovery that is silent as they begin to drain. BRINK_SEEDS plays
 // so many by hand.
 func TestShortLimitsAndWindows(t *testing.T) {
-	seeds := []uint64{1, 2, 3}
-	if n, err := strconv.Atoi(os.Getenv("BRINK_SEEDS")); err == nil {
-		seeds = nil
-		for i := range n {
-			seeds = append(seeds, uint64(i+1))
-		}
-	}
+	seeds, byHand := seedsOf("BRINK_SEEDS", 1, 2, 3)
 	for _, seed := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			if os.Getenv("BRINK_SEEDS") == "" {
+			if !byHand {
 				t.Parallel()
 			}
 			chance := rand.New(rand.NewPCG(seed, 0x6272696e))
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -245,3 +246,15 @@
 		t.Error("a command that is stopped stays in work")
 	}
 }
+
+// seedsOf are the seeds that a test plays: its own, side by side, or as many as the variable says, by hand and one by one.
+func seedsOf(variable string, own ...uint64) (seeds []uint64, byHand bool) {
+	n, err := strconv.Atoi(os.Getenv(variable))
+	if err != nil {
+		return own, false
+	}
+	for i := range n {
+		seeds = append(seeds, uint64(i+1))
+	}
+	return seeds, true
+}
--- a/internal/rig/rolling_test.go
+++ b/internal/rig/rolling_test.go
@@ -19,19 +19,14 @@
 			t.Fatalf("%v: %s", err, out)
 		}
 	}
-	proxies, seeds := 10, []uint64{4, 13, 15, 10} // limits of 0.2, 0.5, 0.9 and 2.2 s; one, two, three and two tiers
+	proxies := 10
+	seeds, byHand := seedsOf("ROLLING_SEEDS", 4, 13, 15, 10) // limits of 0.2, 0.5, 0.9 and 2.2 s; one, two, three and two tiers
 	if n, err := strconv.Atoi(os.Getenv("ROLLING_PROXIES")); err == nil {
 		proxies = n
 	}
-	if n, err := strconv.Atoi(os.Getenv("ROLLING_SEEDS")); err == nil {
-		seeds = nil
-		for i := range n {
-			seeds = append(seeds, uint64(i+1))
-		}
-	}
 	for _, seed := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			if os.Getenv("ROLLING_SEEDS") == "" {
+			if !byHand {
 				t.Parallel()
 			}
 			w, plan := Rolling(proxies, seed)
