--- a/Makefile
+++ b/Makefile
@@ -9,12 +9,12 @@
 	ldd bin/sandpass | grep -q libc
 
 # The experiments' tests take all cores, which tests that go by the clock can't bear beside them: they come after.
-BUSY := sandpass/internal/emulator sandpass/internal/lab sandpass/internal/rig
+BUSY := sandpass/internal/emulator sandpass/internal/lab sandpass/internal/testbed
 
 # What KNOWN-RED.txt names is passed over and printed.
 test:
-	go run ./internal/knownred -ldflags=-linkmode=external -- $$(go list ./... | grep -v $(addprefix -e ,$(BUSY)))
-	go run ./internal/knownred -ldflags=-linkmode=external -p 1 -- $(BUSY)
+	go run ./internal/knownfailures -ldflags=-linkmode=external -- $$(go list ./... | grep -v $(addprefix -e ,$(BUSY)))
+	go run ./internal/knownfailures -ldflags=-linkmode=external -p 1 -- $(BUSY)
 
 bench:
 	go test -run NONE -bench . -benchmem ./balance ./internal/http1 ./internal/loop ./internal/emulator
--- a/balance/state.go
+++ b/balance/state.go
@@ -2,7 +2,7 @@
 // hold a decision, nor a figure that one goes by.
 package balance
 
-import "sandpass/internal/living"
+import "sandpass/internal/membership"
 
 type backend struct {
 	Entry
@@ -107,9 +107,9 @@
 	asking                      bool
 	askWait                     float64
 	life                        uint64 // of this process, higher than those before it
-	view                        living.View
+	view                        membership.View
 	duties                      map[uint16]duty // cells that it keeps in another's place
-	arrivals                    living.Arrivals
+	arrivals                    membership.Arrivals
 	alive                       float64 // siblings believed to be there, 0 before the first command
 	laidFor                     float64 // and how many they were when the window was laid
 }
--- a/cmd/sandlab/main.go
+++ b/cmd/sandlab/main.go
@@ -23,11 +23,11 @@
 	"sandpass/internal/baseline"
 	"sandpass/internal/faults"
 	"sandpass/internal/lab"
-	"sandpass/internal/rig"
+	"sandpass/internal/testbed"
 )
 
 func main() {
-	if was, err := rig.Here(); was { // a child of ours, to be the proxy
+	if was, err := testbed.Here(); was { // a child of ours, to be the proxy
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "sandlab:", err)
 			os.Exit(1)
@@ -382,8 +382,8 @@
 
 // liveBack plays a comeback with real processes for each seed.
 func liveBack(c *cobra.Command, d lab.Comeback, seeds []uint64, state, program, what string, seconds int) error {
-	if !slices.Contains(rig.States, state) {
-		return fmt.Errorf("--state %q is none of %q", state, rig.States)
+	if !slices.Contains(testbed.States, state) {
+		return fmt.Errorf("--state %q is none of %q", state, testbed.States)
 	}
 	command, env, _, err := proxy(program)
 	if err != nil {
@@ -417,7 +417,7 @@
 		return []string{program, "serve"}, nil, false, nil
 	}
 	me, err := os.Executable()
-	return []string{me}, []string{rig.HereEnv + "=1"}, true, err
+	return []string{me}, []string{testbed.HereEnv + "=1"}, true, err
 }
 
 func live() *cobra.Command {
@@ -440,7 +440,7 @@
 			}
 			cell := s.Cells[0]
 			plan := cell.PlanFor(at)
-			r, err := rig.New(cell.World, plan, at, command, env)
+			r, err := testbed.New(cell.World, plan, at, command, env)
 			if err != nil {
 				return fmt.Errorf("%s: %w", args[0], err)
 			}
@@ -475,15 +475,15 @@
 			if len(programs) == 0 {
 				programs = []string{""}
 			}
-			var loads []rig.Load
+			var loads []testbed.Load
 			for _, p := range programs {
 				command, env, own, err := proxy(p)
 				if err != nil {
 					return err
 				}
-				loads = append(loads, rig.Load{Seconds: seconds, Rate: rate, Program: command, Env: env, Profile: own})
+				loads = append(loads, testbed.Load{Seconds: seconds, Rate: rate, Program: command, Env: env, Profile: own})
 			}
-			return rig.Table(c.Context(), c.OutOrStdout(), loads, programs, connections, bodies, times)
+			return testbed.Table(c.Context(), c.OutOrStdout(), loads, programs, connections, bodies, times)
 		}}
 	c.Flags().StringArrayVar(&programs, "program", nil, "the proxy's program, called as PROGRAM serve (this one); several are measured in turn")
 	c.Flags().IntSliceVar(&connections, "connections", []int{1, 16, 64, 512}, "of the clients")
--- a/deploy/sites/main.go
+++ b/deploy/sites/main.go
@@ -13,7 +13,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"sandpass/internal/strict"
+	"sandpass/internal/tomlconfig"
 )
 
 const folder = "deploy/sites"
@@ -57,7 +57,7 @@
 		return err
 	}
 	var all recipes
-	if err := strict.Decode(text, &all); err != nil {
+	if err := tomlconfig.Decode(text, &all); err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
 	files := map[string][]byte{}
@@ -93,7 +93,7 @@
 func (r *recipe) over(base []byte) ([]byte, error) {
 	site := map[string]any{}
 	if err := toml.Unmarshal(base, &site); err != nil {
-		return nil, fmt.Errorf("base %s: %w", r.Base, strict.Placed(err))
+		return nil, fmt.Errorf("base %s: %w", r.Base, tomlconfig.Placed(err))
 	}
 	site["name"] = r.Name
 	for name, keys := range r.Tables {
--- a/internal/judge/judge.go
+++ b/internal/checker/checker.go
@@ -1,9 +1,9 @@
-// Package judge holds a day to the four rules, and to a stated budget of further relays, and counts what it was worth.
+// Package checker holds a day to the four rules, and to a stated budget of further relays, and counts what it was worth.
 //
 // A world reports plain facts to a Judge: what was asked, sent, run, told and answered, as they truly happened. The
 // Judge keeps its own books of them. It must never read the books of a policy, of a proxy or of the world that
 // reports, so that a wrong one of these can't hide what it did. Times are in seconds of the day.
-package judge
+package checker
 
 import (
 	"cmp"
--- a/internal/judge/judge_test.go
+++ b/internal/checker/checker_test.go
@@ -1,4 +1,4 @@
-package judge
+package checker
 
 import (
 	"math"
--- a/internal/emulator/backends.go
+++ b/internal/emulator/backends.go
@@ -10,8 +10,8 @@
 	"slices"
 
 	"sandpass/balance"
+	"sandpass/internal/checker"
 	"sandpass/internal/faults"
-	"sandpass/internal/judge"
 )
 
 // burden is what a backend bears: of faults, and of a machine that has fallen silent.
@@ -162,7 +162,7 @@
 	v := &d.w.Verbs[r.verb]
 	if b.own != nil && b.tier < len(v.Calls) && r.calls < v.Calls[b.tier] {
 		if d.now >= r.expires { // nobody waits any more, though word of that has not come
-			r.blame, r.blamed = judge.Loss{Where: judge.Work, Tier: b.tier}, true
+			r.blame, r.blamed = checker.Loss{Where: checker.Work, Tier: b.tier}, true
 			d.leave(b, r, balance.Errored)
 			return
 		}
@@ -183,7 +183,7 @@
 func (d *Day) ran(b *backend, r *relay) {
 	v := &d.verbs[r.verb]
 	r.made = true
-	d.judge.Ran(d.now, r.sent, r.op, judge.Effect(v.Effect), judge.Scope(v.Scope), v.Window, b.zone, b.cell)
+	d.judge.Ran(d.now, r.sent, r.op, checker.Effect(v.Effect), checker.Scope(v.Scope), v.Window, b.zone, b.cell)
 }
 
 // leave sends a command's outcome back and lets in the next that waits.
--- a/internal/emulator/clients.go
+++ b/internal/emulator/clients.go
@@ -8,8 +8,8 @@
 	"slices"
 
 	"sandpass/balance"
+	"sandpass/internal/checker"
 	"sandpass/internal/faults"
-	"sandpass/internal/judge"
 )
 
 const (
@@ -44,7 +44,7 @@
 	first          float64
 	tried          float64 // when the latest try was sent
 	command        uint64
-	loss           judge.Loss
+	loss           checker.Loss
 	mayHaveRun     bool // a try that ended without a promise
 }
 
@@ -249,7 +249,7 @@
 		x = d.fronts[(o.zone+z)%len(d.fronts)].choose(d.clientChance.Float64())
 	}
 	if x == nil {
-		o.loss = judge.Loss{How: judge.Unreached}
+		o.loss = checker.Loss{How: checker.Unreached}
 		d.client(onReply, d.now+d.w.Net.Client, o, int32(unreached), 0)
 		return
 	}
@@ -265,7 +265,7 @@
 		return
 	}
 	if !x.alive {
-		o.loss = judge.Loss{How: judge.Unreached}
+		o.loss = checker.Loss{How: checker.Unreached}
 		d.client(onReply, d.now+d.w.Net.Client, o, int32(unreached), 0)
 		return
 	}
@@ -319,16 +319,16 @@
 	}
 	if c := d.command(o.command); c != nil && c.op == o && !c.done {
 		if o.loss = d.where(c); leaves {
-			o.loss.How = judge.Left
+			o.loss.How = checker.Left
 		} else {
-			o.loss.How = judge.Limit
+			o.loss.How = checker.Limit
 		}
 		if c.inst.alive && leaves {
 			d.hangUp(c.inst, c.id)
 		}
 	}
 	if leaves {
-		o.loss.How = judge.Left
+		o.loss.How = checker.Left
 		d.end(o)
 		return
 	}
@@ -377,7 +377,7 @@
 
 // Arrivals are all operations of a day in the order in which they are due: the very ones that Run plays.
 func Arrivals(w World, plan faults.Plan, seed uint64) []Arrival {
-	d := &Day{w: w, plan: plan, seed: seed, active: make([]bool, len(plan)), judge: judge.New(judge.Terms{Length: w.Length})}
+	d := &Day{w: w, plan: plan, seed: seed, active: make([]bool, len(plan)), judge: checker.New(checker.Terms{Length: w.Length})}
 	for i, f := range plan {
 		d.queue.push(onFault, event{at: f.From, n: uint64(i), a: 1})
 		d.queue.push(onFault, event{at: f.From + f.For, n: uint64(i)})
--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -9,8 +9,8 @@
 	"math/rand/v2"
 
 	"sandpass/balance"
+	"sandpass/internal/checker"
 	"sandpass/internal/faults"
-	"sandpass/internal/judge"
 )
 
 const (
@@ -54,7 +54,7 @@
 	seed   uint64
 	now    float64
 	queue  queue
-	judge  *judge.Judge
+	judge  *checker.Judge
 	events uint64
 	verbs  []balance.Verb
 	limits balance.Limits
@@ -97,7 +97,7 @@
 
 // Run plays a day and gives the judge's account and the number of events. The world and the plan must have been
 // checked.
-func Run(w World, plan faults.Plan, maker Maker, seed uint64) (*judge.Account, uint64) {
+func Run(w World, plan faults.Plan, maker Maker, seed uint64) (*checker.Account, uint64) {
 	d := New(w, plan, maker, seed)
 	return d.Play()
 }
@@ -108,7 +108,7 @@
 		targets: make([][]*backend, len(plan)), active: make([]bool, len(plan)), turns: make([]float64, len(plan))}
 	d.netChance, d.worldChance = d.stream("net", 0), d.stream("world", 0)
 	d.clientChance, d.listChance, d.lifeChance = d.stream("clients", 0), d.stream("list", 0), d.stream("life", 0)
-	d.judge = judge.New(judge.Terms{Slack: w.Rules.Slack, Grace: w.Rules.Grace, Multiple: w.Rules.ColdMultiple,
+	d.judge = checker.New(checker.Terms{Slack: w.Rules.Slack, Grace: w.Rules.Grace, Multiple: w.Rules.ColdMultiple,
 		Window: w.Rules.ColdWindow, Copies: w.Rules.Copies, Relay: w.Prices.Relay, Message: w.Prices.Message,
 		Crossing: w.Prices.Crossing, LateNo: w.Prices.LateNo, Length: w.Length, Customers: len(w.Customers),
 		LimitOff: w.Rules.LimitOff, Free: w.Rules.Free, Share: w.Rules.FreeShare, Span: w.Rules.FreeSpan})
@@ -160,7 +160,7 @@
 }
 
 // Play runs the day to its end.
-func (d *Day) Play() (*judge.Account, uint64) {
+func (d *Day) Play() (*checker.Account, uint64) {
 	end := d.w.Length + tail
 	for _, v := range d.w.Verbs {
 		end = max(end, d.w.Length+v.Limit+tail)
--- a/internal/emulator/day_test.go
+++ b/internal/emulator/day_test.go
@@ -8,9 +8,9 @@
 
 	"sandpass/balance"
 	"sandpass/internal/baseline"
+	"sandpass/internal/checker"
 	"sandpass/internal/emulator"
 	"sandpass/internal/faults"
-	"sandpass/internal/judge"
 )
 
 func maker(t testing.TB, name string) emulator.Maker {
@@ -31,7 +31,7 @@
 }
 
 // text is all that an account says.
-func text(a *judge.Account, events uint64) string {
+func text(a *checker.Account, events uint64) string {
 	return fmt.Sprintln(events, a.G(true), a.Worst(), a.Ops, a.Answered, a.Relays, a.Copies, a.Messages, a.Losses, a.Broken,
 		a.AskedBy, a.ServedBy, a.Quantile(0.5), a.Quantile(0.999))
 }
@@ -66,7 +66,7 @@
 func TestPoliciesMeetTheSameClients(t *testing.T) {
 	w := small()
 	plan := faults.Draw(11, 3, w.Extent())
-	var first *judge.Account
+	var first *checker.Account
 	for _, name := range baseline.Names() {
 		a, _ := emulator.Run(w, plan, maker(t, name), 3)
 		if first == nil {
@@ -200,43 +200,43 @@
 	spoil := faults.Plan{{Kind: faults.Spoil, Zone: -1, To: -1, Share: 1, From: 3, For: 6, Hard: 0.3}}
 	for _, c := range []struct {
 		name string
-		rule judge.Rule
+		rule checker.Rule
 		want string
 		plan faults.Plan
 		make emulator.Maker
 	}{
-		{"keeps silent instead of declining", judge.Answer, "never had a final answer",
+		{"keeps silent instead of declining", checker.Answer, "never had a final answer",
 			faults.Plan{{Kind: faults.Refuse, Zone: -1, To: -1, Share: 1, From: 3, For: 3, Hard: 1}},
 			build(func(h balance.Host) *wrongHost {
 				return &wrongHost{Host: h, decline: func(balance.Host, uint64) {}}
 			}, wrong{})},
-		{"declines and relays all the same", judge.Answer, "which is not open", nil,
+		{"declines and relays all the same", checker.Answer, "which is not open", nil,
 			build(func(h balance.Host) *wrongHost {
 				return &wrongHost{Host: h, relay: func(h balance.Host, id uint64, to balance.BackendID) {
 					h.Decline(id, 0)
 					h.Relay(id, to)
 				}}
 			}, wrong{})},
-		{"sends each command twice", judge.Twice, "may have run", nil,
+		{"sends each command twice", checker.Twice, "may have run", nil,
 			build(func(h balance.Host) *wrongHost {
 				return &wrongHost{Host: h, relay: func(h balance.Host, id uint64, to balance.BackendID) {
 					h.Relay(id, to)
 					h.Relay(id, to)
 				}}
 			}, wrong{})},
-		{"sends again after a broken connection", judge.Twice, "took place twice", spoil,
+		{"sends again after a broken connection", checker.Twice, "took place twice", spoil,
 			build(nil, wrong{after: func(w *wrong, id uint64, result balance.Result) {
 				if result == balance.Reset {
 					w.host.Relay(id, w.known[int(id)%len(w.known)])
 				}
 			}})},
-		{"declines what may have run", judge.Twice, "declines command", spoil,
+		{"declines what may have run", checker.Twice, "declines command", spoil,
 			build(nil, wrong{after: func(w *wrong, id uint64, result balance.Result) {
 				if result == balance.Reset {
 					w.host.Decline(id, 0)
 				}
 			}})},
-		{"takes drains for ready", judge.Drain, "after word that it drains", roll,
+		{"takes drains for ready", checker.Drain, "after word that it drains", roll,
 			build(nil, wrong{fleet: func(p emulator.Policy, now float64, whole bool, entries []balance.Entry) {
 				var all []balance.Entry
 				for _, e := range entries {
@@ -245,7 +245,7 @@
 				}
 				p.Fleet(now, whole, all)
 			}})},
-		{"believes only the newest to be there", judge.Cold, "after its start, got", roll,
+		{"believes only the newest to be there", checker.Cold, "after its start, got", roll,
 			build(nil, wrong{fleet: func(p emulator.Policy, now float64, whole bool, entries []balance.Entry) {
 				newest, only := 0.0, entries
 				for _, e := range entries {
@@ -286,25 +286,25 @@
 		policy string
 		plan   faults.Plan
 		change func(w *emulator.World)
-		how    judge.How
-		where  judge.Where
+		how    checker.How
+		where  checker.Where
 		tier   int
 	}{
-		{"nobody there", "two", faults.Plan{{Kind: faults.Kill, Zone: -1, To: -1, Share: 1, From: 3, For: 8}}, nil, judge.Unreached, judge.Instance, 0},
+		{"nobody there", "two", faults.Plan{{Kind: faults.Kill, Zone: -1, To: -1, Share: 1, From: 3, For: 8}}, nil, checker.Unreached, checker.Instance, 0},
 		{"instances killed", "two", faults.Plan{{Kind: faults.Kill, Zone: -1, To: -1, Share: 0.5, From: 6, For: 3}},
-			func(w *emulator.World) { w.Tiers[0].Speeds, w.Rate = []float64{0.1}, 90 }, judge.Died, judge.Work, 0},
-		{"clients leave", "two", all(faults.Rude, 1), nil, judge.Left, judge.Work, 0},
-		{"turned away", "two", all(faults.Refuse, 1), nil, judge.Declined, judge.Refused, 0},
-		{"failed below", "two", faults.Plan{{Kind: faults.Errors, Tier: 1, Zone: -1, To: -1, Share: 1, From: 3, For: 8, Hard: 1}}, nil, judge.Declined, judge.Failed, 1},
-		{"hung", "two", all(faults.Hang, 0), nil, judge.Limit, judge.Stuck, 0},
-		{"hung below", "two", faults.Plan{{Kind: faults.Hang, Tier: 1, Zone: -1, To: -1, Share: 1, From: 3, For: 8}}, nil, judge.Limit, judge.Stuck, 1},
-		{"out of connections", "two", faults.Plan{{Kind: faults.Table, Zone: -1, Share: 1, For: 8, Hard: 1}}, nil, judge.Declined, judge.Connecting, 0},
-		{"dead", "two", all(faults.Crash, 0), nil, judge.Declined, judge.Connecting, 0},
-		{"broken off", "two", all(faults.Spoil, 1), nil, judge.Terminated, judge.Network, 0},
-		{"slow", "two", all(faults.Slow, 0.95), nil, judge.Late, judge.Work, 0},
-		{"held", "module", nil, func(w *emulator.World) { w.Load = 3 }, judge.Declined, judge.Instance, 0},
-		{"queued", "random", nil, func(w *emulator.World) { w.Load, w.Tiers[0].Slots = 0.9, 2 }, judge.Late, judge.Queue, 0},
-		{"cut", "two", faults.Plan{{Kind: faults.Cut, Zone: 0, To: -1, From: 3, For: 8, Hard: 1}}, nil, judge.Limit, judge.Network, 0},
+			func(w *emulator.World) { w.Tiers[0].Speeds, w.Rate = []float64{0.1}, 90 }, checker.Died, checker.Work, 0},
+		{"clients leave", "two", all(faults.Rude, 1), nil, checker.Left, checker.Work, 0},
+		{"turned away", "two", all(faults.Refuse, 1), nil, checker.Declined, checker.Refused, 0},
+		{"failed below", "two", faults.Plan{{Kind: faults.Errors, Tier: 1, Zone: -1, To: -1, Share: 1, From: 3, For: 8, Hard: 1}}, nil, checker.Declined, checker.Failed, 1},
+		{"hung", "two", all(faults.Hang, 0), nil, checker.Limit, checker.Stuck, 0},
+		{"hung below", "two", faults.Plan{{Kind: faults.Hang, Tier: 1, Zone: -1, To: -1, Share: 1, From: 3, For: 8}}, nil, checker.Limit, checker.Stuck, 1},
+		{"out of connections", "two", faults.Plan{{Kind: faults.Table, Zone: -1, Share: 1, For: 8, Hard: 1}}, nil, checker.Declined, checker.Connecting, 0},
+		{"dead", "two", all(faults.Crash, 0), nil, checker.Declined, checker.Connecting, 0},
+		{"broken off", "two", all(faults.Spoil, 1), nil, checker.Terminated, checker.Network, 0},
+		{"slow", "two", all(faults.Slow, 0.95), nil, checker.Late, checker.Work, 0},
+		{"held", "module", nil, func(w *emulator.World) { w.Load = 3 }, checker.Declined, checker.Instance, 0},
+		{"queued", "random", nil, func(w *emulator.World) { w.Load, w.Tiers[0].Slots = 0.9, 2 }, checker.Late, checker.Queue, 0},
+		{"cut", "two", faults.Plan{{Kind: faults.Cut, Zone: 0, To: -1, From: 3, For: 8, Hard: 1}}, nil, checker.Limit, checker.Network, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -349,7 +349,7 @@
 // A cancelled command that a backend runs all the same takes its capacity, and its effect counts.
 func TestDeafBackendsStillRun(t *testing.T) {
 	w := small()
-	run := func(plan faults.Plan) *judge.Account {
+	run := func(plan faults.Plan) *checker.Account {
 		x := w
 		x.Clients.Early = 0.6
 		a, _ := emulator.Run(x, plan, maker(t, "two"), 6)
--- a/internal/emulator/instances.go
+++ b/internal/emulator/instances.go
@@ -5,8 +5,8 @@
 
 import (
 	"sandpass/balance"
+	"sandpass/internal/checker"
 	"sandpass/internal/faults"
-	"sandpass/internal/judge"
 )
 
 // closing marks the event that forgets a command which its policy has just ended.
@@ -81,7 +81,7 @@
 			continue
 		}
 		if !c.done && c.op != nil {
-			d.lose(c, judge.Died)
+			d.lose(c, checker.Died)
 			d.answerClient(c, died, 0)
 		}
 		c.done = true
@@ -147,8 +147,8 @@
 // take hands a command to its instance.
 func (d *Day) take(c *command) {
 	v := &d.verbs[c.verb]
-	d.judge.Taken(d.now, judge.Command{ID: c.id, Op: c.opID, Instance: c.inst.serial, Expires: c.expires,
-		Effect: judge.Effect(v.Effect), Scope: judge.Scope(v.Scope), Window: v.Window})
+	d.judge.Taken(d.now, checker.Command{ID: c.id, Op: c.opID, Instance: c.inst.serial, Expires: c.expires,
+		Effect: checker.Effect(v.Effect), Scope: checker.Scope(v.Scope), Window: v.Window})
 	d.queue.push(onLimit, event{at: c.expires, n: c.id})
 	c.inst.policy.Command(d.now, c.id, c.verb, c.customer, c.expires-d.skew(c.inst), c.key)
 }
@@ -330,7 +330,7 @@
 }
 
 // finish passes the final answer on to who waits for it.
-func (d *Day) finish(c *command, a answer, comeBack float64, l judge.Loss) {
+func (d *Day) finish(c *command, a answer, comeBack float64, l checker.Loss) {
 	c.done = true
 	if c.parent != nil {
 		if a != answered {
@@ -353,7 +353,7 @@
 	d.answerClient(c, a, comeBack)
 }
 
-func (d *Day) lose(c *command, how judge.How) {
+func (d *Day) lose(c *command, how checker.How) {
 	if c.try == c.op.try {
 		l := d.where(c)
 		l.How = how
@@ -426,11 +426,11 @@
 	l := d.where(c)
 	switch {
 	case a == declined:
-		l.How = judge.Declined
+		l.How = checker.Declined
 	case d.now >= c.expires-2*d.w.Tick:
-		l.How = judge.Limit
+		l.How = checker.Limit
 	default:
-		l.How = judge.Terminated
+		l.How = checker.Terminated
 	}
 	d.finish(c, a, comeBack, l)
 	if c.out == 0 {
@@ -500,8 +500,8 @@
 
 // ---- Where a command is, or was lost.
 
-func (d *Day) where(c *command) judge.Loss {
-	l := judge.Loss{Where: judge.Instance, Tier: c.inst.tier}
+func (d *Day) where(c *command) checker.Loss {
+	l := checker.Loss{Where: checker.Instance, Tier: c.inst.tier}
 	if len(c.relays) == 0 {
 		return l
 	}
@@ -518,61 +518,61 @@
 }
 
 // at is where a relay that is out is just now.
-func (d *Day) at(r *relay) judge.Loss {
-	l := judge.Loss{Tier: r.to.tier}
+func (d *Day) at(r *relay) checker.Loss {
+	l := checker.Loss{Tier: r.to.tier}
 	switch r.state {
 	case connecting:
-		l.Where = judge.Connecting
+		l.Where = checker.Connecting
 	case inQueue:
-		l.Where = judge.Queue
+		l.Where = checker.Queue
 	case working:
-		if l.Where = judge.Work; r.b.burden.Hang {
-			l.Where = judge.Stuck
+		if l.Where = checker.Work; r.b.burden.Hang {
+			l.Where = checker.Stuck
 		}
 	case calling:
 		if c := d.command(r.callID); c != nil {
 			return d.where(c)
 		}
-		l.Where = judge.Work
+		l.Where = checker.Work
 	case stranded:
-		if l.Where = judge.Stuck; r.cut {
-			l.Where = judge.Network
+		if l.Where = checker.Stuck; r.cut {
+			l.Where = checker.Network
 		}
 	default:
-		l.Where = judge.Network
+		l.Where = checker.Network
 	}
 	return l
 }
 
 // because is why a relay that has ended did not answer.
-func (d *Day) because(r *relay) judge.Loss {
+func (d *Day) because(r *relay) checker.Loss {
 	if r.blamed {
 		return r.blame
 	}
-	l := judge.Loss{Tier: r.to.tier}
+	l := checker.Loss{Tier: r.to.tier}
 	switch r.result {
 	case balance.Full:
-		l.Where = judge.Refused
+		l.Where = checker.Refused
 	case balance.Unconnected:
-		l.Where = judge.Connecting
+		l.Where = checker.Connecting
 	case balance.Errored:
-		l.Where = judge.Failed
+		l.Where = checker.Failed
 	default:
-		l.Where = judge.Network
+		l.Where = checker.Network
 	}
 	return l
 }
 
 // slowest is where a command that was answered by r spent the most of its time.
-func (d *Day) slowest(c *command, r *relay) judge.Loss {
-	l := judge.Loss{How: judge.Late, Where: judge.Instance, Tier: c.inst.tier}
+func (d *Day) slowest(c *command, r *relay) checker.Loss {
+	l := checker.Loss{How: checker.Late, Where: checker.Instance, Tier: c.inst.tier}
 	most := r.sent - c.came
 	for _, x := range []struct {
 		took  float64
-		where judge.Where
+		where checker.Where
 	}{
-		{r.arrived - r.sent, judge.Connecting}, {r.began - r.arrived, judge.Queue}, {r.ended - r.began, judge.Work},
-		{d.now - r.ended, judge.Network},
+		{r.arrived - r.sent, checker.Connecting}, {r.began - r.arrived, checker.Queue}, {r.ended - r.began, checker.Work},
+		{d.now - r.ended, checker.Network},
 	} {
 		if x.took > most {
 			most, l.Where = x.took, x.where
--- a/internal/emulator/living_test.go
+++ b/internal/emulator/living_test.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"testing"
 
+	"sandpass/internal/checker"
 	"sandpass/internal/emulator"
 	"sandpass/internal/faults"
-	"sandpass/internal/judge"
 )
 
 // many is a day of so many proxies that each has little to do, before backends that have room.
@@ -19,7 +19,7 @@
 	return w
 }
 
-func part(a *judge.Account, from, to int) float64 {
+func part(a *checker.Account, from, to int) float64 {
 	asked, served := 0.0, 0.0
 	for s := from; s < to; s++ {
 		asked, served = asked+a.AskedBy[s], served+a.ServedBy[s]
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -4,8 +4,8 @@
 
 import (
 	"sandpass/balance"
+	"sandpass/internal/checker"
 	"sandpass/internal/faults"
-	"sandpass/internal/judge"
 )
 
 // stage is where a relay is.
@@ -46,7 +46,7 @@
 	read, reads         bool // its answer was looked at; a client is reading it
 	breaks              bool // its connection breaks once it has run
 	cut                 bool // stranded by a cut, not by its backend
-	blame               judge.Loss
+	blame               checker.Loss
 	blamed              bool
 	serial              uint64 // number among all relays
 }
--- a/internal/emulator/places_test.go
+++ b/internal/emulator/places_test.go
@@ -6,9 +6,9 @@
 	"testing"
 
 	"sandpass/balance"
+	"sandpass/internal/checker"
 	"sandpass/internal/emulator"
 	"sandpass/internal/faults"
-	"sandpass/internal/judge"
 )
 
 // keyed is a small day whose commands carry keys and whose proxies have a budget and few places for answers.
@@ -81,7 +81,7 @@
 		x.Policy = inner(host, s, seed, now)
 		return x
 	}
-	if a, _ := emulator.Run(w, plan, again, 9); a.Rules[judge.Budget] == 0 {
+	if a, _ := emulator.Run(w, plan, again, 9); a.Rules[checker.Budget] == 0 {
 		t.Errorf("a storm of retries broke no budget: %v", a.Rules)
 	}
 	if a, _ := emulator.Run(w, plan, maker(t, "module"), 9); a.Count() > 0 {
@@ -103,7 +103,7 @@
 		w.Rules.StartOff = off
 		for seed := range uint64(6) {
 			a, _ := emulator.Run(w, plan, maker(t, "module"), seed)
-			fell += a.Rules[judge.Cold]
+			fell += a.Rules[checker.Cold]
 			if off > 0 && a.Count() > 0 {
 				t.Errorf("seed %d: a rule broke: %v", seed, a.Broken[0])
 			}
--- a/internal/links/links.go
+++ b/internal/faultnet/links.go
@@ -1,4 +1,4 @@
-// Package links carries bytes between real processes over ways that can be made bad.
+// Package faultnet carries bytes between real processes over ways that can be made bad.
 //
 // A way stands between two ends on loopback, as a Stream of TCP connections or as a Pair of UDP addresses, and each
 // of its directions has a Weather of its own, which may be changed at any time: delay, jitter, loss, repeats, swapped
@@ -8,7 +8,7 @@
 // What a user-space forwarder can't do stands here: a cut Stream still accepts connections and then is silent, as a
 // machine behind a dead switch is not (that one would not even accept); loss on a Stream is bytes that come later, as
 // TCP has it, never bytes that are missing.
-package links
+package faultnet
 
 import (
 	"fmt"
--- a/internal/links/links_test.go
+++ b/internal/faultnet/links_test.go
@@ -1,4 +1,4 @@
-package links
+package faultnet
 
 import (
 	"bytes"
--- a/internal/links/pair.go
+++ b/internal/faultnet/pair.go
@@ -1,6 +1,6 @@
 // This file owns a way for datagrams between two addresses. It must never let one through that comes from neither: each
 // end knows the other by the address that the way shows it.
-package links
+package faultnet
 
 import (
 	"net"
--- a/internal/links/stream.go
+++ b/internal/faultnet/stream.go
@@ -1,7 +1,7 @@
 // This file owns a way for TCP connections. Each connection has two goroutines for each direction: one that takes bytes
 // in as long as there is room, one that lets them out when they are due. It must never drop a byte of a connection that
 // is not reset.
-package links
+package faultnet
 
 import (
 	"net"
--- a/internal/objects/objects.go
+++ b/internal/jsonstream/jsonstream.go
@@ -1,7 +1,7 @@
-// Package objects cuts a stream of bytes into the JSON objects in it, however they are laid out: each on a line of its own,
+// Package jsonstream cuts a stream of bytes into the JSON objects in it, however they are laid out: each on a line of its own,
 // indented over many, or cut anywhere between two reads. It holds the beginning of one object at most and must never
 // look at what it means; whether it is valid JSON is for who decodes it.
-package objects
+package jsonstream
 
 import (
 	"bytes"
--- a/internal/objects/objects_test.go
+++ b/internal/jsonstream/jsonstream_test.go
@@ -1,4 +1,4 @@
-package objects
+package jsonstream
 
 import (
 	"bytes"
--- a/internal/knownred/main.go
+++ b/internal/knownfailures/main.go
@@ -1,7 +1,7 @@
-// Command knownred runs go test on packages, passing over exactly the tests that KNOWN-RED.txt names, which it prints. It
+// Command knownfailures runs go test on packages, passing over exactly the tests that KNOWN-RED.txt names, which it prints. It
 // must never pass over anything else, nor let a line stand that is malformed, names no test, or names one that passes.
 //
-//	go run ./internal/knownred [FLAGS OF GO TEST --] PACKAGE...
+//	go run ./internal/knownfailures [FLAGS OF GO TEST --] PACKAGE...
 package main
 
 import (
--- a/internal/lab/back.go
+++ b/internal/lab/back.go
@@ -13,10 +13,10 @@
 	"strings"
 
 	"sandpass/internal/baseline"
+	"sandpass/internal/checker"
 	"sandpass/internal/emulator"
 	"sandpass/internal/faults"
-	"sandpass/internal/judge"
-	"sandpass/internal/rig"
+	"sandpass/internal/testbed"
 )
 
 const (
@@ -58,10 +58,10 @@
 }
 
 // PlayLive plays it once with real processes, their state as the rig's States have it, from the return of the last one.
-func (c *Comeback) PlayLive(ctx context.Context, seed uint64, state string, program, env []string) (Return, rig.Outcome, error) {
-	r, err := rig.New(c.World, c.Plan, seed, program, env)
+func (c *Comeback) PlayLive(ctx context.Context, seed uint64, state string, program, env []string) (Return, testbed.Outcome, error) {
+	r, err := testbed.New(c.World, c.Plan, seed, program, env)
 	if err != nil {
-		return Return{}, rig.Outcome{}, err
+		return Return{}, testbed.Outcome{}, err
 	}
 	r.State = state
 	out, err := r.Play(ctx)
@@ -86,7 +86,7 @@
 }
 
 // Of takes the figures from an account.
-func (c *Comeback) Of(a *judge.Account) Return {
+func (c *Comeback) Of(a *checker.Account) Return {
 	r := Return{Broken: a.Count(), ToFull: math.Inf(1), Messages: float64(a.Messages) / c.World.Length / float64(c.World.Instances)}
 	part := func(from, to float64) float64 {
 		asked, served := 0.0, 0.0
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -17,7 +17,7 @@
 	"sandpass/internal/baseline"
 	"sandpass/internal/emulator"
 	"sandpass/internal/faults"
-	"sandpass/internal/strict"
+	"sandpass/internal/tomlconfig"
 )
 
 // Experiment is what a file asks for.
@@ -67,12 +67,12 @@
 
 // Parse reads an experiment's text. An error names the line and column, or the key.
 func Parse(text []byte, over []string) (*Sheet, error) {
-	if err := strict.Decode(text, &Experiment{}); err != nil {
+	if err := tomlconfig.Decode(text, &Experiment{}); err != nil {
 		return nil, err
 	}
 	var tree map[string]any
 	if err := toml.Unmarshal(text, &tree); err != nil {
-		return nil, strict.Placed(err)
+		return nil, tomlconfig.Placed(err)
 	}
 	axes, err := axesOf(tree, over)
 	if err != nil {
--- a/internal/lab/runs.go
+++ b/internal/lab/runs.go
@@ -11,9 +11,9 @@
 	"sync"
 
 	"sandpass/internal/baseline"
+	"sandpass/internal/checker"
 	"sandpass/internal/emulator"
 	"sandpass/internal/faults"
-	"sandpass/internal/judge"
 )
 
 // Run is one day of an experiment.
@@ -28,7 +28,7 @@
 type Day struct {
 	Run
 	Plan    faults.Plan
-	Account *judge.Account
+	Account *checker.Account
 	Events  uint64
 }
 
--- a/internal/lab/search.go
+++ b/internal/lab/search.go
@@ -14,9 +14,9 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"sandpass/internal/baseline"
+	"sandpass/internal/checker"
 	"sandpass/internal/emulator"
 	"sandpass/internal/faults"
-	"sandpass/internal/judge"
 )
 
 const (
@@ -56,7 +56,7 @@
 // weigh plays a day for the policy and for the top.
 func (f Found) weigh() (Found, error) {
 	f.Broken = ""
-	var accounts [2]*judge.Account
+	var accounts [2]*checker.Account
 	for i, name := range []string{f.Policy, "top"} {
 		m, err := baseline.Maker(name)
 		if err != nil {
--- a/internal/living/arrivals.go
+++ b/internal/membership/arrivals.go
@@ -1,10 +1,10 @@
-// Package living tells a proxy how many of its siblings there still are, so that the shares which it takes of what is
+// Package membership tells a proxy how many of its siblings there still are, so that the shares which it takes of what is
 // common go by who is there and not by who should be.
 //
 // Arrivals goes by what comes to the proxy itself and needs no message; View goes by what siblings say. Both are free of
 // I/O and of a clock of their own: they are told times in seconds, which never run backwards. Neither may decide what a
 // share is of, nor be believed beyond the bound that its page states. docs/recovery.md has the design and its source.
-package living
+package membership
 
 import "math"
 
--- a/internal/living/arrivals_test.go
+++ b/internal/membership/arrivals_test.go
@@ -1,4 +1,4 @@
-package living
+package membership
 
 import (
 	"math"
--- a/internal/living/view.go
+++ b/internal/membership/view.go
@@ -1,7 +1,7 @@
 // This file owns what a proxy knows of each sibling by messages: which life of it speaks, whether it answers, and in
 // which form it is spoken to. It must never take a word of a former life for one of the present, nor give a sibling up
 // for good.
-package living
+package membership
 
 import "math"
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -8,7 +8,7 @@
 	"math"
 	"os"
 
-	"sandpass/internal/strict"
+	"sandpass/internal/tomlconfig"
 )
 
 // File is what the operators say. Times are in seconds.
@@ -44,7 +44,7 @@
 // Parse decodes and checks a file's text.
 func Parse(text []byte) (*File, error) {
 	var f File
-	if err := strict.Decode(text, &f); err != nil {
+	if err := tomlconfig.Decode(text, &f); err != nil {
 		return nil, err
 	}
 	s := &f.State
--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -15,7 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"sandpass/balance"
-	"sandpass/internal/objects"
+	"sandpass/internal/jsonstream"
 )
 
 // Two events cross: each test puts both into the order, or the one turn of the loop, that does harm. A hook of the test's
@@ -622,7 +622,7 @@
 	for _, junk := range []string{"", "\x00", "}", "]", "\"", "\n", "{", "9", "\xff\xfe", ",", "null", "[[[["} {
 		for i := range len(good) {
 			w := &p.watch
-			w.cutter = objects.Cutter{Most: lineMost}
+			w.cutter = jsonstream.Cutter{Most: lineMost}
 			text := good[:i] + junk + good[min(len(good), i+len(junk)):]
 			for len(text) > 0 { // and in pieces
 				n := min(len(text), 1+i%37)
--- a/internal/proxy/end.go
+++ b/internal/proxy/end.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"log"
 
-	"sandpass/internal/ending"
+	"sandpass/internal/shutdown"
 )
 
 const soon = 0.02 // seconds between looks at whether the end has come
@@ -17,7 +17,7 @@
 	leaving bool // answers end their connection, and what rests is closed
 	over    bool // what is open has had its answer; what is read now is declined
 	last    bool // and so is what is not whole
-	plan    ending.Plan
+	plan    shutdown.Plan
 	since   float64
 	closed  int // connections closed at rest
 }
@@ -32,12 +32,12 @@
 }
 
 // planEnd plans by the verbs as they are.
-func (p *Proxy) planEnd() ending.Plan {
+func (p *Proxy) planEnd() shutdown.Plan {
 	longest := 0.0
 	for _, v := range p.names.Verbs {
 		longest = max(longest, v.TimeLimit)
 	}
-	return ending.For(longest)
+	return shutdown.For(longest)
 }
 
 // replan heeds verbs that have changed on the way: the kill was announced by the old ones or the new.
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -12,9 +12,9 @@
 
 	"sandpass/balance"
 	"sandpass/internal/http1"
+	"sandpass/internal/jsonstream"
 	"sandpass/internal/liveness"
 	"sandpass/internal/loop"
-	"sandpass/internal/objects"
 )
 
 const lineMost = 8 << 20 // bytes of a message: tens of thousands of backends
@@ -45,7 +45,7 @@
 	chunks http1.Chunks
 	index  int64
 	has    bool // a list was had
-	cutter objects.Cutter
+	cutter jsonstream.Cutter
 	had    int         // bytes of the answer's body
 	again  *loop.Timer // opens it after a loss
 	liveness.Watch
@@ -55,7 +55,7 @@
 func (p *Proxy) connect() {
 	w := &p.watch
 	conn, err := p.loop.Dial(w.at, watcher{p}, lineMost)
-	w.conn, w.cutter, w.chunks, w.had = conn, objects.Cutter{Most: lineMost}, http1.Chunks{}, 0
+	w.conn, w.cutter, w.chunks, w.had = conn, jsonstream.Cutter{Most: lineMost}, http1.Chunks{}, 0
 	w.msg.Reset()
 	w.Opened(p.loop.Now())
 	if err != nil {
--- a/internal/ending/ending.go
+++ b/internal/shutdown/shutdown.go
@@ -1,9 +1,9 @@
-// Package ending plans a proxy's planned end: until when connections come, until when clients may rest on open ones, by
+// Package shutdown plans a proxy's planned end: until when connections come, until when clients may rest on open ones, by
 // when the last answer is out, and when the process may stop.
 //
 // It is free of I/O and of a clock of its own. All times are in seconds after the end was asked for. It must never let a
 // step come later because it was told more: a kill that was announced does not wait.
-package ending
+package shutdown
 
 const (
 	door       = 0.6  // seconds in which connections still come: 0.4, and some to spare
--- a/internal/ending/ending_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -1,4 +1,4 @@
-package ending
+package shutdown
 
 import "testing"
 
--- a/internal/rig/backend.go
+++ b/internal/testbed/backend.go
@@ -1,7 +1,7 @@
 // This file owns the stand-in backend on sockets: HTTP/1.1 as the platform's protocol has it, queue, connection table
 // and what faults make of it. It must never answer a command that it has not run.
 
-package rig
+package testbed
 
 import (
 	"bufio"
@@ -16,9 +16,9 @@
 	"sync/atomic"
 	"time"
 
+	"sandpass/internal/checker"
 	"sandpass/internal/emulator"
 	"sandpass/internal/faults"
-	"sandpass/internal/judge"
 	"sandpass/internal/loop"
 )
 
@@ -344,7 +344,7 @@
 }
 
 // ranAs is how the judge is told of effects.
-func ranAs(v *emulator.Verb) (judge.Effect, judge.Scope) {
+func ranAs(v *emulator.Verb) (checker.Effect, checker.Scope) {
 	e, s := emulator.Meaning(v)
-	return judge.Effect(e), judge.Scope(s)
+	return checker.Effect(e), checker.Scope(s)
 }
--- a/internal/rig/books.go
+++ b/internal/testbed/books.go
@@ -1,15 +1,15 @@
 // This file owns what the stand-ins tell the judge: facts as they are seen at the ends of the sockets. It must never
 // take a proxy's word for anything.
 
-package rig
+package testbed
 
 import (
 	"fmt"
 	"sync"
 	"time"
 
+	"sandpass/internal/checker"
 	"sandpass/internal/emulator"
-	"sandpass/internal/judge"
 )
 
 type record struct {
@@ -30,7 +30,7 @@
 // books are the judge's, behind a lock. A command's record stays: a backend may run it long after its end.
 type books struct {
 	mu    sync.Mutex
-	judge *judge.Judge
+	judge *checker.Judge
 	world *emulator.World
 	start time.Time
 	all   map[uint64]*record
@@ -44,7 +44,7 @@
 	defer b.mu.Unlock()
 	b.all[id] = &r
 	e, s := ranAs(&b.world.Verbs[r.verb])
-	b.judge.Taken(b.now(), judge.Command{ID: id, Op: r.op, Instance: r.instance, Expires: b.now() + limit, Effect: e, Scope: s,
+	b.judge.Taken(b.now(), checker.Command{ID: id, Op: r.op, Instance: r.instance, Expires: b.now() + limit, Effect: e, Scope: s,
 		Window: b.world.Verbs[r.verb].Window})
 }
 
@@ -115,7 +115,7 @@
 	b.judge.Killed(instance)
 }
 
-func (b *books) client(what func(j *judge.Judge)) {
+func (b *books) client(what func(j *checker.Judge)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	what(b.judge)
--- a/internal/rig/clients.go
+++ b/internal/testbed/clients.go
@@ -1,7 +1,7 @@
 // This file owns clients on sockets: they send each command when it is due, keep connections, and try again by the
 // rules. It must never wait for one command before it sends another.
 
-package rig
+package testbed
 
 import (
 	"bufio"
@@ -18,9 +18,9 @@
 	"time"
 
 	"sandpass/balance"
+	"sandpass/internal/checker"
 	"sandpass/internal/emulator"
 	"sandpass/internal/faults"
-	"sandpass/internal/judge"
 )
 
 // result is what came of one try.
@@ -193,7 +193,7 @@
 	switch a.StatusCode {
 	case 200:
 		if string(body) != r.books.answer(id) {
-			r.books.client(func(j *judge.Judge) { j.Ended(r.books.now(), id, false, true, false) })
+			r.books.client(func(j *checker.Judge) { j.Ended(r.books.now(), id, false, true, false) })
 			return got{result: silent}, keep, false
 		}
 		return got{result: served}, keep, false
@@ -242,7 +242,7 @@
 	due := r.at(a.Due)
 	first, mayHaveRun := time.Time{}, false
 	effect, scope := emulator.Meaning(v)
-	loss := judge.Loss{How: judge.Unreached}
+	loss := checker.Loss{How: checker.Unreached}
 	for tries := 1; ; tries++ {
 		leftTime := time.Until(due).Seconds() + v.Limit
 		limit := min(w.TryShare*v.Limit, leftTime)
@@ -260,23 +260,23 @@
 				worth := a.Worth
 				if took > v.Goal {
 					worth *= v.Late
-					r.books.client(func(j *judge.Judge) { j.Lost(judge.Loss{How: judge.Late, Where: judge.Work}, a.Worth-worth) })
+					r.books.client(func(j *checker.Judge) { j.Lost(checker.Loss{How: checker.Late, Where: checker.Work}, a.Worth-worth) })
 				}
-				r.books.client(func(j *judge.Judge) { j.Got(a.Due, a.Due+took, a.Customer, worth) })
+				r.books.client(func(j *checker.Judge) { j.Got(a.Due, a.Due+took, a.Customer, worth) })
 			}
 			return
 		case declinedThat:
-			loss = judge.Loss{How: judge.Declined}
+			loss = checker.Loss{How: checker.Declined}
 		case failed:
-			loss = judge.Loss{How: judge.Terminated, Where: judge.Failed}
+			loss = checker.Loss{How: checker.Terminated, Where: checker.Failed}
 		case broken:
-			loss = judge.Loss{How: judge.Died}
+			loss = checker.Loss{How: checker.Died}
 		case silent:
-			loss = judge.Loss{How: judge.Limit, Where: judge.Network}
+			loss = checker.Loss{How: checker.Limit, Where: checker.Network}
 		case unreached:
-			loss = judge.Loss{How: judge.Unreached}
+			loss = checker.Loss{How: checker.Unreached}
 		case left:
-			loss = judge.Loss{How: judge.Left}
+			loss = checker.Loss{How: checker.Left}
 		}
 		mayHaveRun = mayHaveRun || g.result == failed || g.result == broken || g.result == silent
 		backoff := w.Backoff * math.Pow(2, float64(tries-1)) * (0.5 + chance.Float64())
@@ -292,7 +292,7 @@
 			effect == balance.Receipted && scope == balance.ScopeAll && time.Since(first).Seconds()+backoff+limit < v.Window
 		if g.result == left || !allowed || tries > most || took+backoff > v.Limit-0.02 {
 			if a.Counts {
-				r.books.client(func(j *judge.Judge) { j.Lost(loss, a.Worth) })
+				r.books.client(func(j *checker.Judge) { j.Lost(loss, a.Worth) })
 			}
 			return
 		}
--- a/internal/rig/fleet_test.go
+++ b/internal/testbed/fleet_test.go
@@ -1,6 +1,6 @@
 // This file owns the days on which eight real proxies run side by side and some of them, or the links between them, fail.
 // It must never go by what a proxy says: the stand-ins' own books alone count.
-package rig
+package testbed
 
 import (
 	"context"
@@ -12,9 +12,9 @@
 	"strings"
 	"testing"
 
+	"sandpass/internal/checker"
 	"sandpass/internal/emulator"
 	"sandpass/internal/faults"
-	"sandpass/internal/judge"
 )
 
 // eight is a world of eight proxies before two tiers.
@@ -114,15 +114,15 @@
 
 // The books have to see each way in which a process can go on with what it knew before it stood still.
 func TestStandingStillIsForgivenAndNothingElse(t *testing.T) {
-	j := judge.New(judge.Terms{Slack: 0.05, Grace: 0.4, Length: 20})
-	j.Taken(1, judge.Command{ID: 1, Instance: 1, Expires: 3})
-	j.Taken(1, judge.Command{ID: 2, Instance: 1, Expires: 1.5})
-	j.Taken(1, judge.Command{ID: 3, Instance: 2, Expires: 3})
+	j := checker.New(checker.Terms{Slack: 0.05, Grace: 0.4, Length: 20})
+	j.Taken(1, checker.Command{ID: 1, Instance: 1, Expires: 3})
+	j.Taken(1, checker.Command{ID: 2, Instance: 1, Expires: 1.5})
+	j.Taken(1, checker.Command{ID: 3, Instance: 2, Expires: 3})
 	j.Stood(1, 2, 6) // the second was due before
 	j.Ended(6.04, 1, false, true, true)
 	j.Ended(6.04, 2, false, true, true)
 	j.Ended(6.04, 3, false, true, true)
-	j.Taken(7, judge.Command{ID: 4, Instance: 1, Expires: 9})
+	j.Taken(7, checker.Command{ID: 4, Instance: 1, Expires: 9})
 	j.Listed(7, 1, 5, false, 0)
 	j.Sent(7.5, 4, 5, 0, 0, false)
 	acc := j.Close(12)
--- a/internal/rig/here.go
+++ b/internal/testbed/here.go
@@ -1,7 +1,7 @@
 // This file owns a proxy that runs in this very program, started by it as a child of itself, so that a profile can be
 // taken. It must never be what operators run: that is cmd/sandpass.
 
-package rig
+package testbed
 
 import (
 	"fmt"
--- a/internal/rig/lives.go
+++ b/internal/testbed/lives.go
@@ -1,7 +1,7 @@
 // This file owns what faults do to the first tier's proxies as processes: killed, restarted as planned, standing still, in
 // a crash loop. It must never leave one standing still, nor signal a process that this rig did not start.
 
-package rig
+package testbed
 
 import (
 	"fmt"
@@ -12,8 +12,8 @@
 	"syscall"
 	"time"
 
+	"sandpass/internal/checker"
 	"sandpass/internal/faults"
-	"sandpass/internal/judge"
 	"sandpass/internal/warm"
 )
 
@@ -168,7 +168,7 @@
 	for _, p := range still {
 		to := r.clock() // noted first: it answers within a millisecond
 		p.goesOn(to)
-		r.books.client(func(j *judge.Judge) { j.Stood(p.serial, from, to+wakes) })
+		r.books.client(func(j *checker.Judge) { j.Stood(p.serial, from, to+wakes) })
 		p.signal(syscall.SIGCONT)
 	}
 }
--- a/internal/rig/load.go
+++ b/internal/testbed/load.go
@@ -1,7 +1,7 @@
 // This file owns the measure of one proxy: how many commands a second one core carries, and what it adds to each. It must
 // never count a command from when it was sent instead of from when it was due.
 
-package rig
+package testbed
 
 import (
 	"bufio"
--- a/internal/rig/machine.go
+++ b/internal/testbed/machine.go
@@ -1,10 +1,10 @@
-// Package rig plays an emulated world on real sockets: its backends, discovery and clients as stand-ins on loopback, in
+// Package testbed plays an emulated world on real sockets: its backends, discovery and clients as stand-ins on loopback, in
 // real time, driving real sandpass processes. It also loads one proxy to see what a command costs.
 //
 // Load is open loop: a command is sent when it is due, whatever became of those before, and its latency counts from
 // then, so that a proxy that stalls can't hide it. The package must never reach beyond loopback, nor end a process that
 // it did not start. What it can't carry out on sockets it refuses by name.
-package rig
+package testbed
 
 import (
 	"container/heap"
--- a/internal/rig/process.go
+++ b/internal/testbed/process.go
@@ -1,7 +1,7 @@
 // This file owns the proxies under test: their processes, their configuration and the agent of discovery that each has.
 // It must never signal a process that it did not start.
 
-package rig
+package testbed
 
 import (
 	"encoding/json"
--- a/internal/rig/rolling.go
+++ b/internal/testbed/rolling.go
@@ -2,7 +2,7 @@
 // the earliest moment that was announced, while clients send on every connection that stays open. It must never forgive
 // a process that ended by itself, nor count as lost what a connection's end only crossed.
 
-package rig
+package testbed
 
 import (
 	"bufio"
@@ -17,9 +17,9 @@
 	"syscall"
 	"time"
 
+	"sandpass/internal/checker"
 	"sandpass/internal/emulator"
 	"sandpass/internal/faults"
-	"sandpass/internal/judge"
 )
 
 const (
@@ -42,9 +42,9 @@
 	Unheard                         int // new connections closed without a word
 	Killed                          int // processes that had not ended by themselves when the kill came
 	Lost                            []string
-	Account                         *judge.Account // of the other rules
-	Lateness                        float64        // seconds, the most by which the rig itself woke late: a starved process is no measure
-	Limit                           float64        // seconds, the longest that was drawn
+	Account                         *checker.Account // of the other rules
+	Lateness                        float64          // seconds, the most by which the rig itself woke late: a starved process is no measure
+	Limit                           float64          // seconds, the longest that was drawn
 	Tiers                           int
 }
 
@@ -154,7 +154,7 @@
 	all.Wait()
 	r.troubles.Wait()
 	slices.Sort(out.Lost)
-	r.books.client(func(j *judge.Judge) { out.Account = j.Close(r.books.now()) })
+	r.books.client(func(j *checker.Judge) { out.Account = j.Close(r.books.now()) })
 	return out, r.failure
 }
 
--- a/internal/rig/rolling_test.go
+++ b/internal/testbed/rolling_test.go
@@ -1,4 +1,4 @@
-package rig
+package testbed
 
 import (
 	"context"
--- a/internal/rig/table.go
+++ b/internal/testbed/table.go
@@ -1,6 +1,6 @@
 // This file owns the table of a load measurement. It must never show a mean where the spread is what matters.
 
-package rig
+package testbed
 
 import (
 	"context"
--- a/internal/rig/rig.go
+++ b/internal/testbed/testbed.go
@@ -1,7 +1,7 @@
 // This file owns a live day: what is started for it, when troubles come and go, and that all is ended. It must never
 // leave a process, a listener or a file behind.
 
-package rig
+package testbed
 
 import (
 	"context"
@@ -14,9 +14,9 @@
 	"sync/atomic"
 	"time"
 
+	"sandpass/internal/checker"
 	"sandpass/internal/emulator"
 	"sandpass/internal/faults"
-	"sandpass/internal/judge"
 )
 
 const (
@@ -76,7 +76,7 @@
 
 // Outcome is what came of a live day.
 type Outcome struct {
-	Account  *judge.Account
+	Account  *checker.Account
 	Lateness float64   // seconds, the most by which a command was sent after it was due: the rig's own fault
 	CPU      []float64 // seconds of a core, of each first-tier proxy that ran to the end
 	Back     float64   // when the last proxy that had failed was ready again, 0 if none was
@@ -130,7 +130,7 @@
 		return err
 	}
 	w := &r.world
-	r.books = &books{world: w, start: time.Now(), all: map[uint64]*record{}, judge: judge.New(judge.Terms{Slack: 0.05 + w.Rules.Slack,
+	r.books = &books{world: w, start: time.Now(), all: map[uint64]*record{}, judge: checker.New(checker.Terms{Slack: 0.05 + w.Rules.Slack,
 		Grace: w.Rules.Grace, Multiple: w.Rules.ColdMultiple, Window: w.Rules.ColdWindow, Copies: w.Rules.Copies, Relay: w.Prices.Relay,
 		LateNo: w.Prices.LateNo, Length: w.Length, Customers: len(w.Customers)})}
 	return r.build()
@@ -165,7 +165,7 @@
 		}
 		r.lateness = max(r.lateness, time.Since(r.at(a.Due)).Seconds())
 		if a.Counts {
-			r.books.client(func(j *judge.Judge) { j.Asked(a.Due, a.Customer, a.Worth) })
+			r.books.client(func(j *checker.Judge) { j.Asked(a.Due, a.Customer, a.Worth) })
 		}
 		r.busy.Add(1)
 		go r.operation(a)
--- a/internal/rig/rig_test.go
+++ b/internal/testbed/testbed_test.go
@@ -1,4 +1,4 @@
-package rig
+package testbed
 
 import (
 	"bytes"
@@ -13,9 +13,9 @@
 	"testing"
 	"time"
 
+	"sandpass/internal/checker"
 	"sandpass/internal/emulator"
 	"sandpass/internal/faults"
-	"sandpass/internal/judge"
 )
 
 // TestMain is the proxy, or a wrong one, where the environment says so.
@@ -150,12 +150,12 @@
 
 func TestWrongProxiesAreCaughtOnSockets(t *testing.T) {
 	for how, c := range map[string]struct {
-		rule judge.Rule
+		rule checker.Rule
 		want string
 	}{
-		"twice":   {judge.Twice, "may have run"},
-		"made-up": {judge.Answer, "what no backend made"},
-		"silent":  {judge.Answer, "never had a final answer"},
+		"twice":   {checker.Twice, "may have run"},
+		"made-up": {checker.Answer, "what no backend made"},
+		"silent":  {checker.Answer, "never had a final answer"},
 	} {
 		t.Run(how, func(t *testing.T) {
 			t.Parallel()
--- a/internal/rig/ways.go
+++ b/internal/testbed/ways.go
@@ -2,7 +2,7 @@
 // forwarder for each zone of proxies and each backend, one for each two siblings, and the weather on them. It must never
 // stand in a way that no fault is to touch: a day without such faults has no forwarder.
 
-package rig
+package testbed
 
 import (
 	"fmt"
@@ -10,8 +10,8 @@
 	"net/netip"
 	"slices"
 
+	"sandpass/internal/faultnet"
 	"sandpass/internal/faults"
-	"sandpass/internal/links"
 )
 
 type way struct {
@@ -20,14 +20,14 @@
 }
 
 type stretch struct {
-	*links.Stream
+	*faultnet.Stream
 	to  int  // zone of the backend
 	cut bool // one direction or both
 }
 
 // between is the way of messages between two siblings.
 type between struct {
-	*links.Pair
+	*faultnet.Pair
 	from, to int // their zones
 }
 
@@ -47,7 +47,7 @@
 	defer r.waysMu.Unlock()
 	k := way{from, b.address}
 	if r.ways[k] == nil {
-		made, err := links.NewStream(b.address, r.seed+uint64(len(r.ways)))
+		made, err := faultnet.NewStream(b.address, r.seed+uint64(len(r.ways)))
 		if err != nil {
 			return "", err
 		}
@@ -99,7 +99,7 @@
 	}
 	for i := range n {
 		for k := range i {
-			p, err := links.NewPair(netip.MustParseAddrPort(own[k]), netip.MustParseAddrPort(own[i]), r.seed+uint64(i*n+k))
+			p, err := faultnet.NewPair(netip.MustParseAddrPort(own[k]), netip.MustParseAddrPort(own[i]), r.seed+uint64(i*n+k))
 			if err != nil {
 				return fmt.Errorf("a way between two siblings: %w", err)
 			}
@@ -111,7 +111,7 @@
 }
 
 // weather is what the faults in force make of what goes from one zone to another.
-func (r *Rig) weather(from, to int) (w links.Weather) {
+func (r *Rig) weather(from, to int) (w faultnet.Weather) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i, f := range r.plan {
--- a/internal/strict/strict.go
+++ b/internal/tomlconfig/tomlconfig.go
@@ -1,6 +1,6 @@
-// Package strict decodes TOML that people write: a key that nobody knows is a mistake, and each mistake is one line with its
+// Package tomlconfig decodes TOML that people write: a key that nobody knows is a mistake, and each mistake is one line with its
 // place. It must never take a text in part.
-package strict
+package tomlconfig
 
 import (
 	"bytes"
