Scale: generated fleets, hollow proxies, stand-ins, meters and slopes

Cause: what the fleet's control side costs at 560 proxies was not measured. Change: internal/scale generates a fleet from TOML sizes and a seed, runs real proxies beside hollow ones (whole proxy.Proxy, many in a process), counts at the sockets, fits laws by least squares; sandlab scale run.

--- a/cmd/sandlab/main.go
+++ b/cmd/sandlab/main.go
@@ -23,6 +23,7 @@
 	"sandpass/internal/baseline"
 	"sandpass/internal/faults"
 	"sandpass/internal/lab"
+	"sandpass/internal/scale/helper"
 	"sandpass/internal/testbed"
 )
 
@@ -34,6 +35,13 @@
 		}
 		return
 	}
+	if was, err := helper.Run(); was { // a helper of a scale run
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "sandlab:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := root().ExecuteContext(ctx); err != nil {
@@ -44,7 +52,7 @@
 
 func root() *cobra.Command {
 	c := &cobra.Command{Use: "sandlab", Short: "plays experiments on an emulated world", SilenceUsage: true, SilenceErrors: true}
-	c.AddCommand(run(), sweep(), compare(), search(), shrink(), replay(), plotting(), policies(), back(), live(), load())
+	c.AddCommand(run(), sweep(), compare(), search(), shrink(), replay(), plotting(), policies(), back(), live(), load(), scaling())
 	return c
 }
 
--- a/internal/faultnet/links.go
+++ b/internal/faultnet/links.go
@@ -62,6 +62,27 @@
 	free    time.Time     // when the last byte before has passed, where there is a rate
 	carried int
 	lost    int
+	arrived Carried
+}
+
+// Carried is what has come to a way's end.
+type Carried struct {
+	Bytes    int64
+	Messages int64 // datagrams, or a stream's pieces as they were read
+}
+
+// count notes what arrives.
+func (y *way) count(size int) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.arrived.Bytes += int64(size)
+	y.arrived.Messages++
+}
+
+func (y *way) carriedSoFar() Carried {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	return y.arrived
 }
 
 func newWay(seed, n uint64) *way {
--- a/internal/faultnet/pair.go
+++ b/internal/faultnet/pair.go
@@ -55,6 +55,11 @@
 	return there, back
 }
 
+// Carried is what arrived from left to right, and back.
+func (p *Pair) Carried() (there, back Carried) {
+	return p.ways[0].carriedSoFar(), p.ways[1].carriedSoFar()
+}
+
 // Close ends the way; what is under way is lost.
 func (p *Pair) Close() {
 	p.once.Do(func() {
@@ -112,7 +117,10 @@
 	if cut {
 		return
 	}
-	out := func() { _, _ = p.socks[1-n].WriteToUDPAddrPort(text, p.ends[1-n]) } // nobody there: lost, as it would be
+	out := func() {
+		p.ways[n].count(len(text))
+		_, _ = p.socks[1-n].WriteToUDPAddrPort(text, p.ends[1-n]) // nobody there: lost, as it would be
+	}
 	d := time.Until(at)
 	if d <= 0 {
 		out()
--- a/internal/faultnet/stream.go
+++ b/internal/faultnet/stream.go
@@ -39,6 +39,11 @@
 // Set changes the weather towards the target and back, for connections that are open too.
 func (s *Stream) Set(there, back Weather) { s.ways[0].set(there); s.ways[1].set(back) }
 
+// Carried is what arrived at the target, and back.
+func (s *Stream) Carried() (there, back Carried) {
+	return s.ways[0].carriedSoFar(), s.ways[1].carriedSoFar()
+}
+
 // Reset breaks all connections, with what is under way on them.
 func (s *Stream) Reset() {
 	s.mu.Lock()
@@ -269,6 +274,7 @@
 			j.end(true)
 			return
 		}
+		y.count(len(p.bytes))
 	}
 	// Word of the end takes the way as well; a half that is closed leaves the other open.
 	if s.wait(y, j, 0) {
--- /dev/null
+++ b/internal/scale/launch.go
@@ -0,0 +1,119 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"sandpass/internal/scale/fleet"
+	"sandpass/internal/scale/standin"
+)
+
+// Ports on each machine's own loopback address.
+const (
+	proxyPort   = 9000 // calls
+	siblingPort = 9001 // messages between siblings, UDP
+	agentPort   = 9002 // discovery's agent
+	backendPort = 9003 // the backend
+)
+
+// Lists say which list of discovery's a proxy follows.
+type Lists string
+
+// The lists.
+const (
+	ServiceList Lists = "service" // of the one service that it calls
+	WholeList   Lists = "whole"   // of all backends, the most that a list can be
+)
+
+// addresses are the machines' on loopback: one address of 127.0.0.0/8 each, so that no port is ever another's.
+type addresses struct{ net int }
+
+func (a addresses) machine(i int) string { return fmt.Sprintf("127.%d.%d.%d", a.net, i/250, 1+i%250) }
+
+func (a addresses) at(i, port int) string { return fmt.Sprintf("%s:%d", a.machine(i), port) }
+
+// endpoint is a machine's backend as discovery tells it.
+func endpoint(f *fleet.Fleet, a addresses, i int, status string) standin.Endpoint {
+	p := f.Proxies[i]
+	return standin.Endpoint{Name: fmt.Sprintf("backend-%d", i+1), Address: a.at(i, backendPort), Zone: f.Zones[p.Zone], Type: "m",
+		Group: p.Cell, Status: status, Weight: 1, SinceMS: 1.7e12}
+}
+
+// siblings are the proxies that follow the same list, which count together what is out at its backends. The numbers are
+// indexes into the fleet's proxies; place is the proxy's own among them.
+func siblings(f *fleet.Fleet, i int) (members []int, place int) {
+	for k, p := range f.Proxies {
+		if p.Target != f.Proxies[i].Target {
+			continue
+		}
+		if k == i {
+			place = len(members)
+		}
+		members = append(members, k)
+	}
+	return members, place
+}
+
+// verb is a kind of call as the configuration has it.
+type verb struct {
+	Name           string  `json:"name"`
+	Effect         string  `json:"effect"`
+	KeyScope       string  `json:"key_scope"`
+	WindowMS       float64 `json:"window_ms"`
+	ResponseGoalMS float64 `json:"response_goal_ms"`
+	TimeLimitMS    float64 `json:"time_limit_ms"`
+	Utility        float64 `json:"utility"`
+	OverdueUtility float64 `json:"overdue_utility"`
+	Stream         bool    `json:"stream"`
+}
+
+// launch is a proxy's configuration.
+type launch struct {
+	Name      string         `json:"name"`
+	Listen    string         `json:"listen"`
+	Discovery string         `json:"discovery"`
+	Seed      string         `json:"seed"`
+	Limits    map[string]any `json:"limits"`
+	Peers     []string       `json:"peers"`
+	Settings  settings       `json:"settings"`
+}
+
+// settings are the parts of the configuration that the decisions go by.
+type settings struct {
+	Me             int                `json:"me"`
+	Siblings       int                `json:"siblings"`
+	Tier           int                `json:"tier"`
+	Zone           int                `json:"zone"`
+	Discovery      string             `json:"discovery"`
+	Zones          []string           `json:"azs"`
+	TickMS         float64            `json:"tick_ms"`
+	Limits         map[string]any     `json:"limits"`
+	LoadInfo       map[string]any     `json:"load_info"`
+	OverageUtility float64            `json:"overage_utility"`
+	Safety         map[string]float64 `json:"safety"`
+	Realms         []map[string]any   `json:"realms"`
+	Verbs          []verb             `json:"verbs"`
+}
+
+// launchOf is a proxy's configuration. Peers are the addresses at which it finds its siblings, none where they say nothing
+// to one another.
+func launchOf(f *fleet.Fleet, a addresses, i int, peers []string, place int) launch {
+	call := verb{Name: "pay", Effect: "at_most_once", KeyScope: "all", WindowMS: 5000, ResponseGoalMS: 5000, TimeLimitMS: 10000,
+		Utility: 1, OverdueUtility: 0.5}
+	return launch{
+		Name: f.Proxies[i].Name, Listen: a.at(i, proxyPort), Discovery: a.at(i, agentPort), Seed: fmt.Sprintf("%016x", f.Sizes.Seed<<32+uint64(i)),
+		Limits: map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		Peers:  peers,
+		Settings: settings{
+			Me: place, Siblings: max(1, len(peers)), Zone: f.Proxies[i].Zone, Discovery: "pushed", Zones: f.Zones, TickMS: 5,
+			Limits: map[string]any{"max_relays": 3, "max_open": 1000, "second_copies": false, "cancel": true, "retry_after": true,
+				"max_retry_after_ms": 2000, "connect_timeout_ms": 250, "conn_idle_ms": 30000, "peers": len(peers) > 0},
+			LoadInfo: map[string]any{"fields": []string{}, "how": "none"}, OverageUtility: 0.1,
+			Safety: map[string]float64{"cold_share": 0.3, "cold_ms": 5000, "fall_multiple": 2.5},
+			Realms: []map[string]any{{"name": "c0", "allowance_per_s": 1e6}},
+			Verbs:  []verb{call},
+		},
+	}
+}
+
+func (l launch) text() (json.RawMessage, error) { return json.Marshal(l) }
--- /dev/null
+++ b/internal/scale/likeness.go
@@ -0,0 +1,114 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"sandpass/internal/scale/fleet"
+	"sandpass/internal/scale/meter"
+)
+
+// LikenessWithin is by which part a kind of traffic of hollow proxies may differ from that of real ones.
+const LikenessWithin = 0.05
+
+// LikenessOptions say how hollow and real proxies are compared.
+type LikenessOptions struct {
+	Each         int     // proxies of each sort
+	Restarts     int     // of backends
+	RestartsEach float64 // a second
+	CallsEach    float64 // a second to each proxy, while siblings' messages are counted
+	CallSeconds  float64
+	Rest         time.Duration
+	SkipWork     bool // for tests: a hollow proxy that does nothing
+}
+
+// Compare runs hollow and real proxies side by side through the same changes, and counts both at the sockets. They are two
+// services of the same shape: the n-th hollow proxy has the same place in its service as the n-th real one.
+func Compare(ctx context.Context, o LikenessOptions, programs Programs) ([]Likeness, error) {
+	sizes := fleet.Default()
+	sizes.Proxies, sizes.Services, sizes.Depth, sizes.FrontShare = 2*o.Each, 2, 1, 1
+	plan := Plan{Fleet: fleet.Generate(sizes), Real: o.Each, Lists: ServiceList, Peers: true, Counted: 2 * o.Each, Apart: -1, Defect: o.SkipWork}
+	r, ctx, err := Open(ctx, plan, programs)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	if err := r.startBackends(); err != nil {
+		return nil, err
+	}
+	var all []Likeness
+	watch, err := r.during(func() error {
+		return errors.Join(pause(ctx, o.Rest), r.restartTwins(ctx, o))
+	})
+	if err != nil {
+		return nil, err
+	}
+	all = append(all, kinds("list watch, restarts", watch.traffic, o.Each)...)
+	if !o.SkipWork {
+		back, err := r.during(func() error {
+			_, err := r.breakAll(ctx)
+			return err
+		})
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, kinds("list watch, whole lists", back.traffic, o.Each)...)
+	}
+	before := r.relays.traffic()
+	if _, bad := r.call(ctx, everyProxy(plan.Fleet), o.CallsEach, o.CallSeconds); bad > 0 && !o.SkipWork {
+		return nil, fmt.Errorf("%d calls failed", bad)
+	}
+	notes := r.relays.traffic()
+	for i := range notes {
+		notes[i] = notes[i].Minus(before[i])
+	}
+	return append(all, kinds("siblings' messages", notes, o.Each)...), nil
+}
+
+// restartTwins restarts the same backend of both services at the same time.
+func (r *Rig) restartTwins(ctx context.Context, o LikenessOptions) error {
+	const states = 3
+	for k := range o.Restarts {
+		i := k % o.Each
+		for _, status := range []string{"draining", "gone", "ready"} {
+			if err := r.change([]int{i, i + o.Each}, status); err != nil {
+				return err
+			}
+			if err := pause(ctx, time.Duration(float64(time.Second)/o.RestartsEach/states)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func everyProxy(f *fleet.Fleet) []int {
+	all := make([]int, len(f.Proxies))
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+// kinds compares the four kinds of traffic; the first ones are the real proxies'.
+func kinds(name string, traffic []meter.Traffic, real int) (all []Likeness) {
+	for _, k := range []struct {
+		name  string
+		value func(meter.Traffic) int64
+	}{{"bytes in", bytesIn}, {"bytes out", bytesOut}, {"messages in", messagesIn}, {"messages out", messagesOut}} {
+		all = append(all, Likeness{Kind: name + ", " + k.name, Real: mean(traffic[:real], k.value), Hollow: mean(traffic[real:], k.value)})
+	}
+	return all
+}
+
+// Unlike are the kinds that differ by more than they may.
+func Unlike(all []Likeness) (off []Likeness) {
+	for _, l := range all {
+		if l.Off() > LikenessWithin || l.Off() < -LikenessWithin {
+			off = append(off, l)
+		}
+	}
+	return off
+}
--- /dev/null
+++ b/internal/scale/measure.go
@@ -0,0 +1,39 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"sandpass/internal/scale/fleet"
+)
+
+// Measure is a whole run, in parts.
+type Measure struct {
+	Sizes    fleet.Sizes
+	Counts   []int // numbers of proxies of the slopes, rising
+	Real     int   // proxies that are real processes, in slopes and events
+	Programs Programs
+	Progress func(string)
+}
+
+// Part measures one part and puts its figures into the data.
+func (m *Measure) Part(ctx context.Context, part string, data *Data) (err error) {
+	var series []Series
+	switch part {
+	case "likeness":
+		data.Likeness, err = Compare(ctx, LikenessOptions{Each: 20, Restarts: 40, RestartsEach: 5, CallsEach: 40, CallSeconds: 5, Rest: 4 * time.Second}, m.Programs)
+	case "keepers":
+		series, err = Keepers(ctx, KeeperOptions{Siblings: []int{4, 8, 12, 16, 20}, Rates: []float64{39, 79, 118, 157, 236, 314}, Fixed: 12, Rate: 79, Seconds: 6},
+			m.Programs, m.Progress)
+	case "slopes":
+		series, err = Slopes(ctx, SlopeOptions{Sizes: m.Sizes, Counts: m.Counts, FitUpTo: m.Sizes.Proxies, Real: m.Real, Rest: 8 * time.Second,
+			Restarts: 20, PerSecond: 4, Lists: []Lists{ServiceList, WholeList}}, m.Programs, m.Progress)
+	default:
+		return fmt.Errorf("part %q is unknown", part)
+	}
+	if err == nil {
+		data.replaceSeries(series)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/scale/relays.go
@@ -0,0 +1,72 @@
+package scale
+
+import (
+	"net/netip"
+
+	"sandpass/internal/faultnet"
+	"sandpass/internal/scale/meter"
+)
+
+// relays stand between siblings and count their messages. Where one of two is hollow and no calls come to it, there is none: they
+// say nothing to one another.
+type relays struct {
+	plan      Plan
+	addresses addresses
+	pairs     map[[2]int]*faultnet.Pair // by the fleet's indexes, the smaller first
+}
+
+func newRelays(plan Plan, a addresses) (*relays, error) {
+	r := &relays{plan: plan, addresses: a, pairs: map[[2]int]*faultnet.Pair{}}
+	if !plan.Peers {
+		return r, nil
+	}
+	for i := range max(plan.Real, plan.Counted) {
+		members, _ := siblings(plan.Fleet, i)
+		for _, k := range members {
+			if k >= max(plan.Real, plan.Counted) || k <= i {
+				continue
+			}
+			pair, err := faultnet.NewPair(netip.MustParseAddrPort(a.at(i, siblingPort)), netip.MustParseAddrPort(a.at(k, siblingPort)),
+				plan.Fleet.Sizes.Seed+uint64(i*len(plan.Fleet.Proxies)+k))
+			if err != nil {
+				r.close()
+				return nil, err
+			}
+			r.pairs[[2]int{i, k}] = pair
+		}
+	}
+	return r, nil
+}
+
+// peers are the addresses at which a proxy finds its siblings, and its own place among them.
+func (r *relays) peers(i int) (texts []string, place int) {
+	members, place := siblings(r.plan.Fleet, i)
+	for _, k := range members {
+		text := r.addresses.at(k, siblingPort)
+		if pair := r.pairs[[2]int{min(i, k), max(i, k)}]; pair != nil && k != i {
+			if text = pair.ForLeft(); k < i {
+				text = pair.ForRight()
+			}
+		}
+		texts = append(texts, text)
+	}
+	return texts, place
+}
+
+// traffic is what each counted proxy has said to siblings and heard from them.
+func (r *relays) traffic() []meter.Traffic {
+	all := make([]meter.Traffic, max(r.plan.Real, r.plan.Counted))
+	for ends, pair := range r.pairs {
+		there, back := pair.Carried()
+		left := meter.Traffic{BytesOut: there.Bytes, MessagesOut: there.Messages, BytesIn: back.Bytes, MessagesIn: back.Messages}
+		all[ends[0]] = all[ends[0]].Plus(left)
+		all[ends[1]] = all[ends[1]].Plus(left.Flipped())
+	}
+	return all
+}
+
+func (r *relays) close() {
+	for _, pair := range r.pairs {
+		pair.Close()
+	}
+}
--- /dev/null
+++ b/internal/scale/rig.go
@@ -0,0 +1,442 @@
+// Package scale measures how the control side of a fleet grows: real proxies beside hollow ones, with stand-ins for all
+// else, on one machine. Laws are fitted to what was measured at several sizes; docs/CAPACITY.md is made from the data.
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"sandpass/internal/scale/fleet"
+	"sandpass/internal/scale/helper"
+	"sandpass/internal/scale/meter"
+	"sandpass/internal/scale/standin"
+)
+
+// What a run may take of the machine: under half of its memory, and a few hundred processes.
+const (
+	mostMemory    = 12e9 // bytes
+	mostProcesses = 300
+	watchEvery    = time.Second
+	settledWithin = 60 * time.Second
+)
+
+// Programs are what a run starts.
+type Programs struct {
+	Proxy       []string // a real proxy with its first arguments
+	Environment []string // of it
+	Helper      string   // a program that calls helper.Run
+}
+
+// Plan says what a rig has.
+type Plan struct {
+	Real    int // proxies that are real processes: the first ones of the fleet
+	Fleet   *fleet.Fleet
+	Lists   Lists
+	Peers   bool                   // siblings have each other's addresses
+	Counted int                    // proxies, the first ones, whose messages to siblings are counted; no fewer than the real ones
+	Apart   int                    // a zone whose hollow proxies have a process of their own, -1 for none
+	Defect  bool                   // for tests: hollow ones skip their work
+	Operate func(proxy int) string // path of the operators' file of a proxy, nil for none
+}
+
+// Rig is a fleet that runs.
+type Rig struct {
+	plan       Plan
+	programs   Programs
+	addresses  addresses
+	directory  string
+	discovery  *helper.Process
+	hollow     []*helper.Process // the second one has the zone apart
+	hollowBase float64           // bytes of memory that a hollow helper has before it has a proxy
+	members    [][]int           // of each: the fleet's index of its proxies, by their number there
+	servers    map[int]*server
+	relays     *relays
+	backends   []*standin.Backend
+	mu         sync.Mutex
+	closed     bool
+	cancel     context.CancelCauseFunc
+	watched    chan struct{}
+}
+
+// ErrOver says that a run would take more of the machine than it may.
+var ErrOver = errors.New("the run would go over what it may take of the machine")
+
+// Open starts all of a plan and waits until each proxy has its list. The context that it returns ends when the run goes
+// over its part of the machine, with the cause.
+func Open(ctx context.Context, plan Plan, programs Programs) (*Rig, context.Context, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	r := &Rig{plan: plan, programs: programs, servers: map[int]*server{}, cancel: cancel, watched: make(chan struct{})}
+	if n := plan.Real + 4; n > mostProcesses {
+		cancel(nil)
+		return nil, ctx, fmt.Errorf("%w: %d processes, %d are allowed", ErrOver, n, mostProcesses)
+	}
+	go r.watch(ctx)
+	if err := r.open(ctx); err != nil {
+		r.Close()
+		if cause := context.Cause(ctx); errors.Is(cause, ErrOver) {
+			err = cause
+		}
+		return nil, ctx, err
+	}
+	return r, ctx, nil
+}
+
+func (r *Rig) open(ctx context.Context) (err error) {
+	if r.directory, err = os.MkdirTemp("", "sandlab-scale-"); err != nil {
+		return err
+	}
+	if r.addresses, err = chooseAddresses(); err != nil {
+		return err
+	}
+	if r.relays, err = newRelays(r.plan, r.addresses); err != nil {
+		return err
+	}
+	if r.discovery, err = r.launchHelper(helper.Discovery); err != nil {
+		return err
+	}
+	if _, err := r.discovery.Do(helper.Request{Discover: r.discover()}); err != nil {
+		return err
+	}
+	if err := r.startHollow(); err != nil {
+		return err
+	}
+	for i := range r.plan.Real {
+		if err := r.startReal(i); err != nil {
+			return err
+		}
+	}
+	for i, s := range r.servers {
+		if err := s.awaitReady(r.addresses.at(i, proxyPort)); err != nil {
+			return err
+		}
+	}
+	if r.plan.Defect {
+		return nil
+	}
+	return r.awaitWatching(ctx, nil)
+}
+
+// chooseAddresses finds a part of the loopback network that nobody uses.
+func chooseAddresses() (addresses, error) {
+	const first, nets = 64, 180
+	for k := range nets {
+		a := addresses{first + (os.Getpid()+k)%nets}
+		l, err := net.Listen("tcp", a.at(0, agentPort))
+		if err == nil {
+			l.Close()
+			return a, nil
+		}
+	}
+	return addresses{}, errors.New("no part of the loopback network is free")
+}
+
+func (r *Rig) launchHelper(role helper.Role) (*helper.Process, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return nil, errors.New("the run has ended")
+	}
+	return helper.Launch(r.programs.Helper, role)
+}
+
+// discover is the lists and agents of the plan.
+func (r *Rig) discover() *helper.Discover {
+	f, d := r.plan.Fleet, &helper.Discover{}
+	if r.plan.Lists == WholeList {
+		d.Lists = make([][]standin.Endpoint, 1)
+	} else {
+		d.Lists = make([][]standin.Endpoint, len(f.Services))
+	}
+	for i, p := range f.Proxies {
+		list := r.listOf(p.Service)
+		d.Lists[list] = append(d.Lists[list], endpoint(f, r.addresses, i, "ready"))
+		d.Agents = append(d.Agents, helper.Agent{Address: r.addresses.at(i, agentPort), List: r.listOf(p.Target)})
+	}
+	return d
+}
+
+func (r *Rig) listOf(service int) int {
+	if r.plan.Lists == WholeList {
+		return 0
+	}
+	return service
+}
+
+func (r *Rig) launch(i int) launch {
+	if !r.plan.Peers {
+		return launchOf(r.plan.Fleet, r.addresses, i, nil, 0)
+	}
+	peers, place := r.relays.peers(i)
+	return launchOf(r.plan.Fleet, r.addresses, i, peers, place)
+}
+
+func (r *Rig) startHollow() error {
+	r.hollow, r.members = make([]*helper.Process, 2), make([][]int, 2)
+	for i := r.plan.Real; i < len(r.plan.Fleet.Proxies); i++ {
+		group := 0
+		if r.plan.Fleet.Proxies[i].Zone == r.plan.Apart {
+			group = 1
+		}
+		r.members[group] = append(r.members[group], i)
+	}
+	for group := range r.members {
+		if len(r.members[group]) == 0 {
+			continue
+		}
+		if err := r.startGroup(group); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startGroup starts the process of a group and the proxies in it.
+func (r *Rig) startGroup(group int) (err error) {
+	if r.hollow[group], err = r.launchHelper(helper.Hollow); err != nil {
+		return err
+	}
+	if _, err = r.hollow[group].Do(helper.Request{Collect: true}); err != nil {
+		return err
+	}
+	if used, err := meter.Process(r.hollow[group].PID()); err == nil {
+		r.hollowBase = used.Resident
+	}
+	return r.startMembers(group, r.members[group])
+}
+
+func (r *Rig) startMembers(group int, members []int) error {
+	start := &helper.Start{Idle: r.plan.Defect}
+	if r.plan.Operate != nil {
+		for _, i := range members {
+			start.Operators = append(start.Operators, r.plan.Operate(i))
+		}
+	}
+	for _, i := range members {
+		text, err := r.launch(i).text()
+		if err != nil {
+			return err
+		}
+		start.Launches = append(start.Launches, text)
+	}
+	_, err := r.hollow[group].Do(helper.Request{Start: start})
+	return err
+}
+
+func (r *Rig) startReal(i int) error {
+	operator := ""
+	if r.plan.Operate != nil {
+		operator = r.plan.Operate(i)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return errors.New("the run has ended")
+	}
+	s, err := startServer(r.programs.Proxy, r.programs.Environment, r.directory, i, r.launch(i), operator)
+	if err == nil {
+		r.servers[i] = s
+	}
+	return err
+}
+
+// awaitWatching waits until each proxy has an open watch with the whole list, for which it asked after the traffic given.
+func (r *Rig) awaitWatching(ctx context.Context, since []meter.Traffic) error {
+	deadline := time.Now().Add(settledWithin)
+	for {
+		a, err := r.discovery.Do(helper.Request{Traffic: true})
+		if err != nil {
+			return err
+		}
+		missing := 0
+		for i, watching := range a.Watching {
+			if watching == 0 || since != nil && a.Traffic[i].MessagesIn <= since[i].MessagesOut {
+				missing++
+			}
+		}
+		if missing == 0 {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%d of %d proxies do not have their list after %v", missing, len(a.Watching), settledWithin)
+		}
+		if err := pause(ctx, lookEvery); err != nil {
+			return err
+		}
+	}
+}
+
+// traffic is what each proxy has read and written to discovery, as the proxy sees it.
+func (r *Rig) traffic() ([]meter.Traffic, error) {
+	a, err := r.discovery.Do(helper.Request{Traffic: true})
+	if err != nil {
+		return nil, err
+	}
+	for i := range a.Traffic {
+		a.Traffic[i] = a.Traffic[i].Flipped()
+	}
+	return a.Traffic, nil
+}
+
+// change tells a new state of some backends.
+func (r *Rig) change(proxies []int, status string) error {
+	byList := map[int][]standin.Endpoint{}
+	for _, i := range proxies {
+		list := r.listOf(r.plan.Fleet.Proxies[i].Service)
+		byList[list] = append(byList[list], endpoint(r.plan.Fleet, r.addresses, i, status))
+	}
+	for list, endpoints := range byList {
+		if _, err := r.discovery.Do(helper.Request{Change: &helper.Change{Lists: []int{list}, Endpoints: endpoints}}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// reload has proxies turn to other configurations, and gives the seconds until each was in force.
+func (r *Rig) reload(ctx context.Context, turn func(l *launch)) ([]float64, error) {
+	begun := time.Now()
+	var took []float64
+	before := map[int]int{}
+	for i, s := range r.servers {
+		l := r.launch(i)
+		turn(&l)
+		before[i] = len(s.reloads())
+		if err := s.write(l); err != nil {
+			return nil, err
+		}
+		if err := s.hangUp(); err != nil {
+			return nil, err
+		}
+	}
+	for group, members := range r.members {
+		if len(members) == 0 {
+			continue
+		}
+		order := &helper.Reload{}
+		for n, i := range members {
+			l := r.launch(i)
+			turn(&l)
+			text, err := json.Marshal(l)
+			if err != nil {
+				return nil, err
+			}
+			order.Proxies, order.Launches = append(order.Proxies, n), append(order.Launches, text)
+		}
+		a, err := r.hollow[group].Do(helper.Request{Reload: order})
+		if err != nil {
+			return nil, err
+		}
+		for _, at := range a.InForce {
+			took = append(took, at-float64(begun.UnixNano())/1e9)
+		}
+	}
+	for i, s := range r.servers {
+		deadline := time.Now().Add(settledWithin)
+		reloads := s.reloads()
+		for len(reloads) <= before[i] {
+			if time.Now().After(deadline) {
+				return nil, fmt.Errorf("proxy %d did not turn to the configuration: %s", i, s.lastLine())
+			}
+			if err := pause(ctx, lookEvery); err != nil {
+				return nil, err
+			}
+			reloads = s.reloads()
+		}
+		took = append(took, reloads[before[i]].Sub(begun).Seconds())
+	}
+	return took, nil
+}
+
+// processes are the numbers of all that was started, by role.
+func (r *Rig) processes() map[string][]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := map[string][]int{}
+	for _, i := range sortedKeys(r.servers) {
+		all[roleProxy] = append(all[roleProxy], r.servers[i].pid())
+	}
+	for _, h := range r.hollow {
+		if h != nil {
+			all[roleHollow] = append(all[roleHollow], h.PID())
+		}
+	}
+	if r.discovery != nil {
+		all[roleDiscovery] = append(all[roleDiscovery], r.discovery.PID())
+	}
+	return all
+}
+
+func sortedKeys[V any](m map[int]V) []int {
+	keys := make([]int, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// watch ends the run where it goes over its part of the machine.
+func (r *Rig) watch(ctx context.Context) {
+	defer close(r.watched)
+	for pause(ctx, watchEvery) == nil {
+		memory, count := 0.0, 1
+		pids := []int{os.Getpid()}
+		for _, of := range r.processes() {
+			pids = append(pids, of...)
+			count += len(of)
+		}
+		for _, pid := range pids {
+			used, _ := meter.Process(pid) // one that has just ended has nothing
+			memory += used.Resident
+		}
+		if memory > mostMemory || count > mostProcesses {
+			r.cancel(fmt.Errorf("%w: %.1f GB in %d processes, %.0f GB and %d are allowed", ErrOver, memory/1e9, count, mostMemory/1e9, mostProcesses))
+			return
+		}
+	}
+}
+
+// Close ends all that was started.
+func (r *Rig) Close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.cancel(nil)
+	<-r.watched
+	for _, s := range r.servers {
+		s.kill()
+	}
+	for _, h := range append(slices.Clone(r.hollow), r.discovery) {
+		if h != nil {
+			h.Close()
+		}
+	}
+	for _, b := range r.backends {
+		b.Close()
+	}
+	if r.relays != nil {
+		r.relays.close()
+	}
+	if r.directory != "" {
+		os.RemoveAll(r.directory)
+	}
+}
+
+// pause waits, or gives the cause for which the run ends.
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/internal/scale/slopes.go
@@ -0,0 +1,109 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"sandpass/internal/scale/fit"
+	"sandpass/internal/scale/fleet"
+)
+
+// SlopeOptions say at which sizes slopes are measured.
+type SlopeOptions struct {
+	Sizes     fleet.Sizes
+	Counts    []int         // numbers of proxies, rising
+	FitUpTo   int           // larger ones are predicted and then measured
+	Real      int           // of them that are real processes
+	Rest      time.Duration // for which nothing happens
+	Restarts  int           // of backends, at PerSecond
+	PerSecond float64
+	Lists     []Lists
+}
+
+// collector gathers figures of several sizes into series.
+type collector struct {
+	against Against
+	setting string
+	series  []Series
+}
+
+func (c *collector) add(n float64, figures []figure) {
+	for _, f := range figures {
+		c.seriesOf(f).Points = append(c.seriesOf(f).Points, fit.Point{N: n, Y: f.value})
+	}
+}
+
+func (c *collector) seriesOf(f figure) *Series {
+	name := f.name + ", " + f.unit
+	for i, s := range c.series {
+		if s.Role == f.role && s.Figure == name {
+			return &c.series[i]
+		}
+	}
+	c.series = append(c.series, Series{Role: f.role, Figure: name, Unit: f.unit, Against: c.against, Setting: c.setting})
+	return &c.series[len(c.series)-1]
+}
+
+func (c *collector) fit(upTo float64) ([]Series, error) {
+	for i := range c.series {
+		var err error
+		if c.series[i], err = fitted(c.series[i], upTo); err != nil {
+			return nil, fmt.Errorf("%s: %w", c.series[i].Figure, err)
+		}
+	}
+	return c.series, nil
+}
+
+// Slopes measures how the figures of each role grow with the number of proxies. Progress is told after each size.
+func Slopes(ctx context.Context, o SlopeOptions, programs Programs, progress func(string)) ([]Series, error) {
+	var all []Series
+	for _, lists := range o.Lists {
+		c := collector{against: Proxies, setting: string(lists) + " list"}
+		for _, n := range o.Counts {
+			plan := Plan{Fleet: fleet.Generate(o.Sizes.ScaledTo(n)), Real: min(n, o.Real), Lists: lists, Peers: true, Apart: -1}
+			figures, err := sizeFigures(ctx, o, plan, programs)
+			if err != nil {
+				return nil, fmt.Errorf("%d proxies, %s list: %w", n, lists, err)
+			}
+			c.add(float64(n), figures)
+			progress(fmt.Sprintf("%d proxies, %s list", n, lists))
+		}
+		series, err := c.fit(float64(o.FitUpTo))
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, series...)
+	}
+	return all, nil
+}
+
+// sizeFigures measures one size: at rest, with restarts, and with all asking at once.
+func sizeFigures(ctx context.Context, o SlopeOptions, plan Plan, programs Programs) ([]figure, error) {
+	r, ctx, err := Open(ctx, plan, programs)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	if err := pause(ctx, time.Second); err != nil { // what a start allocates is collected
+		return nil, err
+	}
+	rest, err := r.during(func() error { return pause(ctx, o.Rest) })
+	if err != nil {
+		return nil, err
+	}
+	figures := restFigures(rest, r.hollowBase, len(plan.Fleet.Proxies)-plan.Real)
+	restarts, err := r.during(func() error { return r.restart(ctx, o.Restarts, o.PerSecond) })
+	if err != nil {
+		return nil, err
+	}
+	figures = append(figures, restartFigures(restarts, rest, o.Restarts)...)
+	back, err := r.during(func() error {
+		_, err := r.breakAll(ctx)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return append(figures, returnFigures(back, rest)...), nil
+}
