--- /dev/null
+++ b/internal/scale/events.go
@@ -0,0 +1,211 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"sandpass/internal/scale/fleet"
+	"sandpass/internal/scale/helper"
+)
+
+// EventOptions say how large events are and how long they last.
+type EventOptions struct {
+	Sizes    fleet.Sizes
+	Real     int
+	Lists    Lists
+	Burst    int // changes of configuration within BurstIn
+	BurstIn  time.Duration
+	Restarts int           // of proxies and their backends
+	Batch    int           // of them at a time
+	Silence  time.Duration // of discovery
+	Cut      time.Duration // of a region
+}
+
+const zoneLost = 3 // which one it is
+
+// Groups of hollow proxies; those that are restarted follow, a group for each batch.
+const (
+	groupOfRest = iota
+	groupOfZone
+	groupsRestarted
+)
+
+// groups parts the hollow proxies by what happens to them.
+func (o EventOptions) groups(f *fleet.Fleet) func(proxy int) int {
+	group := make([]int, len(f.Proxies))
+	restarted := 0
+	for i, p := range f.Proxies {
+		switch {
+		case i < o.Real:
+		case p.Zone == zoneLost%o.Sizes.Zones:
+			group[i] = groupOfZone
+		case restarted < o.Restarts && i%2 == 1: // the rest group must not be empty
+			group[i] = groupsRestarted + restarted/o.Batch
+			restarted++
+		}
+	}
+	return func(proxy int) int { return group[proxy] }
+}
+
+// Events has each event happen to a fleet of the size, one after another.
+func Events(ctx context.Context, o EventOptions, programs Programs, progress func(string)) ([]Event, error) {
+	f := fleet.Generate(o.Sizes)
+	plan := Plan{Fleet: f, Real: o.Real, Lists: o.Lists, Peers: true, Group: o.groups(f)}
+	r, ctx, err := Open(ctx, plan, programs)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	s := stage{ctx: ctx, rig: r, options: o}
+	var all []Event
+	for _, step := range []struct {
+		name string
+		do   func(e *Event) error
+	}{
+		{"a change of configuration, by a file and SIGHUP on each machine", s.change},
+		{"a burst of changes of configuration, by files and SIGHUP", s.burst},
+		{"a day's restarts drawn together", s.restarts},
+		{"a zone is lost and comes back", s.zone},
+		{"a region is cut off from discovery", s.region},
+		{"discovery is silent, then all ask at once", s.silence},
+	} {
+		e, err := r.observe(ctx, Event{Name: step.name}, step.do)
+		if err != nil {
+			return all, err
+		}
+		all = append(all, e)
+		progress(step.name)
+	}
+	return all, nil
+}
+
+// stage is where events happen.
+type stage struct {
+	ctx     context.Context
+	rig     *Rig
+	options EventOptions
+}
+
+// shift is a change of configuration: a figure of the settings.
+func shift(step int) func(l *launch) {
+	return func(l *launch) { l.Settings.OverageUtility = 0.1 + 0.001*float64(step) }
+}
+
+func (s stage) change(e *Event) error {
+	took, err := s.rig.reload(s.ctx, shift(1))
+	e.InForce = quantiles(took)
+	e.Settled = e.InForce.Last
+	e.Note = "from the moment at which every file is in place: nothing carries the files"
+	return err
+}
+
+func (s stage) burst(e *Event) error {
+	every := s.options.BurstIn / time.Duration(s.options.Burst)
+	var all []float64
+	for k := range s.options.Burst {
+		next := time.Now().Add(every)
+		took, err := s.rig.reload(s.ctx, shift(2+k))
+		if err != nil {
+			return err
+		}
+		all = append(all, took...)
+		if err := pause(s.ctx, time.Until(next)); err != nil {
+			return err
+		}
+	}
+	e.InForce = quantiles(all)
+	e.Settled = e.InForce.Last
+	return nil
+}
+
+// restarts ends proxies and starts them again, a batch at a time, with their backends.
+func (s stage) restarts(e *Event) error {
+	begun := time.Now()
+	count := 0
+	for group := groupsRestarted; group < len(s.rig.hollow); group++ {
+		batch := s.rig.hollow[group].members
+		if err := s.rig.change(batch, "draining"); err != nil {
+			return err
+		}
+		if _, err := s.rig.endGroup(group, true); err != nil {
+			return err
+		}
+		if err := s.back(group, batch); err != nil {
+			return err
+		}
+		count += len(batch)
+	}
+	err := s.rig.awaitWatching(s.ctx, nil)
+	e.Settled = time.Since(begun).Seconds()
+	e.Note = fmt.Sprintf("%d proxies with their backends, %d at a time", count, s.options.Batch)
+	return err
+}
+
+// back has discovery tell that backends are gone, starts their proxies anew, and has it tell that they are there.
+func (s stage) back(group int, members []int) error {
+	if err := s.rig.change(members, "gone"); err != nil {
+		return err
+	}
+	if err := s.rig.startGroup(group, members); err != nil {
+		return err
+	}
+	return s.rig.change(members, "ready")
+}
+
+// zone kills the process that has the zone's proxies, has discovery tell that their backends are gone, and starts all anew.
+func (s stage) zone(e *Event) error {
+	members, err := s.rig.endGroup(groupOfZone, false)
+	if err != nil {
+		return err
+	}
+	if err := s.rig.change(members, "gone"); err != nil {
+		return err
+	}
+	if err := pause(s.ctx, 3*sampleEvery); err != nil {
+		return err
+	}
+	begun := time.Now()
+	if err := s.rig.startGroup(groupOfZone, members); err != nil {
+		return err
+	}
+	if err := s.rig.change(members, "ready"); err != nil {
+		return err
+	}
+	err = s.rig.awaitWatching(s.ctx, nil)
+	e.Settled = time.Since(begun).Seconds()
+	e.Note = fmt.Sprintf("%d proxies; settled counts from their start", len(members))
+	return err
+}
+
+// region has the agents of one region say nothing while backends of the others restart.
+func (s stage) region(e *Event) error {
+	var agents []int
+	for i, p := range s.rig.plan.Fleet.Proxies {
+		if p.Region == s.rig.plan.Fleet.Regions[0] {
+			agents = append(agents, i)
+		}
+	}
+	return s.silent(e, agents, s.options.Cut)
+}
+
+func (s stage) silence(e *Event) error {
+	return s.silent(e, everyProxy(s.rig.plan.Fleet), s.options.Silence)
+}
+
+// silent has agents say nothing for a while, and waits until all proxies have their lists again.
+func (s stage) silent(e *Event, agents []int, lasting time.Duration) error {
+	if _, err := s.rig.discovery.Do(helper.Request{Silence: &helper.Silence{Agents: agents, On: true}}); err != nil {
+		return err
+	}
+	if err := pause(s.ctx, lasting); err != nil {
+		return err
+	}
+	begun := time.Now()
+	if _, err := s.rig.discovery.Do(helper.Request{Silence: &helper.Silence{Agents: agents}}); err != nil {
+		return err
+	}
+	err := s.rig.awaitWatching(s.ctx, nil)
+	e.Settled = time.Since(begun).Seconds()
+	return err
+}
--- a/internal/scale/helper/client.go
+++ b/internal/scale/helper/client.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -29,6 +30,7 @@
 	p := &Process{command: exec.Command(program), ended: make(chan struct{})}
 	p.command.Env = append(append(os.Environ(), RoleEnv+"="+string(role)), environment...)
 	p.command.Stderr = os.Stderr
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	var err error
 	if p.in, err = p.command.StdinPipe(); err != nil {
 		return nil, err
@@ -68,6 +70,15 @@
 	return &a, nil
 }
 
+// Kill ends the helper at once and waits.
+func (p *Process) Kill() {
+	p.once.Do(func() {
+		p.in.Close()
+		_ = p.command.Process.Kill() // it may have ended just now
+		<-p.ended
+	})
+}
+
 // Close ends the helper and waits for it.
 func (p *Process) Close() {
 	p.once.Do(func() {
--- a/internal/scale/helper/message.go
+++ b/internal/scale/helper/message.go
@@ -28,7 +28,7 @@
 type Request struct {
 	Discover *Discover `json:"discover,omitempty"`
 	Change   *Change   `json:"change,omitempty"`
-	Silence  *bool     `json:"silence,omitempty"`
+	Silence  *Silence  `json:"silence,omitempty"`
 	Break    []int     `json:"break,omitempty"`   // agents whose connections are closed
 	Traffic  bool      `json:"traffic,omitempty"` // of each agent
 	Start    *Start    `json:"start,omitempty"`
@@ -55,6 +55,12 @@
 	Endpoints []standin.Endpoint `json:"endpoints"`
 }
 
+// Silence has agents say nothing, heartbeats included, or speak again.
+type Silence struct {
+	Agents []int `json:"agents"`
+	On     bool  `json:"on"`
+}
+
 // Start starts hollow proxies by their configurations; their numbers go on from those before.
 type Start struct {
 	Launches  []json.RawMessage `json:"launches"`
--- a/internal/scale/helper/serve.go
+++ b/internal/scale/helper/serve.go
@@ -84,7 +84,7 @@
 			}
 		}
 	case r.Silence != nil:
-		d.standin.Silence(*r.Silence)
+		d.standin.Silence(r.Silence.Agents, r.Silence.On)
 	case len(r.Break) > 0:
 		d.standin.Break(r.Break)
 	case r.Traffic:
--- a/internal/scale/keepers.go
+++ b/internal/scale/keepers.go
@@ -85,7 +85,7 @@
 func siblingRun(ctx context.Context, n int, rate, seconds float64, peers bool, programs Programs) ([]meter.Traffic, float64, error) {
 	sizes := fleet.Default()
 	sizes.Proxies, sizes.Services, sizes.Depth, sizes.FrontShare = n, 1, 1, 1
-	plan := Plan{Fleet: fleet.Generate(sizes), Real: n, Lists: ServiceList, Peers: peers, Counted: n, Apart: -1}
+	plan := Plan{Fleet: fleet.Generate(sizes), Real: n, Lists: ServiceList, Peers: peers, Counted: n}
 	r, ctx, err := Open(ctx, plan, programs)
 	if err != nil {
 		return nil, 0, err
--- a/internal/scale/likeness.go
+++ b/internal/scale/likeness.go
@@ -29,7 +29,7 @@
 func Compare(ctx context.Context, o LikenessOptions, programs Programs) ([]Likeness, error) {
 	sizes := fleet.Default()
 	sizes.Proxies, sizes.Services, sizes.Depth, sizes.FrontShare = 2*o.Each, 2, 1, 1
-	plan := Plan{Fleet: fleet.Generate(sizes), Real: o.Each, Lists: ServiceList, Peers: true, Counted: 2 * o.Each, Apart: -1, Defect: o.SkipWork}
+	plan := Plan{Fleet: fleet.Generate(sizes), Real: o.Each, Lists: ServiceList, Peers: true, Counted: 2 * o.Each, Defect: o.SkipWork}
 	r, ctx, err := Open(ctx, plan, programs)
 	if err != nil {
 		return nil, err
@@ -85,11 +85,7 @@
 }
 
 func everyProxy(f *fleet.Fleet) []int {
-	all := make([]int, len(f.Proxies))
-	for i := range all {
-		all[i] = i
-	}
-	return all
+	return everyNumber(len(f.Proxies))
 }
 
 // kinds compares the four kinds of traffic; the first ones are the real proxies'.
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -22,13 +22,25 @@
 	var series []Series
 	switch part {
 	case "likeness":
-		data.Likeness, err = Compare(ctx, LikenessOptions{Each: 20, Restarts: 40, RestartsEach: 5, CallsEach: 40, CallSeconds: 5, Rest: 4 * time.Second}, m.Programs)
+		data.Likeness, err = Compare(ctx, LikenessOptions{Each: 20, Restarts: 40, RestartsEach: 5, CallsEach: 60, CallSeconds: 8, Rest: 4 * time.Second}, m.Programs)
 	case "keepers":
 		series, err = Keepers(ctx, KeeperOptions{Siblings: []int{4, 8, 12, 16, 20}, Rates: []float64{39, 79, 118, 157, 236, 314}, Fixed: 12, Rate: 79, Seconds: 6},
 			m.Programs, m.Progress)
 	case "slopes":
 		series, err = Slopes(ctx, SlopeOptions{Sizes: m.Sizes, Counts: m.Counts, FitUpTo: m.Sizes.Proxies, Real: m.Real, Rest: 8 * time.Second,
 			Restarts: 20, PerSecond: 4, Lists: []Lists{ServiceList, WholeList}}, m.Programs, m.Progress)
+	case "events":
+		for _, lists := range []Lists{ServiceList, WholeList} {
+			var events []Event
+			events, err = Events(ctx, EventOptions{Sizes: m.Sizes, Real: m.Real, Lists: lists, Burst: 30, BurstIn: time.Minute,
+				Restarts: int(m.Sizes.RestartsPerDay), Batch: 10, Silence: 30 * time.Second, Cut: time.Minute}, m.Programs, m.Progress)
+			for _, e := range events {
+				data.replaceEvent(e)
+			}
+			if err != nil {
+				break
+			}
+		}
 	default:
 		return fmt.Errorf("part %q is unknown", part)
 	}
--- a/internal/scale/rig.go
+++ b/internal/scale/rig.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -41,7 +40,7 @@
 	Lists   Lists
 	Peers   bool                   // siblings have each other's addresses
 	Counted int                    // proxies, the first ones, whose messages to siblings are counted; no fewer than the real ones
-	Apart   int                    // a zone whose hollow proxies have a process of their own, -1 for none
+	Group   func(proxy int) int    // of hollow proxies, each a process: 0 and up without a gap; nil for one
 	Defect  bool                   // for tests: hollow ones skip their work
 	Operate func(proxy int) string // path of the operators' file of a proxy, nil for none
 }
@@ -53,9 +52,8 @@
 	addresses  addresses
 	directory  string
 	discovery  *helper.Process
-	hollow     []*helper.Process // the second one has the zone apart
-	hollowBase float64           // bytes of memory that a hollow helper has before it has a proxy
-	members    [][]int           // of each: the fleet's index of its proxies, by their number there
+	hollow     []*hollowGroup
+	hollowBase float64 // bytes of memory that a hollow helper has before it has a proxy
 	servers    map[int]*server
 	relays     *relays
 	backends   []*standin.Backend
@@ -65,6 +63,12 @@
 	watched    chan struct{}
 }
 
+// hollowGroup is a helper with hollow proxies.
+type hollowGroup struct {
+	process *helper.Process
+	members []int // the fleet's index of its proxies, by their number in the helper
+}
+
 // ErrOver says that a run would take more of the machine than it may.
 var ErrOver = errors.New("the run would go over what it may take of the machine")
 
@@ -178,19 +182,23 @@
 }
 
 func (r *Rig) startHollow() error {
-	r.hollow, r.members = make([]*helper.Process, 2), make([][]int, 2)
+	var members [][]int
 	for i := r.plan.Real; i < len(r.plan.Fleet.Proxies); i++ {
 		group := 0
-		if r.plan.Fleet.Proxies[i].Zone == r.plan.Apart {
-			group = 1
+		if r.plan.Group != nil {
+			group = r.plan.Group(i)
+		}
+		for group >= len(members) {
+			members = append(members, nil)
 		}
-		r.members[group] = append(r.members[group], i)
+		members[group] = append(members[group], i)
 	}
-	for group := range r.members {
-		if len(r.members[group]) == 0 {
+	r.hollow = make([]*hollowGroup, len(members))
+	for group := range members {
+		if len(members[group]) == 0 {
 			continue
 		}
-		if err := r.startGroup(group); err != nil {
+		if err := r.startGroup(group, members[group]); err != nil {
 			return err
 		}
 	}
@@ -198,37 +206,58 @@
 }
 
 // startGroup starts the process of a group and the proxies in it.
-func (r *Rig) startGroup(group int) (err error) {
-	if r.hollow[group], err = r.launchHelper(helper.Hollow); err != nil {
+func (r *Rig) startGroup(group int, members []int) error {
+	process, err := r.launchHelper(helper.Hollow)
+	if err != nil {
 		return err
 	}
-	if _, err = r.hollow[group].Do(helper.Request{Collect: true}); err != nil {
+	g := &hollowGroup{process: process, members: members}
+	r.mu.Lock()
+	r.hollow[group] = g
+	r.mu.Unlock()
+	if _, err = process.Do(helper.Request{Collect: true}); err != nil {
 		return err
 	}
-	if used, err := meter.Process(r.hollow[group].PID()); err == nil {
+	if used, err := meter.Process(process.PID()); err == nil && group == 0 {
 		r.hollowBase = used.Resident
 	}
-	return r.startMembers(group, r.members[group])
-}
-
-func (r *Rig) startMembers(group int, members []int) error {
 	start := &helper.Start{Idle: r.plan.Defect}
-	if r.plan.Operate != nil {
-		for _, i := range members {
-			start.Operators = append(start.Operators, r.plan.Operate(i))
-		}
-	}
 	for _, i := range members {
 		text, err := r.launch(i).text()
 		if err != nil {
 			return err
 		}
 		start.Launches = append(start.Launches, text)
+		if r.plan.Operate != nil {
+			start.Operators = append(start.Operators, r.plan.Operate(i))
+		}
 	}
-	_, err := r.hollow[group].Do(helper.Request{Start: start})
+	_, err = process.Do(helper.Request{Start: start})
 	return err
 }
 
+// endGroup ends the process of a group with all proxies in it, as SIGTERM does or at once, and gives which they were.
+func (r *Rig) endGroup(group int, planned bool) ([]int, error) {
+	r.mu.Lock()
+	g := r.hollow[group]
+	r.hollow[group] = nil
+	r.mu.Unlock()
+	defer g.process.Kill()
+	if !planned {
+		return g.members, nil
+	}
+	_, err := g.process.Do(helper.Request{Stop: everyNumber(len(g.members))})
+	return g.members, err
+}
+
+func everyNumber(n int) []int {
+	all := make([]int, n)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
 func (r *Rig) startReal(i int) error {
 	operator := ""
 	if r.plan.Operate != nil {
@@ -315,27 +344,15 @@
 			return nil, err
 		}
 	}
-	for group, members := range r.members {
-		if len(members) == 0 {
+	for _, g := range r.hollow {
+		if g == nil {
 			continue
 		}
-		order := &helper.Reload{}
-		for n, i := range members {
-			l := r.launch(i)
-			turn(&l)
-			text, err := json.Marshal(l)
-			if err != nil {
-				return nil, err
-			}
-			order.Proxies, order.Launches = append(order.Proxies, n), append(order.Launches, text)
-		}
-		a, err := r.hollow[group].Do(helper.Request{Reload: order})
+		more, err := r.reloadGroup(g, begun, turn)
 		if err != nil {
 			return nil, err
 		}
-		for _, at := range a.InForce {
-			took = append(took, at-float64(begun.UnixNano())/1e9)
-		}
+		took = append(took, more...)
 	}
 	for i, s := range r.servers {
 		deadline := time.Now().Add(settledWithin)
@@ -354,6 +371,29 @@
 	return took, nil
 }
 
+// reloadGroup has the hollow proxies of a group turn to other configurations.
+func (r *Rig) reloadGroup(g *hollowGroup, begun time.Time, turn func(l *launch)) ([]float64, error) {
+	order := &helper.Reload{}
+	for n, i := range g.members {
+		l := r.launch(i)
+		turn(&l)
+		text, err := l.text()
+		if err != nil {
+			return nil, err
+		}
+		order.Proxies, order.Launches = append(order.Proxies, n), append(order.Launches, text)
+	}
+	a, err := g.process.Do(helper.Request{Reload: order})
+	if err != nil {
+		return nil, err
+	}
+	var took []float64
+	for _, at := range a.InForce {
+		took = append(took, at-float64(begun.UnixNano())/1e9)
+	}
+	return took, nil
+}
+
 // processes are the numbers of all that was started, by role.
 func (r *Rig) processes() map[string][]int {
 	r.mu.Lock()
@@ -362,9 +402,9 @@
 	for _, i := range sortedKeys(r.servers) {
 		all[roleProxy] = append(all[roleProxy], r.servers[i].pid())
 	}
-	for _, h := range r.hollow {
-		if h != nil {
-			all[roleHollow] = append(all[roleHollow], h.PID())
+	for _, g := range r.hollow {
+		if g != nil {
+			all[roleHollow] = append(all[roleHollow], g.process.PID())
 		}
 	}
 	if r.discovery != nil {
@@ -413,11 +453,14 @@
 	for _, s := range r.servers {
 		s.kill()
 	}
-	for _, h := range append(slices.Clone(r.hollow), r.discovery) {
-		if h != nil {
-			h.Close()
+	for _, g := range r.hollow {
+		if g != nil {
+			g.process.Close()
 		}
 	}
+	if r.discovery != nil {
+		r.discovery.Close()
+	}
 	for _, b := range r.backends {
 		b.Close()
 	}
--- a/internal/scale/samples.go
+++ b/internal/scale/samples.go
@@ -166,10 +166,7 @@
 
 // breakAll closes all watches at once and waits until each proxy has its list again; it gives the seconds.
 func (r *Rig) breakAll(ctx context.Context) (float64, error) {
-	all := make([]int, len(r.plan.Fleet.Proxies))
-	for i := range all {
-		all[i] = i
-	}
+	all := everyProxy(r.plan.Fleet)
 	before, err := r.traffic()
 	if err != nil {
 		return 0, err
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -47,7 +48,7 @@
 	return Programs{Proxy: []string{sandpassProgram, "serve"}, Helper: os.Args[0]}
 }
 
-var smallLikeness = LikenessOptions{Each: 6, Restarts: 12, RestartsEach: 6, CallsEach: 40, CallSeconds: 2, Rest: 2 * time.Second}
+var smallLikeness = LikenessOptions{Each: 6, Restarts: 12, RestartsEach: 6, CallsEach: 100, CallSeconds: 5, Rest: 2 * time.Second}
 
 func TestHollowProxiesAreLikeRealOnes(t *testing.T) {
 	all, err := Compare(context.Background(), smallLikeness, programs())
@@ -81,3 +82,6 @@
 		t.Errorf("%d kinds differ where the hollow proxies do nothing", len(Unlike(all)))
 	}
 }
+
+// signalZero tells by its error that a process is no more.
+func signalZero(pid int) error { return syscall.Kill(pid, 0) }
--- a/internal/scale/slopes.go
+++ b/internal/scale/slopes.go
@@ -61,7 +61,7 @@
 	for _, lists := range o.Lists {
 		c := collector{against: Proxies, setting: string(lists) + " list"}
 		for _, n := range o.Counts {
-			plan := Plan{Fleet: fleet.Generate(o.Sizes.ScaledTo(n)), Real: min(n, o.Real), Lists: lists, Peers: true, Apart: -1}
+			plan := Plan{Fleet: fleet.Generate(o.Sizes.ScaledTo(n)), Real: min(n, o.Real), Lists: lists, Peers: true}
 			figures, err := sizeFigures(ctx, o, plan, programs)
 			if err != nil {
 				return nil, fmt.Errorf("%d proxies, %s list: %w", n, lists, err)
--- /dev/null
+++ b/internal/scale/small_test.go
@@ -0,0 +1,100 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"os"
+	"testing"
+	"time"
+
+	"sandpass/internal/scale/fit"
+	"sandpass/internal/scale/fleet"
+)
+
+// The small run: counts, bytes and laws, none on how fast the machine is.
+func TestLawsOfASmallFleet(t *testing.T) {
+	o := SlopeOptions{Sizes: fleet.Default(), Counts: []int{8, 16, 32, 64}, FitUpTo: 32, Real: 2, Rest: 2 * time.Second, Restarts: 8, PerSecond: 8,
+		Lists: []Lists{WholeList}}
+	series, err := Slopes(context.Background(), o, programs(), func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := Data{Series: series}
+	for _, c := range []struct {
+		role, figure string
+		law          fit.Law
+		within       float64 // of the measure at twice the size
+	}{
+		{roleProxy, "whole list, in, bytes", fit.Linear, 0.02},
+		{roleProxy, "each backend restarted once, list watch in, bytes", fit.Linear, 0.05},
+		{roleDiscovery, "all ask for whole lists, out, bytes", fit.Square, 0.05},
+		{roleDiscovery, "all ask for whole lists, connections, connections", fit.Linear, 0.001},
+	} {
+		s := d.find(c.role, c.figure, Proxies, "whole list")
+		if s == nil {
+			t.Errorf("%s was not measured", c.figure)
+			continue
+		}
+		if s.Fit.Law != c.law {
+			t.Errorf("%s grows with %s, not with %s: %v", c.figure, s.Fit.Law, c.law, s.Points)
+		}
+		if off := s.Predicted.Error(); off > c.within || off < -c.within {
+			t.Errorf("%s: %.0f was predicted and %.0f measured", c.figure, s.Predicted.Predicted, s.Predicted.Measured)
+		}
+	}
+}
+
+func TestEventsOfASmallFleet(t *testing.T) {
+	sizes := fleet.Default().ScaledTo(33)
+	o := EventOptions{Sizes: sizes, Real: 2, Lists: WholeList, Burst: 3, BurstIn: time.Second, Restarts: 8, Batch: 4,
+		Silence: 4 * time.Second, Cut: 4 * time.Second}
+	events, err := Events(context.Background(), o, programs(), func(what string) { t.Log(what) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range events {
+		t.Logf("%+v", e)
+		if e.InForce != nil && e.InForce.Values%33 != 0 {
+			t.Errorf("%s: %d values for 33 proxies", e.Name, e.InForce.Values)
+		}
+	}
+	last := events[len(events)-1]
+	if last.Connections < 33 {
+		t.Errorf("%d connections after the silence of all 33 agents", last.Connections)
+	}
+	if whole := float64(33 * 142); last.Peaks[0].Total < whole {
+		t.Errorf("%.0f bytes at a proxy that had the whole list anew", last.Peaks[0].Total)
+	}
+}
+
+func TestARunThatIsTooLargeIsRefused(t *testing.T) {
+	plan := Plan{Fleet: fleet.Generate(fleet.Default()), Real: mostProcesses, Lists: ServiceList}
+	if _, _, err := Open(context.Background(), plan, programs()); !errors.Is(err, ErrOver) {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestAnInterruptedRunLeavesNothing(t *testing.T) {
+	ctx, interrupt := context.WithCancel(context.Background())
+	plan := Plan{Fleet: fleet.Generate(fleet.Default().ScaledTo(12)), Real: 2, Lists: ServiceList}
+	r, running, err := Open(ctx, plan, programs())
+	if err != nil {
+		t.Fatal(err)
+	}
+	processes := r.processes()
+	interrupt()
+	if err := pause(running, time.Minute); !errors.Is(err, context.Canceled) {
+		t.Errorf("the run goes on: %v", err)
+	}
+	r.Close()
+	for role, pids := range processes {
+		for _, pid := range pids {
+			if err := signalZero(pid); err == nil {
+				t.Errorf("%s %d is still there", role, pid)
+			}
+		}
+	}
+	if _, err := os.Stat(r.directory); err == nil {
+		t.Error("its folder is still there")
+	}
+}
--- a/internal/scale/standin/discovery.go
+++ b/internal/scale/standin/discovery.go
@@ -85,25 +85,24 @@
 	list     *list
 	mu       sync.Mutex
 	open     map[net.Conn]bool
-	watching int // answers that are open and have had the whole list
+	speaking chan struct{} // closed while it speaks
+	watching int           // answers that are open and have had the whole list
 }
 
 // Discovery has an agent for each machine.
 type Discovery struct {
-	server   *http.Server
-	lists    []*list
-	agents   []*agent
-	mu       sync.Mutex
-	speaking chan struct{} // closed while it speaks
-	done     sync.WaitGroup
+	server *http.Server
+	lists  []*list
+	agents []*agent
+	mu     sync.Mutex
+	done   sync.WaitGroup
 }
 
 type agentKey struct{}
 
 // NewDiscovery makes the lists; agents are added by Listen.
 func NewDiscovery(lists [][]Endpoint) *Discovery {
-	d := &Discovery{speaking: make(chan struct{})}
-	close(d.speaking)
+	d := &Discovery{}
 	for _, endpoints := range lists {
 		d.lists = append(d.lists, newList(endpoints))
 	}
@@ -154,7 +153,8 @@
 	if err != nil {
 		return err
 	}
-	a := &agent{listener: l, list: d.lists[list], open: map[net.Conn]bool{}}
+	a := &agent{listener: l, list: d.lists[list], open: map[net.Conn]bool{}, speaking: make(chan struct{})}
+	close(a.speaking)
 	d.mu.Lock()
 	d.agents = append(d.agents, a)
 	d.mu.Unlock()
@@ -171,26 +171,33 @@
 	return nil
 }
 
-// Silence has all agents say nothing, heartbeats included, or speak again.
-func (d *Discovery) Silence(on bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+// Silence has agents say nothing, heartbeats included, or speak again.
+func (d *Discovery) Silence(agents []int, on bool) {
+	for _, i := range agents {
+		d.agents[i].silence(on)
+	}
+}
+
+func (a *agent) silence(on bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	select {
-	case <-d.speaking:
+	case <-a.speaking:
 		if on {
-			d.speaking = make(chan struct{})
+			a.speaking = make(chan struct{})
 		}
 	default:
 		if !on {
-			close(d.speaking)
+			close(a.speaking)
 		}
 	}
 }
 
-func (d *Discovery) speaks() chan struct{} {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.speaking
+// speaks is closed while the agent is not silent.
+func (a *agent) speaks() chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.speaking
 }
 
 // Break closes all connections of some agents, as an agent does that starts anew.
@@ -242,7 +249,7 @@
 	index, whole := 0, true
 	for {
 		select {
-		case <-d.speaks():
+		case <-a.speaks():
 		case <-watch.done:
 			return
 		}
