--- /dev/null
+++ b/internal/controlserver/storage_test.go
@@ -0,0 +1,171 @@
+package controlserver
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+func entry(term, index uint64, data string) *raftpb.Entry {
+	return &raftpb.Entry{Term: proto.Uint64(term), Index: proto.Uint64(index), Data: []byte(data)}
+}
+
+func hardState(term, commit uint64) *raftpb.HardState {
+	return &raftpb.HardState{Term: proto.Uint64(term), Vote: proto.Uint64(0), Commit: proto.Uint64(commit)}
+}
+
+func snapshot(term, index uint64, data string) *raftpb.Snapshot {
+	return &raftpb.Snapshot{Data: []byte(data), Metadata: &raftpb.SnapshotMetadata{
+		ConfState: &raftpb.ConfState{Voters: []uint64{1}}, Term: proto.Uint64(term), Index: proto.Uint64(index)}}
+}
+
+func openStorage(t *testing.T, folder string) *BoltStorage {
+	t.Helper()
+	storage, err := OpenStorage(folder, "shop", "c1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { storage.Close() })
+	return storage
+}
+
+func save(t *testing.T, storage Storage, batches ...Batch) {
+	t.Helper()
+	for _, batch := range batches {
+		if err := storage.Save(batch); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestStorageHoldsWhatWasSaved(t *testing.T) {
+	folder := t.TempDir()
+	storage := openStorage(t, folder)
+	save(t, storage,
+		Batch{HardState: hardState(1, 0), Entries: []*raftpb.Entry{entry(1, 1, "a"), entry(1, 2, "b"), entry(1, 3, "c")}},
+		Batch{HardState: hardState(2, 2), Entries: []*raftpb.Entry{entry(2, 3, "d"), entry(2, 4, "e")}}, // 3 is replaced
+		Batch{Snapshot: snapshot(1, 2, "state")})
+	storage.Close()
+	saved, err := openStorage(t, folder).Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !proto.Equal(saved.HardState, hardState(2, 2)) || !proto.Equal(saved.Snapshot, snapshot(1, 2, "state")) {
+		t.Errorf("%v, %v", saved.HardState, saved.Snapshot)
+	}
+	if len(saved.Entries) != 2 || string(saved.Entries[0].Data) != "d" || string(saved.Entries[1].Data) != "e" {
+		t.Errorf("entries %v", saved.Entries)
+	}
+}
+
+func TestStorageOfSomebodyElseIsRefused(t *testing.T) {
+	folder := t.TempDir()
+	openStorage(t, folder).Close()
+	for _, owner := range [][2]string{{"other", "c1"}, {"shop", "c2"}} {
+		_, err := OpenStorage(folder, owner[0], owner[1])
+		if err == nil || !strings.Contains(err.Error(), `belongs to "fleet shop, replica c1"`) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%v: %v", owner, err)
+		}
+	}
+}
+
+func TestStorageThatIsOpenElsewhereIsRefused(t *testing.T) {
+	folder := t.TempDir()
+	openStorage(t, folder)
+	if _, err := OpenStorage(folder, "shop", "c1"); err == nil || !strings.Contains(err.Error(), "timeout") {
+		t.Errorf("%v", err)
+	}
+}
+
+// filled is the text of a storage file with some entries.
+func filled(t testing.TB) []byte {
+	folder := t.TempDir()
+	storage, err := OpenStorage(folder, "shop", "c1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range uint64(40) {
+		batch := Batch{HardState: hardState(1, i), Entries: []*raftpb.Entry{entry(1, i+1, strings.Repeat("content ", 300))}}
+		if err := storage.Save(batch); err != nil {
+			t.Fatal(err)
+		}
+	}
+	storage.Close()
+	text, err := os.ReadFile(filepath.Join(folder, storageFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// loadText opens and loads a file with the text.
+func loadText(t testing.TB, text []byte) (Saved, error) {
+	folder := t.TempDir()
+	if err := os.WriteFile(filepath.Join(folder, storageFile), text, fileMode); err != nil {
+		t.Fatal(err)
+	}
+	storage, err := OpenStorage(folder, "shop", "c1")
+	if err != nil {
+		return Saved{}, err
+	}
+	defer storage.Close()
+	return storage.Load()
+}
+
+func TestATornFileIsRefusedInOneLine(t *testing.T) {
+	text := filled(t)
+	for _, size := range []int{100, 4096, 3 * 4096, len(text) / 2, len(text) - 4096} {
+		saved, err := loadText(t, text[:size])
+		if err == nil && len(saved.Entries) == 40 {
+			continue // what is missing was free
+		}
+		if err == nil || strings.Contains(err.Error(), "\n") || !strings.Contains(err.Error(), storageFile) {
+			t.Errorf("%d of %d bytes: %v", size, len(text), err)
+		}
+	}
+}
+
+func TestAFlippedByteIsRefusedOrChangesNothing(t *testing.T) {
+	text := filled(t)
+	want, err := loadText(t, text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := 0
+	for at := 0; at < len(text); at += 509 {
+		damaged := append([]byte(nil), text...)
+		damaged[at] ^= 0x40
+		saved, err := loadText(t, damaged)
+		if err != nil {
+			found++
+			continue
+		}
+		if len(saved.Entries) != len(want.Entries) || !proto.Equal(saved.HardState, want.HardState) {
+			t.Fatalf("byte %d: %d entries, %v", at, len(saved.Entries), saved.HardState)
+		}
+		for i, entry := range saved.Entries {
+			if !proto.Equal(entry, want.Entries[i]) {
+				t.Fatalf("byte %d: entry %d differs", at, i+1)
+			}
+		}
+	}
+	if found == 0 {
+		t.Error("no damage was found")
+	}
+}
+
+func FuzzRecord(f *testing.F) {
+	key := []byte("key")
+	f.Add(sealRecord(key, []byte("content")))
+	f.Add([]byte{1, 2})
+	f.Fuzz(func(t *testing.T, record []byte) {
+		content, err := openRecord(key, record)
+		if err == nil && string(sealRecord(key, content)) != string(record) {
+			t.Fatalf("%q is not what sealing gives", record)
+		}
+	})
+}
