--- a/cmd/sandpass/main.go
+++ b/cmd/sandpass/main.go
@@ -107,10 +107,11 @@
 			}},
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), version()) }},
+		controlCommand(),
 	)
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "sandpass:", err)
-		os.Exit(1)
+		os.Exit(exitCode(err))
 	}
 }
 
