--- a/cmd/sandpass/control_client.go
+++ b/cmd/sandpass/control_client.go
@@ -197,11 +197,11 @@
 		status, err := client.Status(ctx, number, false)
 		if err == nil {
 			last = status
-			line.show("revision %d in force at %d of %d proxies", number, status.Concerned-len(status.Missing), status.Concerned)
+			line.show("revision %d in force at %d of %d proxies", number, status.Summary.InForce, status.Summary.Concerned)
 			if asked := status.Asked; asked != nil && asked.HeldBy != "" {
 				return &codedError{exitRefused, fmt.Errorf("revision %d is held: proxy %s refuses it: %s", number, asked.HeldBy, asked.HeldReason)}
 			}
-			if status.Asked != nil && len(status.Missing) == 0 {
+			if status.Asked != nil && len(status.Summary.Behind) == 0 {
 				return nil
 			}
 		}
@@ -220,12 +220,12 @@
 	if status.Asked == nil {
 		text += " its state could not be read"
 	}
-	for i, proxy := range status.Missing {
+	for i, lag := range status.Summary.Behind {
 		if i == named {
-			text += fmt.Sprintf(" and %d more", len(status.Missing)-named)
+			text += fmt.Sprintf(" and %d more", len(status.Summary.Behind)-named)
 			break
 		}
-		text += fmt.Sprintf(" %s (at %d)", proxy.Identity.Proxy, proxy.Revision)
+		text += fmt.Sprintf(" %s (at %d)", lag.Proxy, lag.InForce)
 	}
 	return &codedError{exitWaiting, errors.New(text)}
 }
--- a/cmd/sandpass/control_tables.go
+++ b/cmd/sandpass/control_tables.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/term"
 
+	"sandpass/internal/control"
 	"sandpass/internal/controlapi"
 	"sandpass/internal/revision"
 )
@@ -61,12 +62,17 @@
 func printConflict(out io.Writer, err error) {
 	var answered *controlapi.Error
 	if errors.As(err, &answered) && len(answered.Changed) > 0 {
-		fmt.Fprintln(out, "changed meanwhile:")
-		printRevisions(out, answered.Changed)
+		table(out, func(out io.Writer) {
+			fmt.Fprintln(out, "CHANGED MEANWHILE\tTIME\tAUTHOR\tREASON\tKEYS")
+			for _, change := range answered.Changed {
+				fmt.Fprintf(out, "%d\t%s\t%s\t%s\t%s\n", change.Number, change.Time.UTC().Format(time.DateTime),
+					change.Author, change.Reason, strings.Join(change.Keys, ", "))
+			}
+		})
 	}
 }
 
-func printRevisions(out io.Writer, revisions []controlapi.HistoryEntry) error {
+func printRevisions(out io.Writer, revisions []control.Entry) error {
 	return table(out, func(out io.Writer) {
 		fmt.Fprintln(out, "REVISION\tSCOPE\tSTAGE\tTIME\tAUTHOR\tREASON")
 		for _, entry := range revisions {
@@ -76,14 +82,14 @@
 	})
 }
 
-func stage(entry controlapi.HistoryEntry) string {
-	if entry.HeldBy != "" {
+func stage(entry control.Entry) string {
+	if entry.HeldReason != "" {
 		return fmt.Sprintf("%s (%s: %s)", entry.Stage, entry.HeldBy, entry.HeldReason)
 	}
-	return entry.Stage
+	return string(entry.Stage)
 }
 
-func reason(entry controlapi.HistoryEntry) string {
+func reason(entry control.Entry) string {
 	if entry.RollbackOf != 0 {
 		return fmt.Sprintf("%s (rollback to %d)", entry.Reason, entry.RollbackOf)
 	}
@@ -145,14 +151,15 @@
 }
 
 func printStatus(out io.Writer, status controlapi.StatusResponse) error {
-	fmt.Fprintf(out, "fleet %s, newest revision %d, in force at %d of %d connected proxies\n",
-		status.Fleet, status.Newest, status.UpToDate, status.Connected)
-	if slowest := status.Slowest; slowest != nil {
-		fmt.Fprintf(out, "slowest: %s at revision %d of %d since %s\n", slowest.Identity.Proxy, slowest.Revision,
-			slowest.Wanted, slowest.Since.UTC().Format(time.DateTime))
+	fmt.Fprintf(out, "fleet %s, newest revision %d, up to date: %d of %d connected proxies, %d gone\n",
+		status.Fleet, status.Newest, status.Summary.InForce, status.Summary.Concerned, status.Summary.Gone)
+	if len(status.Summary.Behind) > 0 {
+		slowest := status.Summary.Behind[0]
+		fmt.Fprintf(out, "slowest: %s at revision %d, %d is for it; since %s\n", slowest.Proxy, slowest.InForce,
+			slowest.Wanted, moment(slowest.Since))
 	}
 	for _, proxy := range status.Refusing {
-		fmt.Fprintf(out, "%s refuses revision %d: %s\n", proxy.Identity.Proxy, proxy.RefusedNumber, proxy.Refused)
+		fmt.Fprintf(out, "%s refuses revision %d: %s\n", proxy.Identity.Proxy, proxy.Refused, proxy.Reason)
 	}
 	if err := printFreshness(out, status.Freshness); err != nil {
 		return err
@@ -179,13 +186,21 @@
 	})
 }
 
-func printProxies(out io.Writer, proxies []controlapi.ProxyStatus) error {
+func printProxies(out io.Writer, proxies []control.ProxyStatus) error {
 	return table(out, func(out io.Writer) {
-		fmt.Fprintln(out, "PROXY\tWHERE\tREPLICA\tREVISION\tOF\tSINCE\tREFUSED")
+		fmt.Fprintln(out, "PROXY\tWHERE\tREPLICA\tCONNECTED\tREVISION\tSINCE\tREFUSED")
 		for _, proxy := range proxies {
 			where := strings.Join([]string{proxy.Identity.Region, proxy.Identity.Zone, proxy.Identity.Service}, "/")
-			fmt.Fprintf(out, "%s\t%s\t%s\t%d\t%d\t%s\t%s\n", proxy.Identity.Proxy, where, proxy.Replica, proxy.Revision,
-				proxy.Wanted, proxy.Since.UTC().Format(time.DateTime), proxy.Refused)
+			fmt.Fprintf(out, "%s\t%s\t%s\t%t\t%d\t%s\t%s\n", proxy.Identity.Proxy, where, proxy.Replica, proxy.Connected,
+				proxy.InForce, moment(proxy.Since), proxy.Reason)
 		}
 	})
 }
+
+// moment prints a time, and a dash for none.
+func moment(at time.Time) string {
+	if at.IsZero() {
+		return "-"
+	}
+	return at.UTC().Format(time.DateTime)
+}
--- a/internal/controlapi/controlapi.go
+++ b/internal/controlapi/controlapi.go
@@ -3,8 +3,7 @@
 package controlapi
 
 import (
-	"time"
-
+	"sandpass/internal/control"
 	"sandpass/internal/revision"
 )
 
@@ -39,10 +38,10 @@
 
 // Error is the body of every answer that is not 2xx.
 type Error struct {
-	Message string         `json:"error"` // one line
-	Kind    Kind           `json:"kind"`
-	ID      string         `json:"id,omitempty"`      // of the command, where the outcome is not known
-	Changed []HistoryEntry `json:"changed,omitempty"` // on a conflict, the revisions since the base
+	Message string                   `json:"error"` // one line
+	Kind    Kind                     `json:"kind"`
+	ID      string                   `json:"id,omitempty"`      // of the command, where the outcome is not known
+	Changed []control.RevisionChange `json:"changed,omitempty"` // on a conflict, the revisions since the base
 }
 
 func (e *Error) Error() string { return e.Message }
@@ -66,17 +65,9 @@
 	Scope  revision.Scope  `json:"scope"`
 }
 
-// HistoryEntry is a revision and how far its delivery is.
-type HistoryEntry struct {
-	revision.Revision
-	Stage      string `json:"stage"`
-	HeldBy     string `json:"held_by,omitempty"`
-	HeldReason string `json:"held_reason,omitempty"`
-}
-
 // HistoryResponse has the revisions, newest first.
 type HistoryResponse struct {
-	Revisions []HistoryEntry `json:"revisions"`
+	Revisions []control.Entry `json:"revisions"`
 	Freshness
 }
 
@@ -86,21 +77,14 @@
 	AgeSeconds float64 `json:"age_seconds,omitempty"` // of the replica's knowledge, where it is stale
 }
 
-// Origin tells which scope and revision a value of a merged configuration comes from.
-type Origin struct {
-	Path   string          `json:"path"`
-	Scope  revision.Scope  `json:"scope"`
-	Number revision.Number `json:"number"`
-}
-
 // ShowResponse is a scope's newest document, or a proxy's merged one.
 type ShowResponse struct {
 	Scope    *revision.Scope   `json:"scope,omitempty"`
 	Number   revision.Number   `json:"number"` // newest of the scope, or of all that the merged one is made of
 	Document revision.Document `json:"document"`
 	Checksum string            `json:"checksum"`
-	Entry    *HistoryEntry     `json:"entry,omitempty"`
-	Origins  []Origin          `json:"origins,omitempty"`
+	Entry    *control.Entry    `json:"entry,omitempty"`
+	Origins  []control.Origin  `json:"origins,omitempty"`
 	Freshness
 }
 
@@ -118,18 +102,6 @@
 	Freshness
 }
 
-// ProxyStatus is what is known of a proxy.
-type ProxyStatus struct {
-	Identity      revision.Identity `json:"identity"`
-	Replica       string            `json:"replica"`
-	Revision      revision.Number   `json:"revision"` // in force
-	Wanted        revision.Number   `json:"wanted"`   // that concerns it and is out for it
-	Checksum      string            `json:"checksum,omitempty"`
-	Since         time.Time         `json:"since"` // of its last report or its connection
-	RefusedNumber revision.Number   `json:"refused_number,omitempty"`
-	Refused       string            `json:"refused,omitempty"` // why it refused a revision
-}
-
 // ReplicaStatus is what the leader knows of a replica.
 type ReplicaStatus struct {
 	Name          string  `json:"name"`
@@ -143,18 +115,14 @@
 
 // StatusResponse is the fleet as the leader, or with stale the asked replica, knows it.
 type StatusResponse struct {
-	Fleet     string          `json:"fleet"`
-	Replica   string          `json:"replica"` // that answers
-	Leader    string          `json:"leader,omitempty"`
-	Newest    revision.Number `json:"newest"`     // accepted
-	UpToDate  int             `json:"up_to_date"` // connected proxies that have in force all that concerns them
-	Connected int             `json:"connected"`
-	Slowest   *ProxyStatus    `json:"slowest,omitempty"` // of those that are not up to date
-	Refusing  []ProxyStatus   `json:"refusing,omitempty"`
-	Missing   []ProxyStatus   `json:"missing,omitempty"` // asked for with number=: that concerns them and is not in force
-	Concerned int             `json:"concerned"`         // asked for with number=: connected proxies that it concerns
-	Asked     *HistoryEntry   `json:"asked,omitempty"`   // the revision asked for with number=
-	Proxies   []ProxyStatus   `json:"proxies,omitempty"` // asked for with proxies=true
-	Replicas  []ReplicaStatus `json:"replicas"`
+	Fleet    string                `json:"fleet"`
+	Replica  string                `json:"replica"` // that answers
+	Leader   string                `json:"leader,omitempty"`
+	Newest   revision.Number       `json:"newest"`          // accepted
+	Summary  control.Summary       `json:"summary"`         // of the revision asked for with number=, otherwise of all
+	Asked    *control.Entry        `json:"asked,omitempty"` // the revision asked for with number=
+	Refusing []control.ProxyStatus `json:"refusing,omitempty"`
+	Proxies  []control.ProxyStatus `json:"proxies,omitempty"` // asked for with proxies=true
+	Replicas []ReplicaStatus       `json:"replicas"`
 	Freshness
 }
--- a/internal/controlserver/boltstorage.go
+++ b/internal/controlserver/boltstorage.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"runtime/debug"
@@ -11,6 +12,9 @@
 
 	"go.etcd.io/bbolt"
 	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"sandpass/internal/control"
 )
 
 const (
@@ -18,6 +22,7 @@
 	storageLockWait = time.Second // for another process to let go of the file
 	folderMode      = 0o755
 	fileMode        = 0o600
+	indexBytes      = 8 // of an entry's key
 )
 
 var (
@@ -113,7 +118,7 @@
 }
 
 // Load reads all records and checks each.
-func (s *BoltStorage) Load() (saved Saved, err error) {
+func (s *BoltStorage) Load() (saved control.Persisted, err error) {
 	debug.SetPanicOnFault(true)
 	defer nameDamage(s.db.Path(), &err)
 	err = s.db.View(func(tx *bbolt.Tx) error {
@@ -140,79 +145,83 @@
 		})
 	})
 	if err == nil {
-		err = saved.check()
+		err = checkPersisted(saved)
 	}
 	return saved, err
 }
 
-// check finds records that are whole, but do not follow from each other.
-func (s Saved) check() error {
-	last := s.Snapshot.GetMetadata().GetIndex()
-	for _, entry := range s.Entries {
+// checkPersisted finds records that are whole, but do not follow from each other.
+func checkPersisted(saved control.Persisted) error {
+	last := saved.Snapshot.GetMetadata().GetIndex()
+	for i, entry := range saved.Entries {
+		if i == 0 && entry.GetIndex() <= last {
+			last = entry.GetIndex() - 1 // the snapshot overlaps with the log
+		}
 		if entry.GetIndex() != last+1 {
 			return fmt.Errorf("it is damaged: entry %d follows entry %d", entry.GetIndex(), last)
 		}
 		last = entry.GetIndex()
 	}
-	if commit := s.HardState.GetCommit(); commit > last {
+	if commit := saved.HardState.GetCommit(); commit > max(last, saved.Snapshot.GetMetadata().GetIndex()) {
 		return fmt.Errorf("it is damaged: entry %d was committed, the last one is %d", commit, last)
 	}
 	return nil
 }
 
-// Save writes a batch in one synced transaction.
-func (s *BoltStorage) Save(batch Batch) (err error) {
-	if batch.Empty() {
+// Save writes a work's records in one synced transaction.
+func (s *BoltStorage) Save(work control.Work) (err error) {
+	if work.Snapshot == nil && work.Compaction == nil && work.HardState == nil && len(work.Entries) == 0 {
 		return nil
 	}
 	defer nameDamage(s.db.Path(), &err)
 	return s.db.Update(func(tx *bbolt.Tx) error {
-		if err := saveMeta(tx.Bucket(metaBucket), batch); err != nil {
-			return err
+		meta, entries := tx.Bucket(metaBucket), tx.Bucket(entriesBucket)
+		if work.Snapshot != nil {
+			if err := saveSnapshot(meta, entries, work.Snapshot, math.MaxUint64); err != nil {
+				return err
+			}
+		}
+		if work.Compaction != nil {
+			if err := saveSnapshot(meta, entries, work.Compaction.Snapshot, work.Compaction.FirstKept); err != nil {
+				return err
+			}
+		}
+		if work.HardState != nil {
+			if err := putMessage(meta, hardStateKey, work.HardState); err != nil {
+				return err
+			}
 		}
-		return saveEntries(tx.Bucket(entriesBucket), batch)
+		return saveEntries(entries, work.Entries)
 	})
 }
 
-func saveMeta(meta *bbolt.Bucket, batch Batch) error {
-	if batch.HardState != nil {
-		record, err := sealMessage(hardStateKey, batch.HardState)
-		if err != nil {
-			return err
-		}
-		if err := meta.Put(hardStateKey, record); err != nil {
-			return err
-		}
-	}
-	if batch.Snapshot == nil {
-		return nil
-	}
-	record, err := sealMessage(snapshotKey, batch.Snapshot)
+// putMessage writes one record.
+func putMessage(bucket *bbolt.Bucket, key []byte, message proto.Message) error {
+	record, err := sealMessage(key, message)
 	if err != nil {
 		return err
 	}
-	return meta.Put(snapshotKey, record)
+	return bucket.Put(key, record)
 }
 
-func saveEntries(entries *bbolt.Bucket, batch Batch) error {
-	if batch.Snapshot != nil {
-		if err := dropThrough(entries, batch.Snapshot.GetMetadata().GetIndex()); err != nil {
-			return err
-		}
+// saveSnapshot writes a snapshot and deletes the entries below an index.
+func saveSnapshot(meta, entries *bbolt.Bucket, snapshot *raftpb.Snapshot, firstKept uint64) error {
+	if err := putMessage(meta, snapshotKey, snapshot); err != nil {
+		return err
 	}
-	if len(batch.Entries) == 0 {
+	return dropBelow(entries, firstKept)
+}
+
+// saveEntries writes entries in the place of all from the first one's index on.
+func saveEntries(bucket *bbolt.Bucket, entries []*raftpb.Entry) error {
+	if len(entries) == 0 {
 		return nil
 	}
-	if err := dropFrom(entries, batch.Entries[0].GetIndex()); err != nil {
+	if err := dropFrom(bucket, entries[0].GetIndex()); err != nil {
 		return err
 	}
-	for _, entry := range batch.Entries {
-		key := entryKey(entry.GetIndex())
-		record, err := sealMessage(key, entry)
-		if err != nil {
-			return err
-		}
-		if err := entries.Put(key, record); err != nil {
+	for _, entry := range entries {
+		if err := putMessage(bucket, entryKey(entry.GetIndex()), entry); err != nil {
 			return err
 		}
 	}
@@ -221,14 +230,14 @@
 
 func entryKey(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
 
-// dropThrough deletes entries up to an index, with it.
-func dropThrough(entries *bbolt.Bucket, index uint64) error {
+// dropBelow deletes the entries below an index.
+func dropBelow(entries *bbolt.Bucket, index uint64) error {
 	cursor := entries.Cursor()
 	for key, _ := cursor.First(); key != nil; key, _ = cursor.First() {
-		if len(key) != 8 {
+		if len(key) != indexBytes {
 			return errors.New("an entry's key is damaged")
 		}
-		if binary.BigEndian.Uint64(key) > index {
+		if binary.BigEndian.Uint64(key) >= index {
 			return nil
 		}
 		if err := cursor.Delete(); err != nil {
--- a/internal/controlserver/storage.go
+++ b/internal/controlserver/storage.go
@@ -6,37 +6,22 @@
 	"fmt"
 	"hash/crc32"
 
-	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
+
+	"sandpass/internal/control"
 )
 
 // Storage keeps what a replica must not forget. After an error of Save the replica takes part in nothing any more: what is
 // on the disk is then not known.
 type Storage interface {
 	// Load reads all that was saved. An error means that the record is damaged or belongs to somebody else.
-	Load() (Saved, error)
-	// Save writes a batch whole or not at all; once it returns nil the batch outlives the machine's power.
-	Save(Batch) error
+	Load() (control.Persisted, error)
+	// Save writes a work's snapshot, compaction, hard state and entries, all of them or none; once it returns nil they
+	// outlive the machine's power.
+	Save(control.Work) error
 	Close() error
 }
 
-// Saved is what a storage holds.
-type Saved struct {
-	HardState *raftpb.HardState // nil: none was saved
-	Snapshot  *raftpb.Snapshot  // nil: none was saved
-	Entries   []*raftpb.Entry   // without a gap, from the one after the snapshot
-}
-
-// Batch is what has to be saved before the messages that follow from it may leave.
-type Batch struct {
-	HardState *raftpb.HardState // nil: unchanged
-	Snapshot  *raftpb.Snapshot  // nil: unchanged; entries up to its index are dropped
-	Entries   []*raftpb.Entry   // replace all saved ones from the index of the first
-}
-
-// Empty tells whether a batch has nothing to save.
-func (b Batch) Empty() bool { return b.HardState == nil && b.Snapshot == nil && len(b.Entries) == 0 }
-
 // A record on the disk is the format's version (1 byte), the CRC32C of the key, the version and the content (4 bytes,
 // little endian), and the content.
 const (
--- a/internal/controlserver/storage_test.go
+++ b/internal/controlserver/storage_test.go
@@ -8,6 +8,8 @@
 
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
+
+	"sandpass/internal/control"
 )
 
 func entry(term, index uint64, data string) *raftpb.Entry {
@@ -33,10 +35,10 @@
 	return storage
 }
 
-func save(t *testing.T, storage Storage, batches ...Batch) {
+func save(t *testing.T, storage Storage, works ...control.Work) {
 	t.Helper()
-	for _, batch := range batches {
-		if err := storage.Save(batch); err != nil {
+	for _, work := range works {
+		if err := storage.Save(work); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -46,9 +48,9 @@
 	folder := t.TempDir()
 	storage := openStorage(t, folder)
 	save(t, storage,
-		Batch{HardState: hardState(1, 0), Entries: []*raftpb.Entry{entry(1, 1, "a"), entry(1, 2, "b"), entry(1, 3, "c")}},
-		Batch{HardState: hardState(2, 2), Entries: []*raftpb.Entry{entry(2, 3, "d"), entry(2, 4, "e")}}, // 3 is replaced
-		Batch{Snapshot: snapshot(1, 2, "state")})
+		control.Work{HardState: hardState(1, 0), Entries: []*raftpb.Entry{entry(1, 1, "a"), entry(1, 2, "b"), entry(1, 3, "c")}},
+		control.Work{HardState: hardState(2, 2), Entries: []*raftpb.Entry{entry(2, 3, "d"), entry(2, 4, "e")}}, // 3 is replaced
+		control.Work{Compaction: &control.Compaction{Snapshot: snapshot(1, 2, "state"), FirstKept: 3}})
 	storage.Close()
 	saved, err := openStorage(t, folder).Load()
 	if err != nil {
@@ -89,8 +91,8 @@
 		t.Fatal(err)
 	}
 	for i := range uint64(40) {
-		batch := Batch{HardState: hardState(1, i), Entries: []*raftpb.Entry{entry(1, i+1, strings.Repeat("content ", 300))}}
-		if err := storage.Save(batch); err != nil {
+		work := control.Work{HardState: hardState(1, i), Entries: []*raftpb.Entry{entry(1, i+1, strings.Repeat("content ", 300))}}
+		if err := storage.Save(work); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -103,14 +105,14 @@
 }
 
 // loadText opens and loads a file with the text.
-func loadText(t testing.TB, text []byte) (Saved, error) {
+func loadText(t testing.TB, text []byte) (control.Persisted, error) {
 	folder := t.TempDir()
 	if err := os.WriteFile(filepath.Join(folder, storageFile), text, fileMode); err != nil {
 		t.Fatal(err)
 	}
 	storage, err := OpenStorage(folder, "shop", "c1")
 	if err != nil {
-		return Saved{}, err
+		return control.Persisted{}, err
 	}
 	defer storage.Close()
 	return storage.Load()
