--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -1,7 +1,12 @@
 package control
 
 import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"sandpass/internal/revision"
 )
@@ -39,8 +44,113 @@
 	Reason string          `json:"reason"`
 }
 
-// EncodeCommand gives a command's bytes for the replicated log.
-func EncodeCommand(c Command) ([]byte, error) { panic("not written") }
+// EncodeCommand gives a command's bytes for the replicated log. A command that Apply would refuse by itself is refused
+// here: the error is a *BadCommandError.
+func EncodeCommand(c Command) ([]byte, error) {
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	text, err := encodeJSON(c)
+	if err != nil {
+		return nil, &BadCommandError{Reason: err.Error()}
+	}
+	return text, nil
+}
 
 // DecodeCommand reads a command from the replicated log; the error is a *BadCommandError.
-func DecodeCommand(text []byte) (Command, error) { panic("not written") }
+func DecodeCommand(text []byte) (Command, error) {
+	var c Command
+	if err := json.Unmarshal(text, &c); err != nil {
+		return Command{}, &BadCommandError{Reason: oneLine(err)}
+	}
+	if err := c.check(); err != nil {
+		return Command{}, err
+	}
+	return c, nil
+}
+
+// check finds what is wrong with a command by itself; the error is a *BadCommandError.
+func (c Command) check() error {
+	if c.ID == "" {
+		return &BadCommandError{Reason: "it has no ID"}
+	}
+	if err := checkText("id", c.ID, IDMost); err != nil {
+		return err
+	}
+	parts := 0
+	for _, set := range []bool{c.Apply != nil, c.Release != nil, c.Hold != nil} {
+		if set {
+			parts++
+		}
+	}
+	switch {
+	case parts != 1:
+		return &BadCommandError{Reason: fmt.Sprintf("%d of apply, release and hold are set, not one", parts)}
+	case c.Apply != nil:
+		return c.Apply.check()
+	case c.Hold != nil:
+		return c.Hold.check()
+	}
+	return nil
+}
+
+func (a *ApplyCommand) check() error {
+	if _, err := revision.ParseScope(a.Scope.String()); err != nil {
+		return &BadCommandError{Reason: oneLine(err)}
+	}
+	if err := checkText("author", a.Author, AuthorMost); err != nil {
+		return err
+	}
+	if err := checkText("reason", a.Reason, ReasonMost); err != nil {
+		return err
+	}
+	if year := a.Time.UTC().Year(); year < 0 || year > 9999 {
+		return &BadCommandError{Reason: "its time is outside the years 0 to 9999"}
+	}
+	if len(a.Document) == 0 && a.RollbackOf == 0 {
+		return &BadCommandError{Reason: "it has no document"}
+	}
+	if len(a.Canaries) > CanariesMost {
+		return &BadCommandError{Reason: fmt.Sprintf("%d canaries, %d are allowed", len(a.Canaries), CanariesMost)}
+	}
+	for _, name := range a.Canaries {
+		if _, err := revision.ParseScope(string(revision.ProxyKind) + ":" + name); err != nil {
+			return &BadCommandError{Reason: fmt.Sprintf("canary %q is no proxy's name", name)}
+		}
+	}
+	return nil
+}
+
+func (h *HoldCommand) check() error {
+	if err := checkText("proxy", h.Proxy, IDMost); err != nil {
+		return err
+	}
+	return checkText("reason", h.Reason, ReasonMost)
+}
+
+// checkText bounds a text, and sees to it that JSON carries it unchanged.
+func checkText(field, text string, most int) error {
+	if len(text) > most {
+		return &BadCommandError{Reason: fmt.Sprintf("%s has %d bytes, %d are allowed", field, len(text), most)}
+	}
+	if !utf8.ValidString(text) {
+		return &BadCommandError{Reason: field + " is not UTF-8"}
+	}
+	return nil
+}
+
+// encodeJSON writes a value as JSON. Documents in it keep their bytes, which json.Marshal would not let them.
+func encodeJSON(value any) ([]byte, error) {
+	var out bytes.Buffer
+	encoder := json.NewEncoder(&out)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(value); err != nil {
+		return nil, err
+	}
+	return bytes.TrimSuffix(out.Bytes(), []byte("\n")), nil
+}
+
+// oneLine is an error's text without line ends.
+func oneLine(err error) string {
+	return strings.Join(strings.Fields(err.Error()), " ")
+}
--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -7,11 +7,41 @@
 
 import "time"
 
+// TickInterval is the time between two calls of Node.Tick.
+const TickInterval = 100 * time.Millisecond
+
+// Limits of a command.
+const (
+	IDMost       = 200  // bytes of a command's ID
+	AuthorMost   = 200  // bytes of an author
+	ReasonMost   = 2000 // bytes of a reason
+	CanariesMost = 1000 // proxies that take a revision first
+)
+
+// Limits of the state.
+const (
+	// HistoryMost is how many revisions are kept beside those that are still needed: two and a half days of 810 changes.
+	HistoryMost = 2048
+	// DocumentBytesMost bounds the documents of all revisions that are kept.
+	DocumentBytesMost = 32 << 20
+	// ScopesMost is how many scopes may have revisions.
+	ScopesMost = 4096
+	// UnreleasedMost is how many revisions of a scope may follow its last released one. They are kept, because canaries
+	// hold them.
+	UnreleasedMost = 64
+	// OutcomesMost is how many commands' outcomes are remembered against a second submission.
+	OutcomesMost = 4096
+)
+
+// Limits of a conflict's text.
+const (
+	ConflictChangesMost = 8  // revisions that a ConflictError tells
+	ConflictKeysMost    = 16 // key paths that it tells of one revision
+)
+
+// Limits of what is computed once for many proxies.
 const (
-	// TickInterval is the time between two calls of Node.Tick.
-	TickInterval = 100 * time.Millisecond
-	// ConflictChangesMost is how many revisions a ConflictError tells.
-	ConflictChangesMost = 8
-	// ConflictKeysMost is how many key paths a ConflictError tells of one revision.
-	ConflictKeysMost = 16
+	mergedMost  = 16384 // checksums of merged configurations
+	parsedMost  = 2048  // documents as values
+	patchesMost = 2048  // changes from one revision to another
 )
--- a/internal/control/errors.go
+++ b/internal/control/errors.go
@@ -64,7 +64,9 @@
 }
 
 // Error is one line.
-func (e *StageError) Error() string { return fmt.Sprintf("revision %d is already %s", e.Number, e.Stage) }
+func (e *StageError) Error() string {
+	return fmt.Sprintf("revision %d is already %s", e.Number, e.Stage)
+}
 
 // BadCommandError tells what is wrong with a command by itself.
 type BadCommandError struct {
--- a/internal/control/fleetview.go
+++ b/internal/control/fleetview.go
@@ -1,82 +1,159 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"sandpass/internal/revision"
 )
 
+// GoneKept is how long a proxy that has gone stays in a FleetView.
+const GoneKept = 24 * time.Hour
+
 // ProxyStatus is the newest that is known of one proxy. It travels from replica to replica.
 type ProxyStatus struct {
 	Identity  revision.Identity `json:"identity"`
 	Replica   string            `json:"replica"`            // that it watches, or watched last
 	Connected bool              `json:"connected"`          // its watch is open
 	At        time.Time         `json:"at"`                 // when its replica learned this, by that replica's clock
-	InForce   revision.Number   `json:"in_force"`           // the newest that is in force
+	Held      []revision.Held   `json:"held,omitempty"`     // what is in force, numbers only
+	InForce   revision.Number   `json:"in_force"`           // the newest number that came into force
 	Checksum  string            `json:"checksum,omitempty"` // of the configuration in force
-	Since     time.Time         `json:"since"`              // when InForce was reported
+	Since     time.Time         `json:"since"`              // when this InForce was first reported
 	Refused   revision.Number   `json:"refused,omitempty"`  // the newest that it refused, 0 once a later one is in force
 	Reason    string            `json:"reason,omitempty"`   // why
 }
 
-// FleetView is what a replica knows of all proxies.
-type FleetView struct{}
+// FleetView is what a replica knows of all proxies. It is not safe for concurrent use.
+type FleetView struct {
+	proxies map[string]ProxyStatus
+}
 
 // NewFleetView knows of no proxy.
-func NewFleetView() *FleetView { panic("not written") }
+func NewFleetView() *FleetView { return &FleetView{proxies: map[string]ProxyStatus{}} }
 
 // Opened notes a new watch at a replica.
-func (v *FleetView) Opened(now time.Time, replica string, hello revision.Hello) { panic("not written") }
+func (v *FleetView) Opened(now time.Time, replica string, hello revision.Hello) {
+	v.note(now, replica, hello, nil)
+}
+
+// Reported notes a proxy's report at the replica that it watches; hello is what the proxy holds after it (Session.Hello).
+func (v *FleetView) Reported(now time.Time, replica string, hello revision.Hello, report revision.Report) {
+	v.note(now, replica, hello, &report)
+}
 
-// Reported notes a proxy's report at the replica that it watches.
-func (v *FleetView) Reported(now time.Time, replica, proxy string, report revision.Report) {
-	panic("not written")
+// note puts what a proxy told just now in the place of what was known of it.
+func (v *FleetView) note(now time.Time, replica string, hello revision.Hello, report *revision.Report) {
+	known := v.proxies[hello.Identity.Proxy]
+	status := ProxyStatus{
+		Identity:  hello.Identity,
+		Replica:   replica,
+		Connected: true,
+		At:        after(known.At, now),
+		Held:      slices.Clone(hello.Held),
+		InForce:   hello.Revision,
+		Checksum:  hello.Checksum,
+		Since:     known.Since,
+		Refused:   known.Refused,
+		Reason:    known.Reason,
+	}
+	if known.InForce != status.InForce || known.Since.IsZero() {
+		status.Since = status.At
+	}
+	switch {
+	case report != nil && report.Verdict == revision.Refused:
+		status.Refused, status.Reason = report.Revision, report.Reason
+	case report != nil && report.Verdict == revision.InForce:
+		status.Refused, status.Reason = 0, ""
+	}
+	v.proxies[hello.Identity.Proxy] = status
+}
+
+// after is now, or just after the time before it where another replica's clock is ahead.
+func after(before, now time.Time) time.Time {
+	if now.After(before) {
+		return now.UTC().Round(0)
+	}
+	return before.Add(time.Nanosecond)
 }
 
 // Closed notes the end of a watch, unless the proxy has opened one elsewhere since.
-func (v *FleetView) Closed(now time.Time, replica, proxy string) { panic("not written") }
+func (v *FleetView) Closed(now time.Time, replica, proxy string) {
+	status, known := v.proxies[proxy]
+	if !known || status.Replica != replica || !status.Connected {
+		return
+	}
+	status.Connected = false
+	status.At = after(status.At, now)
+	v.proxies[proxy] = status
+}
 
 // Merge takes over what another replica knows: of each proxy the newest counts. It says which were news.
-func (v *FleetView) Merge(statuses []ProxyStatus) []ProxyStatus { panic("not written") }
+func (v *FleetView) Merge(statuses []ProxyStatus) []ProxyStatus {
+	var news []ProxyStatus
+	for _, status := range statuses {
+		known, exists := v.proxies[status.Identity.Proxy]
+		if exists && !supersedes(status, known) {
+			continue
+		}
+		v.proxies[status.Identity.Proxy] = status
+		news = append(news, status)
+	}
+	return news
+}
+
+// supersedes says whether one status is newer than another. An open watch at one replica counts more than the end of one
+// at another: that replica notices it late. Between open ones the later counts, then the higher revision.
+func supersedes(status, known ProxyStatus) bool {
+	if status.Replica != known.Replica && status.Connected != known.Connected {
+		return status.Connected
+	}
+	if !status.At.Equal(known.At) {
+		return status.At.After(known.At)
+	}
+	if status.InForce != known.InForce {
+		return status.InForce > known.InForce
+	}
+	return status.Replica > known.Replica
+}
 
 // ReplicaGone notes that the watches at a replica are over.
-func (v *FleetView) ReplicaGone(now time.Time, replica string) { panic("not written") }
+func (v *FleetView) ReplicaGone(now time.Time, replica string) {
+	for name := range v.proxies {
+		v.Closed(now, replica, name)
+	}
+}
 
-// Forget drops proxies that have been gone for long.
-func (v *FleetView) Forget(now time.Time) { panic("not written") }
+// Forget drops proxies that have been gone for GoneKept.
+func (v *FleetView) Forget(now time.Time) {
+	maps.DeleteFunc(v.proxies, func(_ string, status ProxyStatus) bool {
+		return !status.Connected && now.Sub(status.At) > GoneKept
+	})
+}
 
 // Proxy gives what is known of one proxy.
-func (v *FleetView) Proxy(name string) (ProxyStatus, bool) { panic("not written") }
-
-// All gives what is known, ordered by the proxies' names.
-func (v *FleetView) All() []ProxyStatus { panic("not written") }
-
-// Connected gives the proxies whose watch is open, ordered by name.
-func (v *FleetView) Connected() []revision.Identity { panic("not written") }
-
-// Lag is a proxy that has yet to take a revision.
-type Lag struct {
-	Proxy   string          `json:"proxy"`
-	InForce revision.Number `json:"in_force"`
-	Wanted  revision.Number `json:"wanted"`
-	Since   time.Time       `json:"since"` // when what is in force there was reported
-	Refused revision.Number `json:"refused,omitempty"`
-	Reason  string          `json:"reason,omitempty"`
+func (v *FleetView) Proxy(name string) (ProxyStatus, bool) {
+	status, known := v.proxies[name]
+	return status, known
 }
 
-// Summary says how far a revision has come.
-type Summary struct {
-	Revision  revision.Number `json:"revision"`
-	Concerned int             `json:"concerned"` // connected proxies that are to have it
-	InForce   int             `json:"in_force"`  // of them, those that have it or a newer one
-	Behind    []Lag           `json:"behind"`    // the others, the slowest first
-	Gone      int             `json:"gone"`      // proxies that are known and not connected
+// All gives what is known, ordered by the proxies' names.
+func (v *FleetView) All() []ProxyStatus {
+	all := make([]ProxyStatus, 0, len(v.proxies))
+	for _, name := range slices.Sorted(maps.Keys(v.proxies)) {
+		all = append(all, v.proxies[name])
+	}
+	return all
 }
 
-// Summary says how many proxies have all that they are to have.
-func (v *FleetView) Summary(s *State) Summary { panic("not written") }
-
-// RevisionSummary says how far one revision has come among the proxies that it concerns.
-func (v *FleetView) RevisionSummary(s *State, number revision.Number) (Summary, error) {
-	panic("not written")
+// Connected gives the proxies whose watch is open, ordered by name.
+func (v *FleetView) Connected() []revision.Identity {
+	var identities []revision.Identity
+	for _, status := range v.All() {
+		if status.Connected {
+			identities = append(identities, status.Identity)
+		}
+	}
+	return identities
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -1,6 +1,8 @@
 package control
 
-import "sandpass/internal/revision"
+import (
+	"sandpass/internal/revision"
+)
 
 // Stage is how far a revision has come.
 type Stage string
@@ -17,8 +19,8 @@
 type Entry struct {
 	revision.Revision
 	Stage       Stage    `json:"stage"`
-	Canaries    []string `json:"canaries,omitempty"`
-	WasReleased bool     `json:"was_released,omitempty"`
+	Canaries    []string `json:"canaries,omitempty"`     // proxies that take it while it is on trial
+	WasReleased bool     `json:"was_released,omitempty"` // it has been offered to all
 	HeldBy      string   `json:"held_by,omitempty"`
 	HeldReason  string   `json:"held_reason,omitempty"`
 }
@@ -31,44 +33,182 @@
 }
 
 // State is the replicated state machine. It is not safe for concurrent use: reading fills caches.
-type State struct{}
+type State struct {
+	fleet         string
+	newest        revision.Number
+	chains        map[revision.Scope]chain
+	entries       map[revision.Number]*Entry
+	documentBytes int
+	outcomes      outcomeMemory
+	cache         cache
+}
 
 // NewState gives the state of a fleet without revisions.
-func NewState(fleet string) *State { panic("not written") }
+func NewState(fleet string) *State {
+	return &State{
+		fleet:    fleet,
+		chains:   map[revision.Scope]chain{},
+		entries:  map[revision.Number]*Entry{},
+		outcomes: newOutcomeMemory(),
+		cache:    newCache(),
+	}
+}
 
 // Apply carries out one committed command. It is deterministic.
-func (s *State) Apply(c Command) Outcome { panic("not written") }
-
-// Marshal writes a snapshot with a format version and a checksum. Equal states give equal bytes.
-func (s *State) Marshal() ([]byte, error) { panic("not written") }
-
-// UnmarshalState reads a snapshot; the error is a *SnapshotError.
-func UnmarshalState(text []byte) (*State, error) { panic("not written") }
+func (s *State) Apply(c Command) Outcome {
+	if outcome, known := s.outcomes.get(c.ID); known {
+		return outcome
+	}
+	if err := c.check(); err != nil {
+		return Outcome{Err: err}
+	}
+	outcome := s.carryOut(c)
+	s.outcomes.add(c.ID, outcome)
+	return outcome
+}
 
-// Fleet is the fleet's name.
-func (s *State) Fleet() string { panic("not written") }
+func (s *State) carryOut(c Command) Outcome {
+	switch {
+	case c.Apply != nil:
+		return s.add(*c.Apply)
+	case c.Release != nil:
+		return s.release(c.Release.Number)
+	default:
+		return s.hold(*c.Hold)
+	}
+}
 
-// Newest is the number of the newest revision, 0 for none.
-func (s *State) Newest() revision.Number { panic("not written") }
+// add appends a revision to its scope.
+func (s *State) add(a ApplyCommand) Outcome {
+	existing := s.chains[a.Scope]
+	if latest := existing.latestNumber(); a.Base > latest {
+		return Outcome{Err: &UnknownRevisionError{Scope: a.Scope, Number: a.Base}}
+	} else if a.Base < latest {
+		return Outcome{Err: existing.conflict(a)}
+	}
+	document, err := s.Document(a)
+	if err != nil {
+		return Outcome{Err: err}
+	}
+	if err := s.checkRoom(a, existing, len(document)); err != nil {
+		return Outcome{Err: err}
+	}
+	entry := s.newEntry(a, document)
+	s.newest = entry.Number
+	s.insert(entry)
+	existing.supersedeTrial()
+	if entry.WasReleased {
+		existing.supersedeReleased()
+	}
+	s.prune()
+	return Outcome{Number: entry.Number}
+}
 
-// Latest gives a scope's newest revision, whatever its stage.
-func (s *State) Latest(scope revision.Scope) (Entry, bool) { panic("not written") }
+func (s *State) newEntry(a ApplyCommand, document revision.Document) *Entry {
+	entry := &Entry{
+		Revision: revision.Revision{
+			Number:     s.newest + 1,
+			Scope:      a.Scope,
+			Previous:   a.Base,
+			Author:     a.Author,
+			Reason:     a.Reason,
+			Time:       a.Time.UTC().Round(0),
+			Document:   document,
+			Checksum:   revision.Checksum(document),
+			RollbackOf: a.RollbackOf,
+			AtOnce:     a.AtOnce,
+		},
+		Stage: Trial,
+	}
+	if a.AtOnce || len(a.Canaries) == 0 {
+		entry.Stage = Released
+		entry.WasReleased = true
+	} else {
+		entry.Canaries = append([]string(nil), a.Canaries...)
+	}
+	return entry
+}
 
-// Entry gives a revision by its number.
-func (s *State) Entry(number revision.Number) (Entry, bool) { panic("not written") }
+// insert puts an entry at the end of its scope's chain.
+func (s *State) insert(entry *Entry) {
+	s.entries[entry.Number] = entry
+	s.chains[entry.Scope] = append(s.chains[entry.Scope], entry)
+	s.documentBytes += len(entry.Document)
+}
 
-// History gives at most so many revisions, the newest first, of one scope or, with nil, of all.
-func (s *State) History(scope *revision.Scope, most int) []Entry { panic("not written") }
+// checkRoom refuses what the state has no room for.
+func (s *State) checkRoom(a ApplyCommand, existing chain, size int) error {
+	if len(existing) == 0 && len(s.chains) >= ScopesMost {
+		return &LimitError{What: "scopes", Most: ScopesMost}
+	}
+	onTrial := !a.AtOnce && len(a.Canaries) > 0
+	if onTrial && existing.unreleased() >= UnreleasedMost {
+		return &LimitError{What: "revisions of a scope in a row that were not released", Most: UnreleasedMost}
+	}
+	if s.neededBytes()+size > DocumentBytesMost {
+		return &LimitError{What: "bytes of documents in use", Most: DocumentBytesMost}
+	}
+	return nil
+}
 
-// Concerned says whether a revision's scope is one of the proxy's.
-func (s *State) Concerned(number revision.Number, identity revision.Identity) bool { panic("not written") }
+// release ends a trial well.
+func (s *State) release(number revision.Number) Outcome {
+	entry, outcome := s.newestOfScope(number)
+	if entry == nil {
+		return outcome
+	}
+	switch entry.Stage {
+	case Trial:
+		s.chains[entry.Scope].supersedeReleased()
+		entry.Stage = Released
+		entry.WasReleased = true
+	case Released:
+	default:
+		return Outcome{Err: &StageError{Number: number, Stage: entry.Stage}}
+	}
+	return Outcome{Number: number}
+}
 
-// Effective gives the released documents of the scopes that a proxy lies in, in the order of merging.
-func (s *State) Effective(identity revision.Identity) ([]revision.Held, error) { panic("not written") }
+// hold stops a revision. Proxies that have it keep it, the others keep or get the released one before it.
+func (s *State) hold(h HoldCommand) Outcome {
+	entry, outcome := s.newestOfScope(h.Number)
+	if entry == nil || entry.Stage == Held {
+		return outcome
+	}
+	entry.Stage = Held
+	entry.HeldBy = h.Proxy
+	entry.HeldReason = h.Reason
+	if before := s.chains[entry.Scope].released(); before != nil {
+		before.Stage = Released
+	}
+	return outcome
+}
 
-// Wanted is the newest revision that a proxy which holds nothing would be sent, 0 for none.
-func (s *State) Wanted(identity revision.Identity) revision.Number { panic("not written") }
+// newestOfScope finds a revision that can still be released or held: only a scope's newest can.
+func (s *State) newestOfScope(number revision.Number) (*Entry, Outcome) {
+	entry := s.entries[number]
+	if entry == nil {
+		return nil, Outcome{Err: &UnknownRevisionError{Number: number}}
+	}
+	if s.chains[entry.Scope].latestNumber() != number {
+		return nil, Outcome{Err: &StageError{Number: number, Stage: entry.Stage}}
+	}
+	return entry, Outcome{Number: number}
+}
 
-// Update says what a proxy is to be sent given what it holds, nil for nothing. No scope ever goes back to a lower number.
-// Errors: *FleetError, *AheadError, *UnknownRevisionError.
-func (s *State) Update(hello revision.Hello) (*revision.Update, error) { panic("not written") }
+// Document gives the document that an ApplyCommand would put in force: its own, or the one that it brings back.
+// Errors: *BadCommandError, *UnknownRevisionError.
+func (s *State) Document(a ApplyCommand) (revision.Document, error) {
+	if a.RollbackOf != 0 {
+		entry := s.entries[a.RollbackOf]
+		if entry == nil || entry.Scope != a.Scope {
+			return nil, &UnknownRevisionError{Scope: a.Scope, Number: a.RollbackOf}
+		}
+		return entry.Document, nil
+	}
+	document, err := revision.Canonical(a.Document)
+	if err != nil {
+		return nil, &BadCommandError{Reason: oneLine(err)}
+	}
+	return document, nil
+}
