--- a/internal/controlserver/apply.go
+++ b/internal/controlserver/apply.go
@@ -122,6 +122,9 @@
 	command := control.Command{ID: request.ID, Apply: &control.ApplyCommand{Scope: request.Scope, Base: request.Base,
 		Document: request.Document, Author: request.Author, Reason: request.Reason, Time: time.Now().UTC(),
 		AtOnce: request.AtOnce, RollbackOf: request.RollbackOf}}
+	if before, known := s.outcome(request.ID); known {
+		return answerOf(request, before)
+	}
 	if err := s.checkApply(*command.Apply); err != nil {
 		return response, apiError(err, request.ID)
 	}
@@ -142,9 +145,22 @@
 	}
 	if result.Err != nil {
 		s.forgetOutcome(request.ID, outcome)
-		return response, apiError(result.Err, request.ID)
 	}
-	return controlapi.ApplyResponse{ID: request.ID, Number: result.Number, Scope: request.Scope}, nil
+	return answerOf(request, result)
+}
+
+// outcome looks whether a change was carried out before.
+func (s *Server) outcome(id string) (control.Outcome, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.node.State().Outcome(id)
+}
+
+func answerOf(request controlapi.ApplyRequest, outcome control.Outcome) (controlapi.ApplyResponse, error) {
+	if outcome.Err != nil {
+		return controlapi.ApplyResponse{}, apiError(outcome.Err, request.ID)
+	}
+	return controlapi.ApplyResponse{ID: request.ID, Number: outcome.Number, Scope: request.Scope}, nil
 }
 
 // propose puts a change into the log and gives the channel of its outcome.
--- /dev/null
+++ b/internal/controlserver/process_test.go
@@ -0,0 +1,303 @@
+package controlserver
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sandpass/internal/control"
+	"sandpass/internal/faultnet"
+	"sandpass/internal/revision"
+)
+
+// The test binary is a control replica too, when it is started with the file of one.
+const (
+	configVariable = "SANDPASS_TEST_CONTROL" // path of a replica's file
+	defectVariable = "SANDPASS_TEST_DEFECT"  // a seeded defect
+	fullMark       = "full"                  // a file in the replica's folder: the disk is full from then on
+)
+
+// The seeded defects.
+const (
+	ackBeforeSync = "ack_before_sync" // Save returns before anything is on the disk
+	noCheck       = "no_check"        // revisions are not checked
+)
+
+func TestMain(m *testing.M) {
+	if path := os.Getenv(configVariable); path != "" {
+		if err := runReplica(path, os.Getenv(defectVariable)); err != nil {
+			fmt.Fprintln(os.Stderr, "sandpass:", err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// runReplica is `sandpass control serve` on a storage that can fail.
+func runReplica(path, defect string) error {
+	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
+	config, err := ReadConfig(path)
+	if err != nil {
+		return err
+	}
+	check, err := newChecker(config.CheckBase)
+	if err != nil {
+		return err
+	}
+	if defect == noCheck {
+		check = func(revision.Document) error { return nil }
+	}
+	opened, err := OpenStorage(config.Folder, config.Fleet, config.Name)
+	if err != nil {
+		return err
+	}
+	var storage Storage = &fullableStorage{opened, filepath.Join(config.Folder, fullMark)}
+	if defect == ackBeforeSync {
+		storage = &lazyStorage{Storage: storage}
+	}
+	server, err := newServer(config, storage, check)
+	if err != nil {
+		return err
+	}
+	return server.Run()
+}
+
+// fullableStorage fails as a full disk does once the mark is there.
+type fullableStorage struct {
+	Storage
+	mark string
+}
+
+func (f *fullableStorage) Save(work control.Work) error {
+	if _, err := os.Stat(f.mark); err == nil {
+		return syscall.ENOSPC
+	}
+	return f.Storage.Save(work)
+}
+
+// lazyStorage is the defect of an acknowledgement before the sync.
+type lazyStorage struct {
+	Storage
+	mu      sync.Mutex
+	waiting []control.Work
+}
+
+func (l *lazyStorage) Save(work control.Work) error {
+	const later = 5 * time.Second
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting = append(l.waiting, work)
+	time.AfterFunc(later, l.saveOldest)
+	return nil
+}
+
+func (l *lazyStorage) saveOldest() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Storage.Save(l.waiting[0])
+	l.waiting = l.waiting[1:]
+}
+
+// replicaProcess is one replica as a process of its own.
+type replicaProcess struct {
+	name, region, address string
+	config, folder        string
+	defect                string
+	command               *exec.Cmd
+	output                lockedBuffer
+	ended                 chan struct{} // closed once the process has ended
+}
+
+// lockedBuffer is written by a process and read by tests.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(text []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(text)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// cluster is five replicas over three regions, with a way between each two and one from the proxies to each.
+type cluster struct {
+	t        *testing.T
+	replicas []*replicaProcess
+	ways     map[[2]int]*faultnet.Stream // from a replica to another
+	doors    []*faultnet.Stream          // from proxies and operators to a replica
+}
+
+var replicaRegions = []string{"eu", "eu", "us", "us", "ap"}
+
+// freeAddress is an address that nobody listens at just now.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// startCluster starts five replicas and ends them with the test.
+func startCluster(t *testing.T, seed uint64, defect string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, ways: map[[2]int]*faultnet.Stream{}}
+	folder := t.TempDir()
+	for i, region := range replicaRegions {
+		name := fmt.Sprintf("c%d", i+1)
+		c.replicas = append(c.replicas, &replicaProcess{name: name, region: region, address: freeAddress(t), defect: defect,
+			config: filepath.Join(folder, name+".toml"), folder: filepath.Join(folder, name)})
+	}
+	for i, replica := range c.replicas {
+		c.doors = append(c.doors, c.stream(replica.address, seed+uint64(i)))
+		for j, other := range c.replicas {
+			if i != j {
+				c.ways[[2]int{i, j}] = c.stream(other.address, seed+uint64(10*i+j))
+			}
+		}
+		c.writeConfig(i)
+		c.start(i)
+	}
+	t.Cleanup(c.end)
+	return c
+}
+
+func (c *cluster) stream(target string, seed uint64) *faultnet.Stream {
+	stream, err := faultnet.NewStream(target, seed)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return stream
+}
+
+// writeConfig writes a replica's file; it reaches the others by the ways.
+func (c *cluster) writeConfig(i int) {
+	base, err := filepath.Abs("../../example/config.json")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	replica := c.replicas[i]
+	text := fmt.Sprintf("fleet = \"shop\"\nname = %q\nfolder = %q\nlisten = %q\ncheck_base = %q\n",
+		replica.name, replica.folder, replica.address, base)
+	for j, other := range c.replicas {
+		address := other.address
+		if way := c.ways[[2]int{i, j}]; way != nil {
+			address = way.Addr()
+		}
+		text += fmt.Sprintf("[[replica]]\nname = %q\naddress = %q\nregion = %q\n", other.name, address, other.region)
+	}
+	if err := os.WriteFile(replica.config, []byte(text), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// start starts a replica's process.
+func (c *cluster) start(i int) {
+	replica := c.replicas[i]
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), configVariable+"="+replica.config, defectVariable+"="+replica.defect)
+	command.Stderr, command.Stdout = &replica.output, &replica.output
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	replica.command, replica.ended = command, make(chan struct{})
+	go func(ended chan struct{}) {
+		command.Wait()
+		close(ended)
+	}(replica.ended)
+}
+
+// signal sends a signal to a replica that runs.
+func (c *cluster) signal(i int, signal syscall.Signal) {
+	if err := c.replicas[i].command.Process.Signal(signal); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		c.t.Error(err)
+	}
+}
+
+// kill ends a replica at once.
+func (c *cluster) kill(i int) {
+	c.signal(i, syscall.SIGKILL)
+	<-c.replicas[i].ended
+}
+
+func (c *cluster) running(i int) bool {
+	select {
+	case <-c.replicas[i].ended:
+		return false
+	default:
+		return true
+	}
+}
+
+func (c *cluster) end() {
+	for i := range c.replicas {
+		c.kill(i)
+	}
+	for _, way := range c.ways {
+		way.Close()
+	}
+	for _, door := range c.doors {
+		door.Close()
+	}
+	if c.t.Failed() {
+		for _, replica := range c.replicas {
+			c.t.Logf("%s:\n%s", replica.name, replica.output.String())
+		}
+	}
+}
+
+// setWays changes the weather between two replicas, in both directions.
+func (c *cluster) setWays(i, j int, weather faultnet.Weather) {
+	c.ways[[2]int{i, j}].Set(weather, weather)
+	c.ways[[2]int{j, i}].Set(weather, weather)
+}
+
+// delayRegions puts a delay between the regions, in seconds one way.
+func (c *cluster) delayRegions(delay float64) {
+	for i := range c.replicas {
+		for j := range i {
+			if c.replicas[i].region != c.replicas[j].region {
+				c.setWays(i, j, faultnet.Weather{Delay: delay})
+			}
+		}
+	}
+}
+
+// cutRegion cuts a region's replicas off from the others, or heals the cut to a delay.
+func (c *cluster) cutRegion(region string, weather faultnet.Weather) {
+	for i := range c.replicas {
+		for j := range i {
+			if (c.replicas[i].region == region) != (c.replicas[j].region == region) {
+				c.setWays(i, j, weather)
+			}
+		}
+	}
+}
+
+// addresses are where proxies and operators reach the replicas.
+func (c *cluster) addresses() (addresses []string) {
+	for _, door := range c.doors {
+		addresses = append(addresses, door.Addr())
+	}
+	return addresses
+}
--- a/internal/controlserver/reports.go
+++ b/internal/controlserver/reports.go
@@ -58,7 +58,7 @@
 		return
 	}
 	proxy := session.Identity().Proxy
-	s.view.Reported(time.Now(), s.config.Name, proxy, report)
+	s.view.Reported(time.Now(), s.config.Name, session.Hello(), report)
 	s.dirty[proxy] = true
 	if s.node.IsLeader() {
 		s.guard.Reported(s.now(), proxy, report)
--- /dev/null
+++ b/internal/controlserver/simproxy_test.go
@@ -0,0 +1,223 @@
+package controlserver
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"sandpass/internal/revision"
+)
+
+// simProxy is a proxy's control side for tests: it watches a replica, moves to another when that one is silent, applies
+// updates, and notes whether it was ever told to go back.
+type simProxy struct {
+	identity revision.Identity
+	replicas []string
+	refuse   func(effective revision.Document) string // why it refuses a configuration, empty: it takes it
+
+	mu       sync.Mutex
+	held     map[revision.Scope]revision.Held
+	revision revision.Number
+	checksum string
+	refused  map[revision.Number]bool
+	faults   []string // what must never happen
+	watches  int      // opened
+}
+
+const (
+	simSilence = 5 * time.Second        // of a replica, until the proxy moves
+	simPause   = 300 * time.Millisecond // most between two attempts
+)
+
+func newSimProxy(identity revision.Identity, replicas []string) *simProxy {
+	return &simProxy{identity: identity, replicas: replicas, held: map[revision.Scope]revision.Held{},
+		checksum: revision.Checksum(revision.Empty), refused: map[revision.Number]bool{}}
+}
+
+// run watches until the context ends.
+func (p *simProxy) run(ctx context.Context) {
+	for at := rand.IntN(len(p.replicas)); ctx.Err() == nil; at++ {
+		p.watch(ctx, p.replicas[at%len(p.replicas)])
+		select {
+		case <-ctx.Done():
+		case <-time.After(rand.N(simPause)):
+		}
+	}
+}
+
+func (p *simProxy) hello() revision.Hello {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.watches++
+	hello := revision.Hello{Protocol: revision.Protocol, Identity: p.identity, Revision: p.revision, Checksum: p.checksum}
+	if p.revision == 0 {
+		hello.Checksum = ""
+	}
+	for _, held := range p.held {
+		hello.Held = append(hello.Held, revision.Held{Scope: held.Scope, Number: held.Number})
+	}
+	return hello
+}
+
+// watch serves one watch until it breaks or is silent.
+func (p *simProxy) watch(ctx context.Context, replica string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(simSilence, cancel)
+	defer silence.Stop()
+	body, out := io.Pipe()
+	defer body.Close()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+replica+revision.WatchPath, body)
+	if err != nil {
+		p.fault("%v", err)
+		return
+	}
+	encoder := json.NewEncoder(out)
+	go encoder.Encode(p.hello())
+	client := http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	answer, err := client.Do(request)
+	if err != nil {
+		return
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return
+	}
+	lines := bufio.NewReader(answer.Body)
+	for {
+		line, err := lines.ReadBytes('\n')
+		if err != nil {
+			return
+		}
+		silence.Reset(simSilence)
+		if len(line) == 1 {
+			continue
+		}
+		var update revision.Update
+		if err := json.Unmarshal(line, &update); err != nil {
+			p.fault("update %s: %v", line, err)
+			return
+		}
+		if encoder.Encode(p.take(update)) != nil {
+			return
+		}
+	}
+}
+
+func (p *simProxy) fault(format string, args ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = append(p.faults, p.identity.Proxy+": "+fmt.Sprintf(format, args...))
+}
+
+// take applies an update and gives the report on it.
+func (p *simProxy) take(update revision.Update) revision.Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	report := revision.Report{Revision: update.Revision, Verdict: revision.Unknown, Checksum: p.checksum}
+	next := map[revision.Scope]revision.Held{}
+	if !update.Whole {
+		for scope, held := range p.held {
+			next[scope] = held
+		}
+	}
+	for _, change := range update.Scopes {
+		document := change.Document
+		if len(change.Patch) > 0 {
+			held := next[change.Scope]
+			patched, err := revision.Patch(held.Document, change.Patch)
+			if err != nil || held.Number != change.From {
+				report.Reason = "the change does not follow"
+				return report
+			}
+			document = patched
+		}
+		if change.Number < p.held[change.Scope].Number {
+			p.faults = append(p.faults, fmt.Sprintf("%s: %s goes back from %d to %d", p.identity.Proxy, change.Scope,
+				p.held[change.Scope].Number, change.Number))
+		}
+		next[change.Scope] = revision.Held{Scope: change.Scope, Number: change.Number, Document: document}
+	}
+	if update.Revision < p.revision {
+		p.faults = append(p.faults, fmt.Sprintf("%s goes back from %d to %d", p.identity.Proxy, p.revision, update.Revision))
+	}
+	return p.judge(update, next, report)
+}
+
+// judge takes a configuration over, or says why not.
+func (p *simProxy) judge(update revision.Update, next map[revision.Scope]revision.Held, report revision.Report) revision.Report {
+	var held []revision.Held
+	for _, one := range next {
+		held = append(held, one)
+	}
+	effective, err := revision.Effective(p.identity, held)
+	if err != nil || revision.Checksum(effective) != update.Checksum {
+		report.Reason = "the checksum is wrong"
+		p.faults = append(p.faults, fmt.Sprintf("%s: update %d gives %s, its checksum is another's (%v)",
+			p.identity.Proxy, update.Revision, effective, err))
+		return report
+	}
+	if p.refuse != nil {
+		if reason := p.refuse(effective); reason != "" {
+			p.refused[update.Revision] = true
+			report.Verdict, report.Reason = revision.Refused, reason
+			return report
+		}
+	}
+	p.held, p.revision, p.checksum = next, update.Revision, update.Checksum
+	report.Verdict, report.Checksum = revision.InForce, update.Checksum
+	return report
+}
+
+// state gives what is in force.
+func (p *simProxy) state() (number revision.Number, checksum string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.revision, p.checksum
+}
+
+// simFleet is some proxies in all regions.
+type simFleet struct {
+	proxies []*simProxy
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+}
+
+// startProxies starts so many proxies, two zones to a region.
+func startProxies(replicas []string, count int) *simFleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	fleet := &simFleet{cancel: cancel}
+	regions := []string{"eu", "us", "ap"}
+	for i := range count {
+		region := regions[i%len(regions)]
+		proxy := newSimProxy(revision.Identity{Fleet: "shop", Proxy: fmt.Sprintf("p%d", i), Region: region,
+			Zone: fmt.Sprintf("%s-%d", region, i/len(regions)%2), Service: fmt.Sprintf("s%d", i%4)}, replicas)
+		fleet.proxies = append(fleet.proxies, proxy)
+		fleet.done.Go(func() { proxy.run(ctx) })
+	}
+	return fleet
+}
+
+func (f *simFleet) stop() {
+	f.cancel()
+	f.done.Wait()
+}
+
+// faults gives what must never happen and did.
+func (f *simFleet) faults() string {
+	var all []string
+	for _, proxy := range f.proxies {
+		proxy.mu.Lock()
+		all = append(all, proxy.faults...)
+		proxy.mu.Unlock()
+	}
+	return strings.Join(all, "\n")
+}
--- a/internal/controlserver/watch.go
+++ b/internal/controlserver/watch.go
@@ -102,6 +102,7 @@
 	if hello.Identity.Fleet != s.config.Fleet {
 		return hello, nil, &control.FleetError{Fleet: fmt.Sprintf("%.128s", hello.Identity.Fleet), Want: s.config.Fleet}
 	}
+	hello.Protocol = min(hello.Protocol, revision.Protocol) // a newer proxy is answered as this replica can
 	session, err = control.NewSession(hello)
 	return hello, session, err
 }
@@ -233,7 +234,7 @@
 		return 0, true
 	}
 	const least = time.Millisecond
-	return max(least, time.Duration((s.pacer.Next(now)-now)*float64(time.Second))), false
+	return max(least, time.Duration((s.pacer.Next(now, bytes)-now)*float64(time.Second))), false
 }
 
 // write sends one line, nil for an empty one. A proxy that does not take it in time is dropped.
