--- a/internal/control/errors.go
+++ b/internal/control/errors.go
@@ -132,3 +132,20 @@
 
 // Error is one line.
 func (e *MessageError) Error() string { return "bad message of a replica: " + e.Reason }
+
+// StorageError says that what a replica's storage holds can't be built upon.
+type StorageError struct {
+	Reason string
+}
+
+// Error is one line.
+func (e *StorageError) Error() string { return "bad storage: " + e.Reason }
+
+// FailedError says that the consensus core found itself in a state that no sound log and no sound peer lead to. The node
+// does nothing more: start another one from what is saved.
+type FailedError struct {
+	Reason string
+}
+
+// Error is one line.
+func (e *FailedError) Error() string { return "the consensus core has failed: " + e.Reason }
--- a/internal/control/fleetview.go
+++ b/internal/control/fleetview.go
@@ -51,7 +51,7 @@
 		Replica:   replica,
 		Connected: true,
 		At:        after(known.At, now),
-		Held:      slices.Clone(hello.Held),
+		Held:      numbersOnly(hello.Held),
 		InForce:   hello.Revision,
 		Checksum:  hello.Checksum,
 		Since:     known.Since,
@@ -70,6 +70,15 @@
 	v.proxies[hello.Identity.Proxy] = status
 }
 
+// numbersOnly leaves the documents out.
+func numbersOnly(held []revision.Held) []revision.Held {
+	var numbers []revision.Held
+	for _, one := range held {
+		numbers = append(numbers, revision.Held{Scope: one.Scope, Number: one.Number})
+	}
+	return numbers
+}
+
 // after is now, or just after the time before it where another replica's clock is ahead.
 func after(before, now time.Time) time.Time {
 	if now.After(before) {
