--- /dev/null
+++ b/internal/controlserver/cluster_test.go
@@ -0,0 +1,156 @@
+package controlserver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"sandpass/internal/controlapi"
+	"sandpass/internal/controlclient"
+	"sandpass/internal/revision"
+)
+
+const (
+	electTime  = 10 * time.Second // for a cluster to start
+	spreadTime = 3 * time.Second  // for a change, or for a healed cut, to reach all proxies
+	lookPause  = 20 * time.Millisecond
+)
+
+// await looks until a condition holds; it is told why it does not yet.
+func await(t *testing.T, within time.Duration, what string, holds func() (string, bool)) time.Duration {
+	t.Helper()
+	begin := time.Now()
+	for {
+		why, ok := holds()
+		took := time.Since(begin)
+		if ok {
+			return took
+		}
+		if took > within {
+			t.Fatalf("%s: not within %v: %s", what, within, why)
+		}
+		time.Sleep(lookPause)
+	}
+}
+
+func operatorOf(t *testing.T, replicas ...string) *controlclient.Client {
+	t.Helper()
+	client, err := controlclient.New(replicas)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return client
+}
+
+// awaitLeader waits until a cluster can answer, and gives its leader's place.
+func (c *cluster) awaitLeader(client *controlclient.Client) int {
+	c.t.Helper()
+	leader := -1
+	await(c.t, electTime, "a leader", func() (string, bool) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		status, err := client.Status(ctx, 0, false)
+		if err != nil {
+			return err.Error(), false
+		}
+		for i, replica := range c.replicas {
+			if replica.name == status.Leader {
+				leader = i
+			}
+		}
+		return "no leader is named", leader >= 0
+	})
+	return leader
+}
+
+// utility is a configuration that a test can tell from others.
+func utility(n int) revision.Document {
+	return revision.Document(fmt.Sprintf(`{"settings":{"overage_utility":0.%06d}}`, n+1))
+}
+
+// apply changes a scope on top of its newest revision.
+func apply(t *testing.T, client *controlclient.Client, scope revision.Scope, document revision.Document) revision.Number {
+	t.Helper()
+	number, err := tryApply(client, scope, document, 10*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return number
+}
+
+func tryApply(client *controlclient.Client, scope revision.Scope, document revision.Document, within time.Duration) (revision.Number, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	newest, err := client.ShowScope(ctx, scope)
+	if err != nil {
+		return 0, err
+	}
+	accepted, err := client.Apply(ctx, controlapi.ApplyRequest{Scope: scope, Base: newest.Number, Document: document,
+		Author: "tester", Reason: "a test"})
+	return accepted.Number, err
+}
+
+// allAt says whether all proxies have in force what the released revisions give them.
+func allAt(client *controlclient.Client, proxies []*simProxy) func() (string, bool) {
+	return func() (string, bool) {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		for _, proxy := range proxies {
+			want, err := client.ShowProxy(ctx, proxy.identity)
+			if err != nil {
+				return err.Error(), false
+			}
+			if number, checksum := proxy.state(); checksum != want.Checksum {
+				return fmt.Sprintf("%s has revision %d, wanted %d", proxy.identity.Proxy, number, want.Number), false
+			}
+		}
+		return "", true
+	}
+}
+
+func kindOf(err error) controlapi.Kind {
+	var answered *controlapi.Error
+	if errors.As(err, &answered) {
+		return answered.Kind
+	}
+	return ""
+}
+
+func TestAChangeIsInForceEverywhere(t *testing.T) {
+	c := startCluster(t, 1, "")
+	c.delayRegions(0.035)
+	client := operatorOf(t, c.addresses()...)
+	c.awaitLeader(client)
+	fleet := startProxies(c.addresses(), 24)
+	defer fleet.stop()
+	await(t, electTime, "all proxies watch", func() (string, bool) {
+		status, err := client.Status(context.Background(), 0, false)
+		return fmt.Sprint(status.Summary.Concerned, err), status.Summary.Concerned == len(fleet.proxies)
+	})
+	for n := range 5 {
+		begin := time.Now()
+		number := apply(t, client, revision.Fleet, utility(n))
+		accepted := time.Since(begin)
+		await(t, spreadTime, "in force", func() (string, bool) {
+			for _, proxy := range fleet.proxies {
+				if at, _ := proxy.state(); at < number {
+					return fmt.Sprintf("%s is at %d", proxy.identity.Proxy, at), false
+				}
+			}
+			return "", true
+		})
+		t.Logf("revision %d accepted after %v, in force after %v", number, accepted.Round(time.Millisecond), time.Since(begin).Round(time.Millisecond))
+	}
+	zone := apply(t, client, revision.Scope{Kind: revision.ZoneKind, Name: "us-1"}, revision.Document(`{"settings":{"tick_ms":7}}`))
+	await(t, spreadTime, "the zone's configuration", allAt(client, fleet.proxies))
+	for _, proxy := range fleet.proxies {
+		if number, _ := proxy.state(); (proxy.identity.Zone == "us-1") != (number == zone) {
+			t.Errorf("%s in %s is at %d", proxy.identity.Proxy, proxy.identity.Zone, number)
+		}
+	}
+	if faults := fleet.faults(); faults != "" {
+		t.Error(faults)
+	}
+}
