--- /dev/null
+++ b/internal/control/history_test.go
@@ -0,0 +1,194 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/cryptotest"
+
+	"pgregory.net/rapid"
+)
+
+// rapidChooser has rapid draw, so that it can shrink a history.
+type rapidChooser struct{ t *rapid.T }
+
+func (c rapidChooser) below(label string, n int) int { return rapid.IntRange(0, n-1).Draw(c.t, label) }
+
+// seedChooser draws from a seed.
+type seedChooser struct{ *rand.Rand }
+
+func (c seedChooser) below(_ string, n int) int { return c.IntN(n) }
+
+// actions are what may happen next, each as often as its weight.
+var actions = []struct {
+	weight int
+	do     func(*sim)
+}{
+	{10, (*sim).round},
+	{8, (*sim).submit},
+	{3, (*sim).resubmit},
+	{6, func(s *sim) { s.startRead(s.any()) }},
+	{30, (*sim).deliverAny},
+	{4, (*sim).loseAny},
+	{4, (*sim).duplicateAny},
+	{10, func(s *sim) { s.run(s.any(), true) }},
+	{10, (*sim).tickAny},
+	{2, func(s *sim) { s.crash(s.any()) }},
+	{4, (*sim).startAny},
+	{3, (*sim).cutAny},
+	{3, func(s *sim) { clear(s.cut) }},
+	{20, func(s *sim) { s.stepProxy(s.anyProxy(), s.any()) }},
+	{3, func(s *sim) { s.anyProxy().disconnect() }},
+	{1, func(s *sim) { s.damage(s.anyProxy()) }},
+	{3, (*sim).campaignAny},
+}
+
+func (s *sim) any() *simReplica     { return s.replicas[s.choose.below("replica", simReplicas)] }
+func (s *sim) anyProxy() *simProxy  { return s.proxies[s.choose.below("proxy", len(s.proxies))] }
+func (s *sim) anyMessage() int      { return s.choose.below("message", len(s.network)) }
+func (s *sim) removeMessage(at int) { s.network = append(s.network[:at:at], s.network[at+1:]...) }
+
+func (s *sim) deliverAny() {
+	if len(s.network) == 0 {
+		return
+	}
+	at := s.anyMessage()
+	one := s.network[at]
+	s.removeMessage(at)
+	s.deliver(one)
+	s.run(s.replicas[one.to-1], true)
+}
+
+func (s *sim) loseAny() {
+	if len(s.network) > 0 {
+		s.removeMessage(s.anyMessage())
+	}
+}
+
+func (s *sim) duplicateAny() {
+	if len(s.network) > 0 {
+		s.network = append(s.network, s.network[s.anyMessage()])
+	}
+}
+
+func (s *sim) tickAny() {
+	s.now += TickInterval.Seconds()
+	if r := s.any(); r.node != nil {
+		for range 1 + s.choose.below("ticks", ElectionTicks) {
+			r.node.Tick()
+		}
+		s.run(r, true)
+	}
+	s.guard()
+}
+
+func (s *sim) startAny() {
+	if r := s.any(); r.node == nil {
+		s.start(r)
+	}
+}
+
+// cutAny cuts one direction between two replicas, or all of one replica's ways out.
+func (s *sim) cutAny() {
+	from := uint64(1 + s.choose.below("cut from", simReplicas))
+	if s.choose.below("cut all", 3) == 0 {
+		for to := range uint64(simReplicas) {
+			s.cut[[2]uint64{from, to + 1}] = true
+		}
+		return
+	}
+	s.cut[[2]uint64{from, uint64(1 + s.choose.below("cut to", simReplicas))}] = true
+}
+
+func (s *sim) campaignAny() {
+	if r := s.any(); r.node != nil {
+		_ = r.node.Campaign()
+		s.run(r, true)
+	}
+}
+
+// play has so many things happen, heals all and checks what must hold.
+func (s *sim) play(steps int) error {
+	total := 0
+	for _, action := range actions {
+		total += action.weight
+	}
+	for range 20 {
+		s.round()
+	}
+	for range steps {
+		drawn := s.choose.below("action", total)
+		for _, action := range actions {
+			if drawn -= action.weight; drawn < 0 {
+				action.do(s)
+				break
+			}
+		}
+		if s.violation != nil {
+			return s.violation
+		}
+	}
+	s.settle()
+	if s.violation == nil {
+		s.checkSettled()
+	}
+	return s.violation
+}
+
+func TestHistoriesOfFiveReplicas(t *testing.T) {
+	counts := map[string]int{}
+	rapid.Check(t, func(r *rapid.T) {
+		cryptotest.SetGlobalRandom(t, rapid.Uint64().Draw(r, "election time-outs"))
+		s := newSim(rapidChooser{r}, defects{})
+		if err := s.play(300); err != nil {
+			r.Fatal(err)
+		}
+		for key, count := range s.counts {
+			counts[key] += count
+		}
+	})
+	t.Log(counts)
+	for _, key := range []string{
+		"accepted", "crashes", "reads", "updates", "whole updates", "refusals", "patches",
+		"snapshots sent", "states restored", "undecided",
+	} {
+		if counts[key] == 0 {
+			t.Errorf("no history had any %s", key)
+		}
+	}
+}
+
+// firstViolation plays histories by seeds until one fails.
+func firstViolation(t *testing.T, wrong defects, seeds int) error {
+	for seed := range uint64(seeds) {
+		cryptotest.SetGlobalRandom(t, seed)
+		s := newSim(seedChooser{rand.New(rand.NewPCG(seed, 1))}, wrong)
+		if err := s.play(300); err != nil {
+			return fmt.Errorf("seed %d: %w", seed, err)
+		}
+	}
+	return nil
+}
+
+func TestSeededDefectsAreCaught(t *testing.T) {
+	for name, wrong := range map[string]defects{
+		"acknowledged before it is saved": {acknowledgeUnsaved: true},
+		"the base is not checked":         {noBaseCheck: true},
+		"the guard is off":                {noGuard: true},
+		"reads don't ask the leader":      {readLocally: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			err := firstViolation(t, wrong, 30)
+			if err == nil {
+				t.Fatal("no history of 30 shows it")
+			}
+			t.Logf("%.200v", err)
+		})
+	}
+}
+
+func TestSeededHistoriesWithoutDefects(t *testing.T) {
+	if err := firstViolation(t, defects{}, 30); err != nil {
+		t.Fatal(err)
+	}
+}
