A proxy follows control replicas: internal/watch, internal/configwatch and their wiring

Configuration had no carrier. internal/watch is discovery's watch client, taken out of internal/proxy and serving both; it can send on the open request and move between servers. internal/configwatch decides on updates (checked, saved, taken over, reported), and does check and disk off the loop. [control] in the operators' file turns it on; without it nothing more is opened.

--- /dev/null
+++ b/internal/configwatch/client.go
@@ -0,0 +1,257 @@
+// Package configwatch keeps a proxy's configuration up to date from the control replicas.
+//
+// An update is checked, saved to the state folder and taken over, in this order; the replica is told what became of it.
+// Follower decides, free of I/O. Client carries it out: the connection on the proxy's loop, checks and the disk on a
+// goroutine of its own, so that no request waits for them. Without any replica the proxy goes on with what it holds.
+package configwatch
+
+import (
+	"encoding/json"
+	"errors"
+	"log"
+	"net/netip"
+	"sync/atomic"
+
+	"sandpass/internal/loop"
+	"sandpass/internal/revision"
+	"sandpass/internal/statefile"
+	"sandpass/internal/watch"
+)
+
+const (
+	scopesMost  = 5                                        // kinds of scopes
+	messageMost = scopesMost*revision.DocumentMost + 1<<16 // bytes of an update
+	waitingMost = 2 * messageMost                          // bytes of updates that wait to be looked at
+	spread      = 0.5                                      // seconds over which the proxies of a lost replica come back
+)
+
+var (
+	errTooMany = errors.New("more updates than can be taken")
+	errPaused  = errors.New("another process has this proxy's place")
+	errClosed  = errors.New("the proxy has ended")
+)
+
+// Config says whose configuration is watched and how.
+type Config struct {
+	Identity revision.Identity
+	Replicas []netip.AddrPort // the preferred one first
+	Folder   string           // where it is saved, empty: nowhere
+	// Local is the proxy's own configuration, over which the held one is laid. Any goroutine calls it.
+	Local func() Reloadable
+	// Check tells what is wrong with a configuration, if anything. It is never called on the loop.
+	Check func(Reloadable) error
+}
+
+// Client watches one proxy's configuration. A nil Client does nothing.
+type Client struct {
+	config   Config
+	follower *Follower // belongs to the worker once it runs
+	start    Reloadable
+
+	// On the loop.
+	loop     *loop.Loop
+	watch    *watch.Client
+	takeOver func(Reloadable) error
+	paused   bool
+	opened   bool
+	received []byte  // the update decoded last
+	since    float64 // when what is in force came into force, the start at first
+	started  float64
+	lost     string // why the last connection was lost
+
+	worker worker
+	public atomic.Pointer[published]
+	calls  calls
+}
+
+// published is what others may read of the worker's state.
+type published struct {
+	hello   revision.Hello
+	counts  Counts
+	refused *revision.Report // the last one
+}
+
+// New reads what was saved. It is an error where the folder is another fleet's; whatever else is wrong is a line in the
+// log, and the proxy's own file counts.
+func New(config Config) (*Client, error) {
+	c := &Client{config: config, follower: NewFollower(config.Identity, config.Folder != ""), start: config.Local()}
+	c.worker.init()
+	if config.Folder != "" {
+		saved, err := c.file().load()
+		var foreign *statefile.Foreign
+		if errors.As(err, &foreign) {
+			return nil, err
+		}
+		if err != nil {
+			log.Printf("msg=config_not_read error=%q", err)
+		}
+		c.restore(saved)
+	}
+	c.publish(nil)
+	return c, nil
+}
+
+func (c *Client) file() file { return file{c.config.Folder, c.config.Identity} }
+
+// restore has the proxy start with what was saved.
+func (c *Client) restore(saved Configuration) {
+	if c.follower.Reread(saved).Step != Check {
+		return
+	}
+	laid, err := c.check(saved)
+	if c.follower.Checked(err); err != nil {
+		log.Printf("msg=config_not_taken revision=%d error=%q", saved.Revision, err)
+		return
+	}
+	c.follower.TakenOver(nil)
+	c.start = laid
+	log.Printf("msg=config_restored revision=%d checksum=%.12s", saved.Revision, saved.Checksum)
+}
+
+// Start is the configuration with which the proxy starts.
+func (c *Client) Start() Reloadable { return c.start }
+
+// check lays a configuration over the proxy's own and checks that.
+func (c *Client) check(candidate Configuration) (Reloadable, error) {
+	laid, err := c.config.Local().Overlay(candidate.Effective)
+	if err == nil {
+		err = c.config.Check(laid)
+	}
+	return laid, err
+}
+
+// Run begins the work, on the loop's goroutine or before it runs. takeOver is called on the loop with a configuration that
+// Check found good; Turn must be called in each turn from now on. The watch is opened by Open.
+func (c *Client) Run(l *loop.Loop, chance func() float64, takeOver func(Reloadable) error) {
+	if c == nil {
+		return
+	}
+	c.loop, c.takeOver = l, takeOver
+	c.started = l.Now()
+	c.since = c.started
+	c.watch = watch.New(l, owner{c}, watch.Config{Servers: spreadOut(c.config.Replicas, chance), Most: messageMost, Body: true,
+		Spread: spread, Chance: chance})
+	c.worker.done.Go(c.work)
+}
+
+// spreadOut draws the order of all but the preferred replica, so that the proxies of one that is lost don't all go to the same.
+func spreadOut(replicas []netip.AddrPort, chance func() float64) []netip.AddrPort {
+	order := append([]netip.AddrPort(nil), replicas...)
+	for i := len(order) - 1; i > 1; i-- {
+		j := 1 + int(chance()*float64(i))
+		order[i], order[j] = order[j], order[i]
+	}
+	return order
+}
+
+// Open begins the watch, if it is not open.
+func (c *Client) Open() {
+	if c != nil && !c.opened {
+		c.opened, c.paused = true, false
+		c.watch.Open()
+	}
+}
+
+// Pause ends the watch: another process takes this one's place. Nothing newer is taken over until Resume.
+func (c *Client) Pause() {
+	if c != nil && c.opened {
+		c.opened, c.paused = false, true
+		c.watch.Close()
+	}
+}
+
+// Resume goes on after Pause, from what the other process has saved.
+func (c *Client) Resume() {
+	if c != nil && c.paused {
+		c.Reread()
+		c.Open()
+	}
+}
+
+// Reread takes over what lies on the disk, where that is newer than what is in force.
+func (c *Client) Reread() {
+	if c != nil {
+		c.worker.put(task{kind: reread})
+	}
+}
+
+// Reload lays what is held over the proxy's own configuration again, which has changed. Any goroutine may call it.
+func (c *Client) Reload() { c.worker.put(task{kind: localChanged}) }
+
+// Settled tells that nothing waits to be looked at or taken over.
+func (c *Client) Settled() bool { return c == nil || c.worker.idle() }
+
+// Turn does on the loop what the worker has asked for.
+func (c *Client) Turn() {
+	if c != nil {
+		c.calls.run()
+	}
+}
+
+// Sweep gives up a connection that is silent; it is called every 0.25 s at least.
+func (c *Client) Sweep(now float64) {
+	if c != nil && c.opened {
+		c.watch.Sweep(now)
+	}
+}
+
+// Close ends the work once what is being saved is on the disk, after the loop's run.
+func (c *Client) Close() {
+	if c == nil {
+		return
+	}
+	c.Pause()
+	c.worker.close()
+}
+
+// publish makes the worker's state known; refused is the last refusal, nil where there is no new one.
+func (c *Client) publish(refused *revision.Report) {
+	if last := c.public.Load(); last != nil && refused == nil {
+		refused = last.refused
+	}
+	c.public.Store(&published{c.follower.Hello(), c.follower.Counts(), refused})
+}
+
+// owner is told what the watch brings.
+type owner struct{ *Client }
+
+// Request is the head of the watch's request.
+func (o owner) Request(to netip.AddrPort) []byte {
+	return []byte("POST " + revision.WatchPath + " HTTP/1.1\r\nHost: " + to.String() +
+		"\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
+}
+
+// First says who the proxy is and what it holds.
+func (o owner) First() []byte { return encode(o.public.Load().hello) }
+
+// Decode keeps a copy: what is in it is looked at by the worker.
+func (o owner) Decode(object []byte) error {
+	o.received = append([]byte(nil), object...)
+	return nil
+}
+
+// Take hands an update to the worker.
+func (o owner) Take() error {
+	text := o.received
+	o.Client.received = nil
+	if !o.worker.put(task{kind: update, text: text}) {
+		return errTooMany
+	}
+	return nil
+}
+
+// Returned says that a replica answers again.
+func (o owner) Returned() { log.Printf("msg=config_watch_back replica=%s", o.watch.Server()) }
+
+// Lost says that no replica is connected.
+func (o owner) Lost(err error, news bool) {
+	o.Client.lost = err.Error()
+	if news {
+		log.Printf("msg=config_watch_lost replica=%s error=%q byte=%d", o.watch.Server(), err, o.watch.BodyBytes())
+	}
+}
+
+func encode(value any) []byte {
+	text, _ := json.Marshal(value) // a message has no value that can't be encoded
+	return text
+}
--- /dev/null
+++ b/internal/configwatch/follower.go
@@ -0,0 +1,194 @@
+package configwatch
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"sandpass/internal/revision"
+)
+
+// Step is what a Follower wants done next.
+type Step int
+
+// The steps, in their order for an update.
+const (
+	Idle     Step = iota // nothing: the next update may come
+	Check                // the configuration is to be checked over the proxy's own
+	Save                 // it is to be written to the disk
+	TakeOver             // requests are to go by it
+)
+
+// Follower decides what becomes of updates: each is checked, saved, taken over and reported, in this order, and what was in
+// force stays where one of these fails. It is free of I/O and of a clock. It works on one thing at a time: Received, Reread
+// and LocalChanged are called only while it is Idle, and each step is answered by the method of its name.
+//
+// No configuration with a lower number than one in force or saved is ever asked to be saved or taken over.
+type Follower struct {
+	identity  revision.Identity
+	keeps     bool // there is a disk to save to
+	inForce   Configuration
+	newest    revision.Number // in force or saved
+	step      Step
+	candidate Configuration
+	update    *revision.Update // that the candidate comes from, nil for none
+	unsaved   bool             // the candidate is not on the disk yet
+	counts    Counts
+}
+
+// Counts are what became of updates since the start.
+type Counts struct {
+	InForce int `json:"in_force"`
+	Refused int `json:"refused"`
+	Unknown int `json:"unknown"`
+}
+
+// Outcome is what follows from what a Follower was told: the next step, or the end of the work on one thing.
+type Outcome struct {
+	Step      Step
+	Candidate Configuration    // for the step
+	Report    *revision.Report // for the replica, once an update is done with
+	GiveUp    error            // the connection brings nothing that can be used
+	Local     error            // why a change of the proxy's own file was not taken
+}
+
+// NewFollower makes one that holds nothing.
+func NewFollower(identity revision.Identity, keeps bool) *Follower {
+	return &Follower{identity: identity, keeps: keeps}
+}
+
+// InForce is the configuration by which requests go.
+func (f *Follower) InForce() Configuration { return f.inForce }
+
+// Counts are what became of updates.
+func (f *Follower) Counts() Counts { return f.counts }
+
+// Hello is what a replica is told first.
+func (f *Follower) Hello() revision.Hello {
+	return revision.Hello{Protocol: revision.Protocol, Identity: f.identity, Revision: f.inForce.Revision,
+		Held: f.inForce.numbers(), Checksum: f.inForce.Checksum}
+}
+
+// Received is told of an update's bytes.
+func (f *Follower) Received(text []byte) Outcome {
+	update, err := decodeUpdate(text)
+	if err != nil {
+		return f.unknown(0, true, err)
+	}
+	if update.Revision == 0 {
+		return f.unknown(0, true, errors.New("an update without a revision"))
+	}
+	if update.Revision < f.inForce.Revision || update.Revision == f.inForce.Revision && update.Checksum == f.inForce.Checksum {
+		return f.report(f.inForce.Revision, revision.InForce, nil) // it came late, or twice
+	}
+	candidate, err := f.inForce.updated(f.identity, update)
+	switch {
+	case err != nil:
+	case update.Revision == f.inForce.Revision && !update.Whole:
+		err = fmt.Errorf("revision %d again, with another checksum", update.Revision)
+	case update.Revision < f.newest:
+		err = fmt.Errorf("revision %d is below %d, which is saved", update.Revision, f.newest)
+	}
+	if err != nil {
+		return f.unknown(update.Revision, update.Whole, err)
+	}
+	return f.begin(candidate, update, true)
+}
+
+// Reread is told of what lies on the disk, which another process may have written.
+func (f *Follower) Reread(saved Configuration) Outcome {
+	if saved.Revision <= f.inForce.Revision {
+		return Outcome{}
+	}
+	f.newest = max(f.newest, saved.Revision)
+	return f.begin(saved, nil, false)
+}
+
+// LocalChanged says that the proxy's own file has changed: what is held is laid over it again.
+func (f *Follower) LocalChanged() Outcome { return f.begin(f.inForce, nil, false) }
+
+func (f *Follower) begin(candidate Configuration, update *revision.Update, unsaved bool) Outcome {
+	f.candidate, f.update, f.unsaved, f.step = candidate, update, unsaved && f.keeps, Check
+	return f.next()
+}
+
+func (f *Follower) next() Outcome { return Outcome{Step: f.step, Candidate: f.candidate} }
+
+// Checked answers Check: what is wrong with the candidate, if anything.
+func (f *Follower) Checked(err error) Outcome {
+	if err != nil {
+		return f.refused(err)
+	}
+	f.step = TakeOver
+	if f.unsaved {
+		f.step = Save
+	}
+	return f.next()
+}
+
+// Saved answers Save. What could not be saved is not taken over: a restart would go back.
+func (f *Follower) Saved(err error) Outcome {
+	if err != nil {
+		return f.refused(fmt.Errorf("it can't be saved: %w", err))
+	}
+	f.newest = max(f.newest, f.candidate.Revision)
+	f.step = TakeOver
+	return f.next()
+}
+
+// TakenOver answers TakeOver.
+func (f *Follower) TakenOver(err error) Outcome {
+	if err != nil {
+		return f.refused(err)
+	}
+	before := f.inForce.Revision
+	f.inForce, f.newest = f.candidate, max(f.newest, f.candidate.Revision)
+	f.end()
+	if f.inForce.Revision == before && f.update == nil {
+		return Outcome{} // the proxy's own file alone has changed
+	}
+	if f.update != nil {
+		f.counts.InForce++
+	}
+	return f.report(f.inForce.Revision, revision.InForce, nil)
+}
+
+// refused ends the work on the candidate; what was in force stays.
+func (f *Follower) refused(err error) Outcome {
+	number, update := f.candidate.Revision, f.update
+	f.end()
+	if update == nil {
+		return Outcome{Local: err}
+	}
+	f.counts.Refused++
+	return f.report(number, revision.Refused, err)
+}
+
+// unknown answers an update that does not follow. Where not even the whole does, another replica is to be asked.
+func (f *Follower) unknown(number revision.Number, last bool, err error) Outcome {
+	f.counts.Unknown++
+	outcome := f.report(number, revision.Unknown, err)
+	if last {
+		outcome.GiveUp = errors.New("an update that can't be used")
+	}
+	return outcome
+}
+
+func (f *Follower) end() { f.step, f.candidate = Idle, Configuration{} }
+
+// report tells what is in force now beside the verdict.
+func (f *Follower) report(number revision.Number, verdict revision.Verdict, err error) Outcome {
+	report := &revision.Report{Revision: number, Verdict: verdict, Checksum: f.inForce.Checksum}
+	if err != nil {
+		report.Reason = oneLine(err)
+	}
+	return Outcome{Report: report}
+}
+
+const reasonMost = 400 // bytes of a reason
+
+// oneLine gives an error's text as one bounded line.
+func oneLine(err error) string {
+	text := strings.Join(strings.Fields(err.Error()), " ")
+	return strings.ToValidUTF8(text[:min(len(text), reasonMost)], "")
+}
--- /dev/null
+++ b/internal/proxy/control_test.go
@@ -0,0 +1,380 @@
+package proxy
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"sandpass/internal/configwatch"
+	"sandpass/internal/operator"
+	"sandpass/internal/revision"
+)
+
+// replica is a stand-in for a control replica: what a test puts into updates goes to the proxy that watches.
+type replica struct {
+	*httptest.Server
+	hellos  chan revision.Hello
+	reports chan revision.Report
+	updates chan string // lines
+}
+
+func newReplica(t *testing.T) *replica {
+	t.Helper()
+	r := startReplica(t, "127.0.0.1:0")
+	t.Cleanup(r.stop)
+	return r
+}
+
+func startReplica(t *testing.T, at string) *replica {
+	t.Helper()
+	r := &replica{hellos: make(chan revision.Hello, 100), reports: make(chan revision.Report, 100), updates: make(chan string, 100)}
+	listener, err := net.Listen("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Server = httptest.NewUnstartedServer(http.HandlerFunc(r.watch))
+	r.Server.Listener.Close()
+	r.Server.Listener = listener
+	r.Start()
+	return r
+}
+
+// stop ends the replica with all watches on it.
+func (r *replica) stop() {
+	r.CloseClientConnections()
+	r.Close()
+}
+
+func (r *replica) watch(w http.ResponseWriter, request *http.Request) {
+	control := http.NewResponseController(w)
+	if request.Method != "POST" || request.URL.Path != revision.WatchPath || control.EnableFullDuplex() != nil {
+		http.Error(w, "no watch", http.StatusNotFound)
+		return
+	}
+	in := json.NewDecoder(request.Body)
+	var hello revision.Hello
+	if err := in.Decode(&hello); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if hello.Identity.Fleet != "shop" {
+		http.Error(w, "fleet "+hello.Identity.Fleet+" is not shop", http.StatusConflict)
+		return
+	}
+	r.hellos <- hello
+	io.WriteString(w, "\n")
+	control.Flush()
+	go func() {
+		for {
+			var report revision.Report
+			if in.Decode(&report) != nil {
+				return
+			}
+			r.reports <- report
+		}
+	}()
+	beat := time.NewTicker(time.Second)
+	defer beat.Stop()
+	for {
+		line := "\n"
+		select {
+		case <-request.Context().Done():
+			return
+		case line = <-r.updates:
+		case <-beat.C:
+		}
+		io.WriteString(w, line)
+		control.Flush()
+	}
+}
+
+func (r *replica) address() string { return r.Listener.Addr().String() }
+
+// awaited waits for something that a replica is told.
+func awaited[T any](t *testing.T, from chan T) T {
+	t.Helper()
+	select {
+	case x := <-from:
+		return x
+	case <-time.After(8 * time.Second):
+		var none T
+		t.Fatalf("no %T", none)
+		return none
+	}
+}
+
+// wantsReport waits for a report with a verdict on a revision.
+func wantsReport(t *testing.T, r *replica, number revision.Number, verdict revision.Verdict) revision.Report {
+	t.Helper()
+	report := awaited(t, r.reports)
+	if report.Revision != number || report.Verdict != verdict {
+		t.Fatalf("%+v, want %d %s", report, number, verdict)
+	}
+	return report
+}
+
+// history is what the replicas have for one proxy.
+type history struct {
+	identity revision.Identity
+	number   revision.Number
+	held     map[revision.Scope]revision.Held
+}
+
+func newHistory() *history {
+	return &history{identity: revision.Identity{Fleet: "shop", Proxy: "n0", Zone: "eu-1"}, held: map[revision.Scope]revision.Held{}}
+}
+
+// change is the next revision: a new document of a scope. It gives the update that brings it.
+func (h *history) change(t *testing.T, scope revision.Scope, text string) revision.Update {
+	t.Helper()
+	document, err := revision.Canonical([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, ok := h.held[scope]
+	if !ok {
+		before.Document = revision.Empty
+	}
+	patch, err := revision.Diff(before.Document, document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.number++
+	h.held[scope] = revision.Held{Scope: scope, Number: h.number, Document: document}
+	return revision.Update{Revision: h.number, Checksum: h.checksum(t),
+		Scopes: []revision.Change{{Scope: scope, Number: h.number, From: before.Number, Patch: patch}}}
+}
+
+func (h *history) checksum(t *testing.T) string {
+	t.Helper()
+	var held []revision.Held
+	for _, one := range h.held {
+		held = append(held, one)
+	}
+	effective, err := revision.Effective(h.identity, held)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return revision.Checksum(effective)
+}
+
+// whole is the update that brings all that there is.
+func (h *history) whole(t *testing.T) revision.Update {
+	t.Helper()
+	u := revision.Update{Revision: h.number, Whole: true, Checksum: h.checksum(t)}
+	for _, one := range h.held {
+		u.Scopes = append(u.Scopes, revision.Change{Scope: one.Scope, Number: one.Number, Document: one.Document})
+	}
+	return u
+}
+
+func (r *replica) send(u revision.Update) {
+	text, _ := json.Marshal(u)
+	r.updates <- string(text) + "\n"
+}
+
+// underControl is a configuration whose operators name these replicas.
+func underControl(known, folder string, replicas ...*replica) *Launch {
+	l := config(known, nil, settingsText)
+	l.Control = operator.Control{Fleet: "shop", Zone: "eu-1"}
+	for _, r := range replicas {
+		l.Control.Replicas = append(l.Control.Replicas, r.address())
+	}
+	if folder != "" {
+		l.State = operator.State{Folder: folder, Fleet: "shop", Every: 1}
+	}
+	return l
+}
+
+func started(t *testing.T, l *Launch) *running {
+	t.Helper()
+	p, err := New(l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return run(t, p)
+}
+
+func (r *running) controlStatus() (s configwatch.Status) {
+	r.do(func() { s = *r.control.Status() })
+	return s
+}
+
+func TestAChangeComesIntoForceWithRequestsOpen(t *testing.T) {
+	t.Parallel()
+	answer := make(chan bool)
+	b := newToy(t, func(b *toy, c net.Conn, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/pay") {
+			<-answer
+		}
+		ok(b, c, r)
+	})
+	r, h := newReplica(t), newHistory()
+	p := started(t, underControl(listing(1, true, ready("s-1", b)), t.TempDir(), r))
+	hello := awaited(t, r.hellos)
+	if hello.Protocol != revision.Protocol || hello.Identity != h.identity || hello.Revision != 0 || len(hello.Held) > 0 {
+		t.Errorf("%+v", hello)
+	}
+	open := p.caller(t)
+	io.WriteString(open, text("pay"))
+	p.await(t, "the request is out", func() bool { return b.commands.Load() == 1 })
+	r.send(h.change(t, revision.Fleet, `{"settings": {"limits": {"max_relays": 2}, "tick_ms": 7}}`))
+	if report := wantsReport(t, r, 1, revision.InForce); report.Checksum != h.checksum(t) {
+		t.Errorf("%+v", report)
+	}
+	r.send(h.change(t, revision.Scope{Kind: revision.ZoneKind, Name: "eu-1"}, `{"settings": {"realms": [{"name": "mill", "allowance_per_s": 5}]}}`))
+	wantsReport(t, r, 2, revision.InForce)
+	p.do(func() {
+		if len(p.names.Customers) != 1 || p.names.Customers[0] != "mill" {
+			t.Errorf("customers are %v", p.names.Customers)
+		}
+	})
+	close(answer)
+	if status, body, _ := open.read(); status != 200 {
+		t.Errorf("the open request had %d %s", status, body)
+	}
+	if status, _, _ := p.caller(t).ask(text("look")); status != 200 {
+		t.Errorf("%d after the change", status)
+	}
+	if s := p.controlStatus(); s.Revision != 2 || s.Checksum != h.checksum(t) || !s.Connected || s.Replica != r.address() ||
+		s.Updates.InForce != 2 || s.Refused != nil {
+		t.Errorf("%+v", s)
+	}
+}
+
+func TestWhatIsRefusedChangesNothing(t *testing.T) {
+	t.Parallel()
+	r, h := newReplica(t), newHistory()
+	p := started(t, underControl("", t.TempDir(), r))
+	awaited(t, r.hellos)
+	r.send(h.change(t, revision.Fleet, `{"settings": {"tick_ms": 7}}`))
+	wantsReport(t, r, 1, revision.InForce)
+	good := h.held[revision.Fleet]
+	for text, reason := range map[string]string{
+		`{"settings": {"tick_ms": -1}}`:     "settings: tick_ms is below 0",
+		`{"settings": {"azs": []}, "x": 1}`: "x: it needs a start",
+		`{"limits": {"sockets": 9}}`:        "limits: it needs a start",
+		`{"peers": 3}`:                      "cannot unmarshal",
+		`{"discovery": "nowhere"}`:          "discovery: ",
+	} {
+		r.send(h.change(t, revision.Fleet, text))
+		report := wantsReport(t, r, h.number, revision.Refused)
+		if !strings.Contains(report.Reason, reason) || strings.Contains(report.Reason, "\n") {
+			t.Errorf("%s: refused as %q", text, report.Reason)
+		}
+		if s := p.controlStatus(); s.Revision != 1 || s.Refused == nil || s.Refused.Revision != h.number {
+			t.Errorf("%+v", s)
+		}
+		h.held[revision.Fleet] = good // what the proxy holds
+	}
+	r.send(h.change(t, revision.Fleet, `{"settings": {"tick_ms": 8}}`))
+	wantsReport(t, r, h.number, revision.InForce)
+}
+
+func TestARestartServesWhatWasHeldWithoutAnyReplica(t *testing.T) {
+	t.Parallel()
+	folder, h := t.TempDir(), newHistory()
+	r := newReplica(t)
+	l := underControl("", folder, r)
+	first, err := New(l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &running{Proxy: first, ended: make(chan error, 1), todo: make(chan func(), 1)}
+	go func() { p.ended <- p.Run(p.asked.Load) }()
+	awaited(t, r.hellos)
+	r.send(h.change(t, revision.Fleet, `{"settings": {"realms": [{"name": "mill", "allowance_per_s": 5}]}}`))
+	wantsReport(t, r, 1, revision.InForce)
+	p.end()
+	if err := <-p.ended; err != nil {
+		t.Fatal(err)
+	}
+	address := r.address()
+	r.stop()
+	again, err := New(l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if names := again.names.Customers; len(names) != 1 || names[0] != "mill" {
+		t.Errorf("starts with customers %v", names)
+	}
+	q := run(t, again)
+	q.await(t, "the loss", func() bool { return !q.control.Status().Connected })
+	r = startReplica(t, address)
+	defer r.stop()
+	if hello := awaited(t, r.hellos); hello.Revision != 1 || len(hello.Held) != 1 || hello.Held[0].Document != nil ||
+		hello.Checksum != h.checksum(t) {
+		t.Errorf("%+v", hello)
+	}
+	r.send(h.change(t, revision.Fleet, `{"settings": {"tick_ms": 9}}`))
+	wantsReport(t, r, 2, revision.InForce)
+}
+
+func TestAnotherReplicaIsAskedWhereOneIsGoneOrAnotherFleets(t *testing.T) {
+	t.Parallel()
+	first, second, h := newReplica(t), newReplica(t), newHistory()
+	p := started(t, underControl("", "", first, second))
+	awaited(t, first.hellos)
+	first.send(h.change(t, revision.Fleet, `{"settings": {"tick_ms": 7}}`))
+	wantsReport(t, first, 1, revision.InForce)
+	first.stop()
+	if hello := awaited(t, second.hellos); hello.Revision != 1 {
+		t.Errorf("%+v", hello)
+	}
+	second.send(h.change(t, revision.Fleet, `{"settings": {"tick_ms": 8}}`))
+	wantsReport(t, second, 2, revision.InForce)
+	if s := p.controlStatus(); s.Replica != second.address() || s.Revision != 2 {
+		t.Errorf("%+v", s)
+	}
+
+	foreign := underControl("", "", second)
+	foreign.Control.Fleet = "mill"
+	q := started(t, foreign)
+	q.await(t, "the refusal", func() bool { return q.control.Status().Lost == "status 409: fleet mill is not shop" })
+	if status := q.controlStatus(); status.Revision != 0 || status.Connected {
+		t.Errorf("%+v", status)
+	}
+}
+
+func TestAReloadLaysWhatIsHeldOverTheNewFile(t *testing.T) {
+	t.Parallel()
+	r, h := newReplica(t), newHistory()
+	l := underControl("", "", r)
+	p := started(t, l)
+	awaited(t, r.hellos)
+	r.send(h.change(t, revision.Fleet, `{"settings": {"realms": [{"name": "mill", "allowance_per_s": 5}]}}`))
+	wantsReport(t, r, 1, revision.InForce)
+	other := newToy(t, ok)
+	changed := *l
+	changed.Discovery = other.Addr().String()
+	p.Reload(&changed)
+	p.await(t, "the new address", func() bool { return p.watch.at == netip.MustParseAddrPort(changed.Discovery) })
+	p.do(func() {
+		if len(p.names.Customers) != 1 || p.names.Customers[0] != "mill" {
+			t.Errorf("customers are %v", p.names.Customers)
+		}
+	})
+}
+
+func TestWithoutControlNothingIsThere(t *testing.T) {
+	t.Parallel()
+	p := run(t, launch(t, 200, "", nil))
+	p.do(func() {
+		if p.control.Client != nil || p.own() != ownDescriptors || strings.Contains(p.status(), "control") {
+			t.Errorf("%d descriptors, %s", p.own(), p.status())
+		}
+	})
+	controlled := underControl("", "", newReplica(t))
+	q := started(t, controlled)
+	q.do(func() {
+		if q.own() != ownDescriptors+controlDescriptors {
+			t.Errorf("%d descriptors", q.own())
+		}
+	})
+}
--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -15,7 +15,6 @@
 	"golang.org/x/sys/unix"
 
 	"sandpass/balance"
-	"sandpass/internal/jsonstream"
 )
 
 // Two events cross: each test puts both into the order, or the one turn of the loop, that does harm. A hook of the test's
@@ -122,9 +121,9 @@
 	}
 	says := func(text string) {
 		held := 0
-		p.do(func() { held = p.watch.had })
+		p.do(func() { held = p.watch.BodyBytes() })
 		step <- text
-		p.await(t, "the text", func() bool { return p.watch.had > held })
+		p.await(t, "the text", func() bool { return p.watch.BodyBytes() > held })
 	}
 	says("\n")
 	whole, now := dead()
@@ -259,7 +258,7 @@
 			p.do(func() {
 				now <- true
 				if <-done; name == "its reopening" {
-					p.lostWatch(io.EOF)
+					p.watch.Lose(io.EOF)
 				}
 				p.turnTo(netip.MustParseAddrPort(second.Addr().String()))
 			})
@@ -622,11 +621,11 @@
 	for _, junk := range []string{"", "\x00", "}", "]", "\"", "\n", "{", "9", "\xff\xfe", ",", "null", "[[[["} {
 		for i := range len(good) {
 			w := &p.watch
-			w.cutter = jsonstream.Cutter{Most: lineMost}
+			w.Reset()
 			text := good[:i] + junk + good[min(len(good), i+len(junk)):]
 			for len(text) > 0 { // and in pieces
 				n := min(len(text), 1+i%37)
-				if err := (watcher{p}).lines([]byte(text[:n])); err != nil {
+				if err := p.watch.Feed([]byte(text[:n])); err != nil {
 					if strings.Contains(err.Error(), "\n") {
 						t.Fatalf("%q at %d: %v", junk, i, err)
 					}
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -103,6 +103,7 @@
 	h := &p.handover
 	if h.path == "" {
 		h.met, h.serving = true, true
+		p.control.Open()
 		return
 	}
 	m := &mate{p: p}
@@ -138,7 +139,7 @@
 
 // serveSoon accepts as soon as what comes can be relayed, or by the time that somebody must.
 func (p *Proxy) serveSoon(began float64) {
-	if now := p.loop.Now(); p.handover.before != nil && !p.listed() && now < began+serveWithin {
+	if now := p.loop.Now(); p.handover.before != nil && !(p.listed() && p.control.Settled()) && now < began+serveWithin {
 		p.loop.After(soon, func() { p.serveSoon(began) })
 		return
 	}
@@ -153,6 +154,7 @@
 	}
 	h.serving = true
 	p.listener.Take()
+	p.control.Open()
 	p.expectNext()
 	if h.before != nil {
 		p.useSockets(p.launch.Limits.Sockets / 2)
@@ -211,6 +213,7 @@
 		p.serve()
 	case h.after:
 		h.after = nil
+		p.control.Resume()
 		log.Printf("msg=successor_gone error=%q served=%t", err, h.succeeded)
 		if h.succeeded && !p.end.on {
 			h.succeeded = false
@@ -270,6 +273,7 @@
 			h.after.lost(errors.New("another came"))
 		}
 		h.after = m
+		p.control.Pause() // what is saved by now is what the other starts with
 		p.useMemory(pairMemory)
 		m.say(p.state())
 		p.loop.After(takeOverWithin, func() {
@@ -329,6 +333,7 @@
 	if w.Drained {
 		p.quiesce()
 	}
+	p.control.Reread() // the process before may have saved a newer one since this one started
 	p.handed()
 }
 
--- a/internal/proxy/large_test.go
+++ b/internal/proxy/large_test.go
@@ -133,16 +133,16 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			p.watch.cutter.Most = lineMost
+			p.watch.Reset()
 			text := []byte(indented(throng(1, many, "ready", quiet)))
 			last := len(text) - 4096 // what a read brings
 			for b.Loop() {
 				b.StopTimer()
-				if err := (watcher{p}).lines(text[:last]); err != nil {
+				if err := p.watch.Feed(text[:last]); err != nil {
 					b.Fatal(err)
 				}
 				b.StartTimer()
-				if err := (watcher{p}).lines(text[last:]); err != nil {
+				if err := p.watch.Feed(text[last:]); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/internal/proxy/memory.go
+++ b/internal/proxy/memory.go
@@ -10,6 +10,7 @@
 	"maps"
 
 	"sandpass/balance"
+	"sandpass/internal/configwatch"
 	"sandpass/internal/recovery"
 	"sandpass/internal/warm"
 )
@@ -167,17 +168,18 @@
 	late, living := p.balancer.Standing()
 	took, out := p.kept.recovery.Took()
 	text, _ := json.Marshal(struct { // has no value that can't be encoded
-		Phase    string  `json:"phase"`
-		ToFull   float64 `json:"time_to_full_s"`
-		OutOf    bool    `json:"out_of_time"`
-		Living   float64 `json:"living"`
-		Siblings int     `json:"siblings"`
-		Late     float64 `json:"late_part"`
-		Served   float64 `json:"usually_answered_part"`
-		Backends int     `json:"backends"`
-		Open     int     `json:"open"`
-		Kept     bool    `json:"state_kept"`
+		Phase    string              `json:"phase"`
+		ToFull   float64             `json:"time_to_full_s"`
+		OutOf    bool                `json:"out_of_time"`
+		Living   float64             `json:"living"`
+		Siblings int                 `json:"siblings"`
+		Late     float64             `json:"late_part"`
+		Served   float64             `json:"usually_answered_part"`
+		Backends int                 `json:"backends"`
+		Open     int                 `json:"open"`
+		Kept     bool                `json:"state_kept"`
+		Control  *configwatch.Status `json:"control,omitempty"`
 	}{p.kept.recovery.Phase().String(), took, out, living, p.links.Siblings, late, p.kept.served, p.backends.usable,
-		len(p.commands), p.kept.keeper != nil})
+		len(p.commands), p.kept.keeper != nil, p.control.Status()})
 	return string(text)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -25,6 +25,7 @@
 	"sandpass/internal/loop"
 	"sandpass/internal/operator"
 	"sandpass/internal/settings"
+	"sandpass/internal/watch"
 )
 
 const (
@@ -38,13 +39,14 @@
 
 // Launch is what a proxy is told at its start, in the operators' words.
 type Launch struct {
-	Name      string         `json:"name"`
-	Listen    string         `json:"listen"`
-	Discovery string         `json:"discovery"`
-	Ops       string         `json:"ops"` // where operators call, if they can
-	Socket    string         `json:"-"`   // the inherited descriptor that listens, if there is one
-	State     operator.State `json:"-"`   // where it keeps what it knows, in the operators' own file
-	Seed      string         `json:"seed"`
+	Name      string           `json:"name"`
+	Listen    string           `json:"listen"`
+	Discovery string           `json:"discovery"`
+	Ops       string           `json:"ops"` // where operators call, if they can
+	Socket    string           `json:"-"`   // the inherited descriptor that listens, if there is one
+	State     operator.State   `json:"-"`   // where it keeps what it knows, in the operators' own file
+	Control   operator.Control `json:"-"`
+	Seed      string           `json:"seed"`
 	Limits    struct {
 		MemoryMB int `json:"memory_mb"`
 		Sockets  int `json:"sockets"`
@@ -70,7 +72,7 @@
 	}
 	f, err := operator.Read(path)
 	if err == nil {
-		l.State = f.State
+		l.State, l.Control = f.State, f.Control
 	}
 	return err
 }
@@ -89,7 +91,8 @@
 	listener *loop.Listener
 	clients  clients
 	backends backends
-	watch    watch
+	watch    endpointWatch
+	control  *control
 	peers    peers
 	door     door
 	drain    drain
@@ -115,10 +118,15 @@
 
 // New makes a proxy from its configuration, listening and ready to run.
 func New(l *Launch) (*Proxy, error) {
+	control, l, err := newControl(l)
+	if err != nil {
+		return nil, err
+	}
 	p, known, err := prepare(l)
 	if err != nil {
 		return nil, err
 	}
+	p.control = control
 	at, err := netip.ParseAddrPort(l.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
@@ -127,6 +135,7 @@
 		return nil, err
 	}
 	p.loop.Stood = p.stood
+	p.watch.Client = watch.New(p.loop, watcher{p}, watch.Config{Servers: []netip.AddrPort{p.watch.at}, Most: lineMost, Chance: p.chance})
 	p.useMemory(1)
 	if p.balancer, _, err = settings.Balancer(p, p.seed, p.loop.Now(), l.Settings); err != nil {
 		return nil, err
@@ -205,6 +214,9 @@
 	if p.door.at, err = doorAt(l.Ops); err != nil {
 		return nil, nil, err
 	}
+	if err := l.checkControl(); err != nil {
+		return nil, nil, err
+	}
 	if least := p.own() + ownDescriptors; l.Limits.Sockets < least {
 		return nil, nil, fmt.Errorf("limits: %d sockets are too few, %d are needed", l.Limits.Sockets, least)
 	}
@@ -222,10 +234,14 @@
 
 // own is how many descriptors are for neither clients nor backends.
 func (p *Proxy) own() int {
+	own := ownDescriptors
 	if p.door.at.IsValid() {
-		return ownDescriptors + doorDescriptors
+		own += doorDescriptors
+	}
+	if p.launch.controlled() {
+		own += controlDescriptors
 	}
-	return ownDescriptors
+	return own
 }
 
 // share parts the descriptors: one in spareShare for clients past their part, the rest half and half for clients and
@@ -246,19 +262,23 @@
 
 // Reload has the loop turn to a configuration that Check found good; it may be called from any goroutine.
 func (p *Proxy) Reload(l *Launch) {
+	if p.control.reload(l) {
+		return
+	}
 	p.reloaded.Store(l)
 	p.Ring()
 }
 
 // reload turns to a configuration while commands are open: settings, the siblings' addresses and where discovery is. The
 // list, open commands, clients and what was learned stay; for the rest the process is started anew.
-func (p *Proxy) reload(l *Launch) {
+func (p *Proxy) reload(l *Launch) error {
 	if err := p.turnWhole(l); err != nil {
 		log.Printf("msg=reload_not_taken error=%q", err)
-		return
+		return err
 	}
 	log.Printf("msg=reloaded discovery=%s siblings=%d messages=%t keys=%t needs_start=%q", p.watch.at, p.links.Siblings,
 		p.links.Peers, p.links.Keys, p.needsStart(l))
+	return nil
 }
 
 func (p *Proxy) turnWhole(l *Launch) error {
@@ -300,7 +320,8 @@
 		differs bool
 	}{
 		{"listen", l.Listen != p.launch.Listen}, {"ops", l.Ops != p.launch.Ops}, {"limits", l.Limits != p.launch.Limits},
-		{"seed", l.Seed != p.launch.Seed}, {"state", l.State != p.launch.State}, {"known", !bytes.Equal(l.Known, p.launch.Known)},
+		{"seed", l.Seed != p.launch.Seed}, {"state", l.State != p.launch.State},
+		{"control", !l.Control.Equal(p.launch.Control)}, {"known", !bytes.Equal(l.Known, p.launch.Known)},
 	} {
 		if x.differs {
 			names = strings.TrimSpace(names + " " + x.name)
@@ -313,8 +334,9 @@
 func (p *Proxy) Run(signal func() bool) error {
 	p.signal = signal
 	p.freshBy = p.loop.Now() + freshFor
+	p.control.Run(p.loop, p.chance, p.takeOverHeld)
 	p.meet()
-	p.connect()
+	p.watch.Open()
 	p.every(sweepEvery, p.sweep)
 	p.every(summaryEvery, p.summary)
 	p.every(sweepEvery, p.follow)
@@ -327,9 +349,11 @@
 		if l := p.reloaded.Swap(nil); l != nil {
 			p.reload(l)
 		}
+		p.control.Turn()
 	})
 	p.summary()
 	p.forgetNothing()
+	p.control.Close()
 	for _, m := range p.others() {
 		m.conn.Close() // its end says that this process is gone
 	}
@@ -371,7 +395,8 @@
 	p.sweepClients(now)
 	p.sweepBodies(now)
 	p.sweepLinks()
-	p.sweepWatch(now)
+	p.watch.Sweep(now)
+	p.control.Sweep(now)
 }
 
 // starved gives up what is idle when the system has no descriptor left.
--- a/internal/proxy/stood.go
+++ b/internal/proxy/stood.go
@@ -11,9 +11,7 @@
 // by no backend's fault.
 func (p *Proxy) stood(by float64) {
 	now, dropped := p.loop.Now(), 0
-	if w := p.watch.conn; w != nil {
-		w.Look()
-	}
+	p.watch.Look()
 	if p.peers.sock != nil {
 		dropped = p.peers.sock.Drop()
 	}
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -1,5 +1,5 @@
-// This file owns the watch on discovery: its connection, its place in the list's history and the list's own words. It
-// must never drop the last list it had, nor stop asking.
+// This file owns the watch on discovery: its place in the list's history and the list's own words. It must never drop the
+// last list it had.
 package proxy
 
 import (
@@ -11,10 +11,7 @@
 	"strconv"
 
 	"sandpass/balance"
-	"sandpass/internal/http1"
-	"sandpass/internal/jsonstream"
-	"sandpass/internal/liveness"
-	"sandpass/internal/loop"
+	"sandpass/internal/watch"
 )
 
 const lineMost = 8 << 20 // bytes of a message: tens of thousands of backends
@@ -38,153 +35,58 @@
 
 var states = map[string]balance.State{"ready": balance.Ready, "draining": balance.Draining, "gone": balance.Gone}
 
-type watch struct {
-	at     netip.AddrPort
-	conn   *loop.Conn
-	msg    http1.Message
-	chunks http1.Chunks
-	index  int64
-	has    bool // a list was had
-	cutter jsonstream.Cutter
-	had    int         // bytes of the answer's body
-	again  *loop.Timer // opens it after a loss
-	liveness.Watch
-}
-
-// connect opens the watch.
-func (p *Proxy) connect() {
-	w := &p.watch
-	conn, err := p.loop.Dial(w.at, watcher{p}, lineMost)
-	w.conn, w.cutter, w.chunks, w.had = conn, jsonstream.Cutter{Most: lineMost}, http1.Chunks{}, 0
-	w.msg.Reset()
-	w.Opened(p.loop.Now())
-	if err != nil {
-		w.conn = nil
-		p.lostWatch(err)
-	}
+// endpointWatch is the watch on discovery.
+type endpointWatch struct {
+	*watch.Client
+	at    netip.AddrPort // discovery's address
+	index int64
+	has   bool   // a list was had
+	next  roster // decoded, and to be taken
 }
 
 // turnTo leaves discovery where it was for another address. Indexes need not mean the same there, so the whole list is
 // asked for; what was told so far holds until it comes.
 func (p *Proxy) turnTo(at netip.AddrPort) {
-	w := &p.watch
-	if at == w.at {
-		return
+	if w := &p.watch; at != w.at {
+		w.at, w.has = at, false
+		w.Turn(at)
 	}
-	if w.conn != nil {
-		w.conn.Close()
-	}
-	w.again.Stop()
-	w.at, w.has = at, false
-	w.Anew()
-	p.connect()
 }
 
-// lostWatch opens it again after a while.
-func (p *Proxy) lostWatch(err error) {
-	w := &p.watch
-	if w.conn != nil {
-		w.conn.Close()
-		w.conn = nil
-	}
-	wait, news := w.Ended(p.loop.Now(), err.Error(), p.chance())
-	if news {
-		log.Printf("msg=watch_lost error=%q index=%d byte=%d", err, w.index, w.had)
-	}
-	w.again = p.loop.After(wait, p.connect)
-	p.balancer.ListFailed(p.loop.Now())
-}
-
-// watcher hears the watch's connection.
+// watcher is told what discovery's watch brings.
 type watcher struct{ p *Proxy }
 
-func (h watcher) Up(c *loop.Conn) {
+func (h watcher) Request(to netip.AddrPort) []byte {
 	query := "GET /api/targets?follow=1"
 	if h.p.watch.has {
 		query += "&since=" + strconv.FormatInt(h.p.watch.index, 10)
 	}
-	c.Write([]byte(query + " HTTP/1.1\r\nHost: " + h.p.watch.at.String() + "\r\n\r\n"))
+	return []byte(query + " HTTP/1.1\r\nHost: " + to.String() + "\r\n\r\n")
 }
 
-func (h watcher) Flushed(*loop.Conn) {}
-
-func (h watcher) Down(_ *loop.Conn, err error) { h.p.lostWatch(err) }
+func (h watcher) First() []byte { return nil }
 
-func (h watcher) Data(c *loop.Conn) {
-	w := &h.p.watch
-	if !w.msg.HeadWhole() {
-		whole, err := w.msg.AnswerHead(c.In())
-		if err == nil && whole && w.msg.Status != 200 {
-			err = errors.New("status " + strconv.Itoa(w.msg.Status))
-		}
-		if err != nil {
-			h.p.lostWatch(err)
-			return
-		}
-		if !whole {
-			return
-		}
-		c.Consume(w.msg.HeadSize())
-		w.Head(h.p.loop.Now())
-	}
-	for len(c.In()) > 0 || w.msg.Length() == w.had {
-		data, used, done, err := h.piece(c.In())
-		if err == nil {
-			err = h.lines(data)
-		}
-		if err == nil && done {
-			err = errors.New("the answer ended")
-		}
-		if err != nil {
-			h.p.lostWatch(err)
-			return
-		}
-		if used == 0 {
-			return
-		}
-		c.Consume(used)
-	}
+func (h watcher) Decode(object []byte) error {
+	h.p.watch.next = roster{}
+	return json.Unmarshal(object, &h.p.watch.next)
 }
 
-// piece is the next part of the answer's body, which may be as long as it likes where its length is not said.
-func (h watcher) piece(in []byte) (data []byte, used int, done bool, err error) {
-	w := &h.p.watch
-	data, used = in, len(in)
-	if w.msg.Chunked() {
-		data, used, done, err = w.chunks.Next(in)
-	} else if n := w.msg.Length(); n >= 0 {
-		data = in[:min(len(in), n-w.had)]
-		used, done = len(data), w.had+len(data) == n
+func (h watcher) Take() error {
+	next := h.p.watch.next
+	h.p.watch.next = roster{}
+	if h.p.take(&next); !h.p.watch.has {
+		return errors.New("changes before any list")
 	}
-	w.had += len(data)
-	return data, used, done, err
+	return nil
 }
 
-// lines takes each whole object in the data, however it is laid out; what is left is kept for the next. An empty line says
-// that discovery lives.
-func (h watcher) lines(data []byte) error {
-	w := &h.p.watch
-	for {
-		object, rest, err := w.cutter.Next(data)
-		if err != nil || object == nil {
-			return err
-		}
-		data = rest
-		var l roster
-		if len(object) > 0 {
-			if err := json.Unmarshal(object, &l); err != nil {
-				return err
-			}
-		}
-		if w.Line(h.p.loop.Now()) {
-			log.Printf("msg=watch_back index=%d", w.index)
-		}
-		if len(object) > 0 {
-			if h.p.take(&l); !w.has {
-				return errors.New("changes before any list")
-			}
-		}
+func (h watcher) Returned() { log.Printf("msg=watch_back index=%d", h.p.watch.index) }
+
+func (h watcher) Lost(err error, news bool) {
+	if w := &h.p.watch; news {
+		log.Printf("msg=watch_lost error=%q index=%d byte=%d", err, w.index, w.BodyBytes())
 	}
+	h.p.balancer.ListFailed(h.p.loop.Now())
 }
 
 // take brings the backends up to date and tells the Balancer. Changes where no list was had are true of those they name,
@@ -277,13 +179,6 @@
 	return n
 }
 
-// sweepWatch opens the watch anew when it is silent past its heartbeats.
-func (p *Proxy) sweepWatch(now float64) {
-	if w := &p.watch; w.conn != nil && w.Dead(now) {
-		p.lostWatch(errors.New("silent"))
-	}
-}
-
 // turn notes a backend's state. Idle connections to one that wants nothing new are closed.
 func (p *Proxy) turn(t *target, state balance.State) {
 	if (t.state == balance.Ready) != (state == balance.Ready) {
