--- a/internal/configwatch/configuration.go
+++ b/internal/configwatch/configuration.go
@@ -49,6 +49,19 @@
 	return revision.Held{Scope: scope, Document: revision.Empty}
 }
 
+// has tells whether an update brings nothing that is not there.
+func (c Configuration) has(update *revision.Update) bool {
+	if update.Revision == 0 || update.Revision != c.Revision || update.Checksum != c.Checksum {
+		return false
+	}
+	for _, change := range update.Scopes {
+		if change.Number != c.of(change.Scope).Number {
+			return false
+		}
+	}
+	return true
+}
+
 // decodeUpdate reads an update's bytes; the error names the byte where they are no JSON.
 func decodeUpdate(text []byte) (*revision.Update, error) {
 	var update revision.Update
--- a/internal/configwatch/follower.go
+++ b/internal/configwatch/follower.go
@@ -75,26 +75,31 @@
 	if err != nil {
 		return f.unknown(0, true, err)
 	}
-	if update.Revision == 0 {
-		return f.unknown(0, true, errors.New("an update without a revision"))
-	}
-	if update.Revision < f.inForce.Revision || update.Revision == f.inForce.Revision && update.Checksum == f.inForce.Checksum {
-		return f.report(f.inForce.Revision, revision.InForce, nil) // it came late, or twice
-	}
-	candidate, err := f.inForce.updated(f.identity, update)
-	switch {
-	case err != nil:
-	case update.Revision == f.inForce.Revision && !update.Whole:
-		err = fmt.Errorf("revision %d again, with another checksum", update.Revision)
-	case update.Revision < f.newest:
-		err = fmt.Errorf("revision %d is below %d, which is saved", update.Revision, f.newest)
+	if f.inForce.has(update) {
+		return f.report(update.Revision, revision.InForce, nil) // it came twice
 	}
+	candidate, err := f.follow(update)
 	if err != nil {
-		return f.unknown(update.Revision, update.Whole, err)
+		return f.unknown(update.Revision, update.Whole || update.Revision == 0, err)
 	}
 	return f.begin(candidate, update, true)
 }
 
+// follow gives the configuration after an update, which must not lie below what is in force or saved.
+func (f *Follower) follow(update *revision.Update) (Configuration, error) {
+	switch number := update.Revision; {
+	case number == 0:
+		return Configuration{}, errors.New("an update without a revision")
+	case number < f.inForce.Revision:
+		return Configuration{}, fmt.Errorf("revision %d is below %d, which is in force", number, f.inForce.Revision)
+	case number < f.newest:
+		return Configuration{}, fmt.Errorf("revision %d is below %d, which is saved", number, f.newest)
+	case number == f.inForce.Revision && !update.Whole:
+		return Configuration{}, fmt.Errorf("revision %d, which is in force, without the whole", number)
+	}
+	return f.inForce.updated(f.identity, update)
+}
+
 // Reread is told of what lies on the disk, which another process may have written.
 func (f *Follower) Reread(saved Configuration) Outcome {
 	if saved.Revision <= f.inForce.Revision {
--- a/internal/configwatch/worker.go
+++ b/internal/configwatch/worker.go
@@ -91,18 +91,24 @@
 		if !ok {
 			return
 		}
-		c.finish(c.begin(t))
+		switch t.kind {
+		case update:
+			c.finish(c.follower.Received(t.text))
+		case reread:
+			c.finish(c.reread())
+		case localChanged:
+			c.reload()
+		}
 	}
 }
 
-func (c *Client) begin(t task) Outcome {
-	switch t.kind {
-	case reread:
-		return c.reread()
-	case localChanged:
-		return c.follower.LocalChanged()
+// reload goes by the proxy's own file, which has changed. What is saved and did not fit the file before may fit it now.
+func (c *Client) reload() {
+	before := c.follower.InForce().Revision
+	c.finish(c.reread())
+	if c.follower.InForce().Revision == before {
+		c.finish(c.follower.LocalChanged())
 	}
-	return c.follower.Received(t.text)
 }
 
 func (c *Client) reread() Outcome {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -36,6 +36,20 @@
 	Service  string   `toml:"service"`
 }
 
+// On tells whether there is control.
+func (c Control) On() bool { return len(c.Replicas) > 0 }
+
+// Check tells what is wrong with a proxy's place under control, if anything.
+func (c Control) Check(name string) error {
+	if !c.On() {
+		return nil
+	}
+	if err := c.Identity(name).Check(); err != nil {
+		return fmt.Errorf("control: %w", err)
+	}
+	return nil
+}
+
 // Identity is who a proxy of that name is.
 func (c Control) Identity(name string) revision.Identity {
 	return revision.Identity{Fleet: c.Fleet, Proxy: name, Region: c.Region, Zone: c.Zone, Service: c.Service}
@@ -104,7 +118,7 @@
 	switch {
 	case c.Equal(Control{}):
 		return nil
-	case len(c.Replicas) == 0:
+	case !c.On():
 		return errors.New("control.replicas is missing")
 	case c.Fleet == "":
 		return errors.New("control.fleet is missing: a proxy follows one fleet's configuration")
@@ -119,8 +133,5 @@
 			return fmt.Errorf("control.replicas[%d]: %s comes twice", i, text)
 		}
 	}
-	if err := c.Identity("any").Check(); err != nil {
-		return fmt.Errorf("control.%w", err)
-	}
-	return nil
+	return c.Check("any")
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -37,7 +37,7 @@
 		"[control]\nreplicas = [\"127.0.0.1:1\"]\n":                                                        "control.fleet is missing",
 		"[control]\nreplicas = [\"here\"]\nfleet = \"x\"\n":                                                "control.replicas[0]",
 		"[control]\nreplicas = [\"127.0.0.1:1\", \"127.0.0.1:1\"]\nfleet = \"x\"\n":                        "control.replicas[1]: 127.0.0.1:1 comes twice",
-		"[control]\nreplicas = [\"127.0.0.1:1\"]\nfleet = \"x\"\nzone = \"a b\"\n":                         "control.zone \"a b\" is not a name",
+		"[control]\nreplicas = [\"127.0.0.1:1\"]\nfleet = \"x\"\nzone = \"a b\"\n":                         "control: zone \"a b\" is not a name",
 		"[control]\nreplicas = [\"127.0.0.1:1\"]\nfleet = \"x\"\n[state]\nfolder = \"f\"\nfleet = \"y\"\n": "control.fleet is \"x\", and state.fleet \"y\"",
 		"[control]\nreplica = []\n":                                                                        "line 2, column 1: key control.replica is unknown",
 		"[state\n":                                                                                         "line 1",
--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -3,7 +3,6 @@
 package proxy
 
 import (
-	"fmt"
 	"sync/atomic"
 
 	"sandpass/internal/configwatch"
@@ -22,12 +21,9 @@
 // newControl reads what is held and gives the configuration to start with.
 func newControl(l *Launch) (*control, *Launch, error) {
 	c := &control{}
-	if !l.controlled() {
+	if !l.Control.On() {
 		return c, l, nil
 	}
-	if err := l.checkControl(); err != nil {
-		return nil, nil, err
-	}
 	c.local.Store(l)
 	client, err := configwatch.New(configwatch.Config{
 		Identity: l.Control.Identity(l.Name), Replicas: l.Control.Addresses(), Folder: l.State.Folder,
@@ -65,17 +61,3 @@
 	next.Discovery, next.Peers, next.Settings = laid.Discovery, laid.Peers, laid.Settings
 	return &next
 }
-
-// controlled tells whether the operators name control replicas.
-func (l *Launch) controlled() bool { return len(l.Control.Replicas) > 0 }
-
-// checkControl tells what is wrong with the proxy's place under control, if anything.
-func (l *Launch) checkControl() error {
-	if !l.controlled() {
-		return nil
-	}
-	if err := l.Control.Identity(l.Name).Check(); err != nil {
-		return fmt.Errorf("control: %w", err)
-	}
-	return nil
-}
--- a/internal/proxy/control_test.go
+++ b/internal/proxy/control_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -192,15 +193,6 @@
 	return l
 }
 
-func started(t *testing.T, l *Launch) *running {
-	t.Helper()
-	p, err := New(l)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return run(t, p)
-}
-
 func (r *running) controlStatus() (s configwatch.Status) {
 	r.do(func() { s = *r.control.Status() })
 	return s
@@ -216,7 +208,7 @@
 		ok(b, c, r)
 	})
 	r, h := newReplica(t), newHistory()
-	p := started(t, underControl(listing(1, true, ready("s-1", b)), t.TempDir(), r))
+	p := begin(t, underControl(listing(1, true, ready("s-1", b)), t.TempDir(), r))
 	hello := awaited(t, r.hellos)
 	if hello.Protocol != revision.Protocol || hello.Identity != h.identity || hello.Revision != 0 || len(hello.Held) > 0 {
 		t.Errorf("%+v", hello)
@@ -251,7 +243,7 @@
 func TestWhatIsRefusedChangesNothing(t *testing.T) {
 	t.Parallel()
 	r, h := newReplica(t), newHistory()
-	p := started(t, underControl("", t.TempDir(), r))
+	p := begin(t, underControl("", t.TempDir(), r))
 	awaited(t, r.hellos)
 	r.send(h.change(t, revision.Fleet, `{"settings": {"tick_ms": 7}}`))
 	wantsReport(t, r, 1, revision.InForce)
@@ -319,7 +311,7 @@
 func TestAnotherReplicaIsAskedWhereOneIsGoneOrAnotherFleets(t *testing.T) {
 	t.Parallel()
 	first, second, h := newReplica(t), newReplica(t), newHistory()
-	p := started(t, underControl("", "", first, second))
+	p := begin(t, underControl("", "", first, second))
 	awaited(t, first.hellos)
 	first.send(h.change(t, revision.Fleet, `{"settings": {"tick_ms": 7}}`))
 	wantsReport(t, first, 1, revision.InForce)
@@ -335,7 +327,7 @@
 
 	foreign := underControl("", "", second)
 	foreign.Control.Fleet = "mill"
-	q := started(t, foreign)
+	q := begin(t, foreign)
 	q.await(t, "the refusal", func() bool { return q.control.Status().Lost == "status 409: fleet mill is not shop" })
 	if status := q.controlStatus(); status.Revision != 0 || status.Connected {
 		t.Errorf("%+v", status)
@@ -346,7 +338,7 @@
 	t.Parallel()
 	r, h := newReplica(t), newHistory()
 	l := underControl("", "", r)
-	p := started(t, l)
+	p := begin(t, l)
 	awaited(t, r.hellos)
 	r.send(h.change(t, revision.Fleet, `{"settings": {"realms": [{"name": "mill", "allowance_per_s": 5}]}}`))
 	wantsReport(t, r, 1, revision.InForce)
@@ -362,6 +354,50 @@
 	})
 }
 
+// A new version starts with what is saved, and takes clients no sooner than the newest that the old one took over is in force
+// in it; the old one takes over nothing more, until the new one is lost.
+func TestANewVersionGoesOnFromWhatIsSaved(t *testing.T) {
+	t.Parallel()
+	r, h := newReplica(t), newHistory()
+	l := inherits(t, listing(1, true, ready("s-1", newToy(t, ok))))
+	named := underControl("", t.TempDir(), r)
+	l.Control, l.State = named.Control, named.State
+	fd, _ := strconv.Atoi(l.Socket)
+	one := begin(t, l)
+	awaited(t, r.hellos)
+	r.send(h.change(t, revision.Fleet, `{"settings": {"tick_ms": 6}}`))
+	wantsReport(t, r, 1, revision.InForce)
+	held := one.caller(t) // keeps the old one there
+	held.ask(text("look"))
+
+	later, err := New(next(t, l, fd))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.send(h.change(t, revision.Fleet, `{"settings": {"tick_ms": 7}}`))
+	wantsReport(t, r, 2, revision.InForce)
+	two := runHeld(t, later, func() {
+		if later.takesClients() && later.control.Status().Revision < 2 {
+			t.Error("it takes clients with an older configuration than the old version")
+		}
+	})
+	if hello := awaited(t, r.hellos); hello.Revision != 2 {
+		t.Errorf("the new version says %+v", hello)
+	}
+	r.send(h.change(t, revision.Fleet, `{"settings": {"tick_ms": 8}}`))
+	wantsReport(t, r, 3, revision.InForce)
+	if s := one.controlStatus(); s.Revision != 2 || s.Connected {
+		t.Errorf("the old version: %+v", s)
+	}
+	two.await(t, "it serves", func() bool { return two.takesClients() })
+
+	two.do(func() { two.handover.before.conn.Close() })
+	if hello := awaited(t, r.hellos); hello.Revision != 2 && hello.Revision != 3 {
+		t.Errorf("the old version says %+v", hello)
+	}
+	one.await(t, "what the new one had saved", func() bool { return one.control.Status().Revision == 3 })
+}
+
 func TestWithoutControlNothingIsThere(t *testing.T) {
 	t.Parallel()
 	p := run(t, launch(t, 200, "", nil))
@@ -371,7 +407,7 @@
 		}
 	})
 	controlled := underControl("", "", newReplica(t))
-	q := started(t, controlled)
+	q := begin(t, controlled)
 	q.do(func() {
 		if q.own() != ownDescriptors+controlDescriptors {
 			t.Errorf("%d descriptors", q.own())
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -45,7 +45,7 @@
 	Ops       string           `json:"ops"` // where operators call, if they can
 	Socket    string           `json:"-"`   // the inherited descriptor that listens, if there is one
 	State     operator.State   `json:"-"`   // where it keeps what it knows, in the operators' own file
-	Control   operator.Control `json:"-"`
+	Control   operator.Control `json:"-"`   // where it has its configuration from beside this, in the same file
 	Seed      string           `json:"seed"`
 	Limits    struct {
 		MemoryMB int `json:"memory_mb"`
@@ -214,7 +214,7 @@
 	if p.door.at, err = doorAt(l.Ops); err != nil {
 		return nil, nil, err
 	}
-	if err := l.checkControl(); err != nil {
+	if err := l.Control.Check(l.Name); err != nil {
 		return nil, nil, err
 	}
 	if least := p.own() + ownDescriptors; l.Limits.Sockets < least {
@@ -238,7 +238,7 @@
 	if p.door.at.IsValid() {
 		own += doorDescriptors
 	}
-	if p.launch.controlled() {
+	if p.launch.Control.On() {
 		own += controlDescriptors
 	}
 	return own
