--- a/internal/scale/data.go
+++ b/internal/scale/data.go
@@ -14,6 +14,7 @@
 	roleProxy     = "proxy"
 	roleHollow    = "hollow proxy"
 	roleDiscovery = "discovery's agents"
+	roleControl   = "control machine"
 	roleLeader    = "control leader"
 	roleFollower  = "control follower"
 )
@@ -88,10 +89,11 @@
 // Peak is the most that a role used in one second of an event.
 type Peak struct {
 	Role     string  `json:"role"`
-	CPU      float64 `json:"cpu"`       // part of a core; of several processes the mean
-	BytesIn  float64 `json:"bytes_in"`  // of the busiest one, in a second
-	BytesOut float64 `json:"bytes_out"` // the same
-	Total    float64 `json:"total"`     // bytes in the whole event, of the busiest one, both ways
+	CPU      float64 `json:"cpu"`              // part of a core; of several processes the mean
+	BytesIn  float64 `json:"bytes_in"`         // of the busiest one, in a second
+	BytesOut float64 `json:"bytes_out"`        // the same
+	Memory   float64 `json:"memory,omitempty"` // bytes, of the largest one; of control machines only
+	Total    float64 `json:"total"`            // bytes in the whole event, of the busiest one, both ways
 }
 
 // Likeness is a kind of traffic of hollow proxies beside that of real ones.
--- a/internal/scale/helper/hollow.go
+++ b/internal/scale/helper/hollow.go
@@ -1,6 +1,7 @@
 package helper
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"runtime/debug"
@@ -13,6 +14,7 @@
 
 const (
 	stopWithin    = 10 * time.Second
+	lookEvery     = time.Millisecond
 	memoryCeiling = 8 << 30 // bytes from which the collector of the process works harder
 )
 
@@ -20,6 +22,33 @@
 // timers; that no calls come to it is all that sets it apart.
 type hollow struct {
 	proxies []*member
+	log     takenOver
+}
+
+// takenOver reads the log of all proxies and notes when a configuration came into force at one.
+type takenOver struct {
+	mu sync.Mutex
+	at []float64 // Unix time in seconds
+}
+
+var reloadedLine = []byte("msg=reloaded ")
+
+// Write takes a line of the log.
+func (t *takenOver) Write(line []byte) (int, error) {
+	if bytes.Contains(line, reloadedLine) {
+		now := float64(time.Now().UnixNano()) / 1e9
+		t.mu.Lock()
+		t.at = append(t.at, now)
+		t.mu.Unlock()
+	}
+	return len(line), nil
+}
+
+// times are those since a number of them, which were known before.
+func (t *takenOver) times(since int) []float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]float64(nil), t.at[min(since, len(t.at)):]...)
 }
 
 // member is one proxy.
@@ -38,6 +67,8 @@
 		return h.reload(r.Reload)
 	case len(r.Stop) > 0:
 		return nil, h.stop(r.Stop)
+	case r.TakenOver != nil:
+		return &Answer{InForce: h.log.times(*r.TakenOver)}, nil
 	case r.Collect:
 		debug.FreeOSMemory()
 		return nil, nil
@@ -55,7 +86,7 @@
 		if err != nil {
 			return err
 		}
-		if len(r.Operators) > 0 {
+		if len(r.Operators) > 0 && r.Operators[i] != "" {
 			if err := launch.Heed(r.Operators[i]); err != nil {
 				return err
 			}
@@ -84,7 +115,7 @@
 	if len(r.Proxies) != len(r.Launches) {
 		return nil, errors.New("as many configurations as proxies are needed")
 	}
-	answer := &Answer{InForce: make([]float64, len(r.Proxies))}
+	before := len(h.log.times(0))
 	failures := make([]error, len(r.Proxies))
 	var wait sync.WaitGroup
 	for i, n := range r.Proxies {
@@ -99,11 +130,21 @@
 			if failures[i] = err; err == nil {
 				h.proxies[n].proxy.Reload(launch)
 			}
-			answer.InForce[i] = float64(time.Now().UnixNano()) / 1e9
 		})
 	}
 	wait.Wait()
-	return answer, errors.Join(failures...)
+	if err := errors.Join(failures...); err != nil {
+		return nil, err
+	}
+	for deadline := time.Now().Add(stopWithin); ; time.Sleep(lookEvery) {
+		at := h.log.times(before)
+		if len(at) >= len(r.Proxies) {
+			return &Answer{InForce: at}, nil
+		}
+		if time.Now().After(deadline) {
+			return nil, fmt.Errorf("%d of %d hollow proxies have turned to their configurations after %v", len(at), len(r.Proxies), stopWithin)
+		}
+	}
 }
 
 // stop ends proxies at once, as a kill would: their sockets are closed and nothing is waited for.
--- a/internal/scale/helper/message.go
+++ b/internal/scale/helper/message.go
@@ -26,15 +26,16 @@
 
 // Request is one order; exactly one field is set.
 type Request struct {
-	Discover *Discover `json:"discover,omitempty"`
-	Change   *Change   `json:"change,omitempty"`
-	Silence  *Silence  `json:"silence,omitempty"`
-	Break    []int     `json:"break,omitempty"`   // agents whose connections are closed
-	Traffic  bool      `json:"traffic,omitempty"` // of each agent
-	Start    *Start    `json:"start,omitempty"`
-	Reload   *Reload   `json:"reload,omitempty"`
-	Stop     []int     `json:"stop,omitempty"`    // hollow proxies that are ended
-	Collect  bool      `json:"collect,omitempty"` // garbage, so that memory can be compared
+	Discover  *Discover `json:"discover,omitempty"`
+	Change    *Change   `json:"change,omitempty"`
+	Silence   *Silence  `json:"silence,omitempty"`
+	Break     []int     `json:"break,omitempty"`   // agents whose connections are closed
+	Traffic   bool      `json:"traffic,omitempty"` // of each agent
+	Start     *Start    `json:"start,omitempty"`
+	Reload    *Reload   `json:"reload,omitempty"`
+	TakenOver *int      `json:"taken_over,omitempty"` // asks when configurations came into force, but for the first so many
+	Stop      []int     `json:"stop,omitempty"`       // hollow proxies that are ended
+	Collect   bool      `json:"collect,omitempty"`    // garbage, so that memory can be compared
 }
 
 // Discover starts discovery's agents.
@@ -79,5 +80,5 @@
 	Error    string          `json:"error,omitempty"`
 	Traffic  []meter.Traffic `json:"traffic,omitempty"`
 	Watching []int           `json:"watching,omitempty"`
-	InForce  []float64       `json:"in_force,omitempty"` // Unix time at which each reload was in force, seconds
+	InForce  []float64       `json:"in_force,omitempty"` // Unix times at which configurations came into force, seconds
 }
--- a/internal/scale/helper/serve.go
+++ b/internal/scale/helper/serve.go
@@ -27,6 +27,7 @@
 		handle = d.handle
 	case Hollow:
 		h := &hollow{}
+		log.SetOutput(&h.log)
 		defer h.stopAll()
 		handle = h.handle
 	default:
--- a/internal/scale/launch.go
+++ b/internal/scale/launch.go
@@ -74,7 +74,7 @@
 	Discovery string         `json:"discovery"`
 	Seed      string         `json:"seed"`
 	Limits    map[string]any `json:"limits"`
-	Peers     []string       `json:"peers"`
+	Peers     []string       `json:"peers,omitempty"`
 	Settings  settings       `json:"settings"`
 }
 
--- a/internal/scale/observe.go
+++ b/internal/scale/observe.go
@@ -14,7 +14,19 @@
 type sample struct {
 	at      time.Time
 	usage   usage
-	traffic []meter.Traffic
+	traffic []meter.Traffic // of each proxy with discovery
+
+	replicas       []meter.Usage   // of control, by their number; nothing of one that does not run
+	replicaTraffic []meter.Traffic // of each with proxies and the other replicas
+	control        []meter.Traffic // of the counted proxies with control
+}
+
+// both is a proxy's traffic with discovery and, where it is counted, with control.
+func (s *sample) both(i int) meter.Traffic {
+	if i < len(s.control) {
+		return s.traffic[i].Plus(s.control[i])
+	}
+	return s.traffic[i]
 }
 
 // observer looks at a rig each second while something happens to it.
@@ -26,16 +38,60 @@
 func (o *observer) look() error {
 	traffic, err := o.rig.traffic()
 	if err == nil {
-		o.samples = append(o.samples, sample{time.Now(), o.rig.usage(), traffic})
+		o.samples = append(o.samples, sample{at: time.Now(), usage: o.rig.usage(), traffic: traffic})
+		o.lookAtControl(&o.samples[len(o.samples)-1])
 	}
 	return err
 }
 
+func (o *observer) lookAtControl(s *sample) {
+	c := o.rig.control
+	if c == nil {
+		return
+	}
+	for k := range c.replicas {
+		used := meter.Usage{}
+		if c.running(k) {
+			used, _ = meter.Process(c.replicas[k].command.Process.Pid) // one that has just ended has nothing
+		}
+		s.replicas = append(s.replicas, used)
+	}
+	s.replicaTraffic, s.control = c.replicaTraffic(), c.proxyTraffic()
+}
+
+// replicaPeak is the most that one of some replicas used in a second.
+func (o *observer) replicaPeak(role string, of func(k int) bool) (p Peak) {
+	p.Role = role
+	for k := range o.samples[0].replicas {
+		if !of(k) {
+			continue
+		}
+		for n := 1; n < len(o.samples); n++ {
+			was, is := o.samples[n-1], o.samples[n]
+			seconds := is.at.Sub(was.at).Seconds()
+			if seconds < sampleEvery.Seconds()/2 || was.replicas[k].CPU == 0 || is.replicas[k].CPU < was.replicas[k].CPU {
+				continue
+			}
+			t := is.replicaTraffic[k].Minus(was.replicaTraffic[k])
+			p.CPU = max(p.CPU, (is.replicas[k].CPU-was.replicas[k].CPU)/seconds)
+			p.BytesIn, p.BytesOut = max(p.BytesIn, float64(t.BytesIn)/seconds), max(p.BytesOut, float64(t.BytesOut)/seconds)
+			p.Memory = max(p.Memory, is.replicas[k].Resident)
+		}
+		t := o.samples[len(o.samples)-1].replicaTraffic[k].Minus(o.samples[0].replicaTraffic[k])
+		p.Total = max(p.Total, float64(t.BytesIn+t.BytesOut))
+	}
+	return p
+}
+
 // observe does something to a rig and gives what was used and said meanwhile, second by second. What is done gives the
 // seconds until all was as usual.
 func (r *Rig) observe(ctx context.Context, e Event, do func(e *Event) error) (Event, error) {
 	e.Proxies, e.Setting = len(r.plan.Fleet.Proxies), string(r.plan.Lists)+" list"
 	o := &observer{rig: r}
+	leader := -1
+	if r.control != nil {
+		leader = r.control.leader()
+	}
 	if err := o.look(); err != nil {
 		return e, err
 	}
@@ -73,6 +129,10 @@
 	}
 	e.Load = meter.LoadAverage()
 	e.Peaks = append(e.Peaks, o.proxyPeak(), o.discoveryPeak())
+	if r.control != nil {
+		e.Peaks = append(e.Peaks, o.replicaPeak(roleLeader, func(k int) bool { return k == leader }),
+			o.replicaPeak(roleFollower, func(k int) bool { return k != leader }))
+	}
 	first, last := o.samples[0], o.samples[len(o.samples)-1]
 	for i := range last.traffic {
 		e.Connections += int(last.traffic[i].MessagesOut - first.traffic[i].MessagesOut)
@@ -91,13 +151,13 @@
 		}
 		p.CPU = max(p.CPU, is.usage.cpuSince(was.usage, roleProxy, seconds))
 		for i := range is.traffic {
-			t := is.traffic[i].Minus(was.traffic[i])
+			t := is.both(i).Minus(was.both(i))
 			p.BytesIn, p.BytesOut = max(p.BytesIn, float64(t.BytesIn)/seconds), max(p.BytesOut, float64(t.BytesOut)/seconds)
 		}
 	}
 	first, last := o.samples[0], o.samples[len(o.samples)-1]
 	for i := range last.traffic {
-		t := last.traffic[i].Minus(first.traffic[i])
+		t := last.both(i).Minus(first.both(i))
 		p.Total = max(p.Total, float64(t.BytesIn+t.BytesOut))
 	}
 	return p
--- a/internal/scale/rig.go
+++ b/internal/scale/rig.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -35,14 +36,14 @@
 
 // Plan says what a rig has.
 type Plan struct {
-	Real    int // proxies that are real processes: the first ones of the fleet
-	Fleet   *fleet.Fleet
-	Lists   Lists
-	Peers   bool                   // siblings have each other's addresses
-	Counted int                    // proxies, the first ones, whose messages to siblings are counted; no fewer than the real ones
-	Group   func(proxy int) int    // of hollow proxies, each a process: 0 and up without a gap; nil for one
-	Defect  bool                   // for tests: hollow ones skip their work
-	Operate func(proxy int) string // path of the operators' file of a proxy, nil for none
+	Real     int // proxies that are real processes: the first ones of the fleet
+	Fleet    *fleet.Fleet
+	Lists    Lists
+	Peers    bool                // siblings have each other's addresses
+	Counted  int                 // proxies, the first ones, whose messages to siblings are counted; no fewer than the real ones
+	Group    func(proxy int) int // of hollow proxies, each a process: 0 and up without a gap; nil for one
+	Defect   bool                // for tests: hollow ones skip their work
+	Replicas int                 // of control; 0 for no control at all
 }
 
 // Rig is a fleet that runs.
@@ -56,6 +57,7 @@
 	hollowBase float64 // bytes of memory that a hollow helper has before it has a proxy
 	servers    map[int]*server
 	relays     *relays
+	control    *cluster
 	backends   []*standin.Backend
 	mu         sync.Mutex
 	closed     bool
@@ -77,7 +79,7 @@
 func Open(ctx context.Context, plan Plan, programs Programs) (*Rig, context.Context, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	r := &Rig{plan: plan, programs: programs, servers: map[int]*server{}, cancel: cancel, watched: make(chan struct{})}
-	if n := plan.Real + 4; n > mostProcesses {
+	if n := plan.Real + plan.Replicas + 4; n > mostProcesses {
 		cancel(nil)
 		return nil, ctx, fmt.Errorf("%w: %d processes, %d are allowed", ErrOver, n, mostProcesses)
 	}
@@ -102,6 +104,9 @@
 	if r.relays, err = newRelays(r.plan, r.addresses); err != nil {
 		return err
 	}
+	if err := r.startControl(); err != nil {
+		return err
+	}
 	if r.discovery, err = r.launchHelper(helper.Discovery); err != nil {
 		return err
 	}
@@ -124,7 +129,40 @@
 	if r.plan.Defect {
 		return nil
 	}
-	return r.awaitWatching(ctx, nil)
+	if err := r.awaitWatching(ctx, nil); err != nil || r.control == nil {
+		return err
+	}
+	return r.control.awaitConnected(ctx, len(r.plan.Fleet.Proxies))
+}
+
+// startControl starts the replicas, where the plan has any.
+func (r *Rig) startControl() error {
+	if r.plan.Replicas == 0 {
+		return nil
+	}
+	base, err := launchOf(r.plan.Fleet, r.addresses, 0, nil, 0).text()
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(r.directory, "base.json"), base, 0o600); err != nil {
+		return err
+	}
+	control, err := startCluster(r.plan, r.programs, r.addresses, r.directory)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.control = control
+	r.mu.Unlock()
+	return nil
+}
+
+// operatorFile is the path of the operators' file of a proxy, empty where there is no control.
+func (r *Rig) operatorFile(i int) (string, error) {
+	if r.control == nil {
+		return "", nil
+	}
+	return r.control.operatorFile(r.plan, i)
 }
 
 // chooseAddresses finds a part of the loopback network that nobody uses.
@@ -228,9 +266,11 @@
 			return err
 		}
 		start.Launches = append(start.Launches, text)
-		if r.plan.Operate != nil {
-			start.Operators = append(start.Operators, r.plan.Operate(i))
+		path, err := r.operatorFile(i)
+		if err != nil {
+			return err
 		}
+		start.Operators = append(start.Operators, path)
 	}
 	_, err = process.Do(helper.Request{Start: start})
 	return err
@@ -259,9 +299,9 @@
 }
 
 func (r *Rig) startReal(i int) error {
-	operator := ""
-	if r.plan.Operate != nil {
-		operator = r.plan.Operate(i)
+	operator, err := r.operatorFile(i)
+	if err != nil {
+		return err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -407,6 +447,13 @@
 			all[roleHollow] = append(all[roleHollow], g.process.PID())
 		}
 	}
+	if r.control != nil {
+		for k := range r.control.replicas {
+			if r.control.running(k) {
+				all[roleControl] = append(all[roleControl], r.control.replicas[k].command.Process.Pid)
+			}
+		}
+	}
 	if r.discovery != nil {
 		all[roleDiscovery] = append(all[roleDiscovery], r.discovery.PID())
 	}
@@ -461,6 +508,9 @@
 	if r.discovery != nil {
 		r.discovery.Close()
 	}
+	if r.control != nil {
+		r.control.close()
+	}
 	for _, b := range r.backends {
 		b.Close()
 	}
