The rule checker speaks of requests, attempts and hedges, in a file for each concern

Change: types, methods and messages have the field's names (Checker, AttemptEnded, Stalled, Idempotent, Deduplicated), split into terms, rules, facts, counters, loss and account; five expected texts in tests follow word for word.

--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -6,116 +6,116 @@
 	"testing"
 )
 
-var terms = Terms{Slack: 0.001, Grace: 0.4, Multiple: 2, Window: 1, Copies: true, Length: 20, Customers: 2, LateNo: 0.3, Relay: 0.1}
+var terms = Terms{Slack: 0.001, Grace: 0.4, Multiple: 2, Window: 1, Hedges: true, Length: 20, Tenants: 2, LateRejectionPrice: 0.3, AttemptPrice: 0.1}
 
 // told plays a few facts and gives what was found.
-func told(t Terms, facts func(j *Judge)) *Account {
+func told(t Terms, facts func(j *Checker)) *Account {
 	j := New(t)
 	facts(j)
 	return j.Close(20)
 }
 
 func TestRulesByTheFactsAlone(t *testing.T) {
-	cmd := func(e Effect, s Scope) Command {
-		return Command{ID: 1, Op: 1, Instance: 3, Expires: 2, Effect: e, Scope: s, Window: 1}
+	cmd := func(e Effect, s Scope) Request {
+		return Request{ID: 1, Op: 1, Instance: 3, Expires: 2, Effect: e, Scope: s, Window: 1}
 	}
 	for _, c := range []struct {
 		name  string
 		rule  Rule // 0: none
 		want  string
-		facts func(j *Judge)
+		facts func(j *Checker)
 	}{
-		{"in time", 0, "", func(j *Judge) { j.Taken(1, cmd(Pure, All)); j.Ended(2, 1, true, false, false) }},
-		{"late", Answer, "after its limit", func(j *Judge) { j.Taken(1, cmd(Pure, All)); j.Ended(2.1, 1, true, false, false) }},
-		{"never", Answer, "never had", func(j *Judge) { j.Taken(1, cmd(Pure, All)) }},
-		{"twice", Answer, "second final", func(j *Judge) {
-			j.Taken(1, cmd(Pure, All))
-			j.Sent(1, 1, 7, 0, 0, false)
-			j.Ended(1.1, 1, true, false, false)
-			j.Ended(1.2, 1, true, false, false)
+		{"in time", 0, "", func(j *Checker) { j.Accepted(1, cmd(Idempotent, All)); j.RequestEnded(2, 1, true, false, false) }},
+		{"late", Answer, "after its limit", func(j *Checker) { j.Accepted(1, cmd(Idempotent, All)); j.RequestEnded(2.1, 1, true, false, false) }},
+		{"never", Answer, "never had", func(j *Checker) { j.Accepted(1, cmd(Idempotent, All)) }},
+		{"twice", Answer, "second final", func(j *Checker) {
+			j.Accepted(1, cmd(Idempotent, All))
+			j.AttemptSent(1, 1, 7, 0, 0, false)
+			j.RequestEnded(1.1, 1, true, false, false)
+			j.RequestEnded(1.2, 1, true, false, false)
 		}},
-		{"made up", Answer, "no backend made", func(j *Judge) { j.Taken(1, cmd(Pure, All)); j.Ended(1.1, 1, false, true, false) }},
-		{"killed owes nothing", 0, "", func(j *Judge) { j.Taken(1, cmd(Pure, All)); j.Killed(3) }},
-		{"departed owes nothing", 0, "", func(j *Judge) { j.Taken(1, cmd(Pure, All)); j.Departed(1) }},
-		{"effectful while out", Twice, "may have run", func(j *Judge) {
-			j.Taken(1, cmd(Effectful, All))
-			j.Sent(1, 1, 7, 0, 0, false)
-			j.Sent(1.1, 1, 8, 0, 0, false)
-			j.Ended(1.2, 1, false, false, false)
+		{"made up", Answer, "no backend made", func(j *Checker) { j.Accepted(1, cmd(Idempotent, All)); j.RequestEnded(1.1, 1, false, true, false) }},
+		{"killed owes nothing", 0, "", func(j *Checker) { j.Accepted(1, cmd(Idempotent, All)); j.InstanceKilled(3) }},
+		{"departed owes nothing", 0, "", func(j *Checker) { j.Accepted(1, cmd(Idempotent, All)); j.ClientLeft(1) }},
+		{"effectful while out", Twice, "may have run", func(j *Checker) {
+			j.Accepted(1, cmd(NonIdempotent, All))
+			j.AttemptSent(1, 1, 7, 0, 0, false)
+			j.AttemptSent(1.1, 1, 8, 0, 0, false)
+			j.RequestEnded(1.2, 1, false, false, false)
 		}},
-		{"effectful that never ran", 0, "", func(j *Judge) {
-			j.Taken(1, cmd(Effectful, All))
-			j.Sent(1, 1, 7, 0, 0, false)
-			j.Told(1, 0, true)
-			j.Sent(1.1, 1, 8, 0, 0, false)
-			j.Told(1, 1, true)
-			j.Ended(1.2, 1, true, false, false)
+		{"effectful that never ran", 0, "", func(j *Checker) {
+			j.Accepted(1, cmd(NonIdempotent, All))
+			j.AttemptSent(1, 1, 7, 0, 0, false)
+			j.AttemptEnded(1, 0, true)
+			j.AttemptSent(1.1, 1, 8, 0, 0, false)
+			j.AttemptEnded(1, 1, true)
+			j.RequestEnded(1.2, 1, true, false, false)
 		}},
-		{"declined after it may have run", Twice, "declines command", func(j *Judge) {
-			j.Taken(1, cmd(Effectful, All))
-			j.Sent(1, 1, 7, 0, 0, false)
-			j.Told(1, 0, false)
-			j.Ended(1.2, 1, true, false, false)
+		{"declined after it may have run", Twice, "rejects request", func(j *Checker) {
+			j.Accepted(1, cmd(NonIdempotent, All))
+			j.AttemptSent(1, 1, 7, 0, 0, false)
+			j.AttemptEnded(1, 0, false)
+			j.RequestEnded(1.2, 1, true, false, false)
 		}},
-		{"outside its cell", Twice, "outside of the group", func(j *Judge) {
-			j.Taken(1, cmd(Receipted, SameCell))
-			j.Sent(1, 1, 7, 0, 4, false)
-			j.Sent(1.1, 1, 8, 0, 5, false)
-			j.Ended(1.2, 1, false, false, false)
+		{"outside its cell", Twice, "outside of the group", func(j *Checker) {
+			j.Accepted(1, cmd(Deduplicated, SameCell))
+			j.AttemptSent(1, 1, 7, 0, 4, false)
+			j.AttemptSent(1.1, 1, 8, 0, 5, false)
+			j.RequestEnded(1.2, 1, false, false, false)
 		}},
-		{"past its window", Twice, "its window is", func(j *Judge) {
-			j.Taken(0.5, cmd(Receipted, SameCell))
-			j.Sent(0.5, 1, 7, 0, 4, false)
-			j.Sent(1.6, 1, 8, 0, 4, false)
-			j.Ended(1.7, 1, false, false, false)
+		{"past its window", Twice, "its window is", func(j *Checker) {
+			j.Accepted(0.5, cmd(Deduplicated, SameCell))
+			j.AttemptSent(0.5, 1, 7, 0, 4, false)
+			j.AttemptSent(1.6, 1, 8, 0, 4, false)
+			j.RequestEnded(1.7, 1, false, false, false)
 		}},
-		{"ran twice", Twice, "took place twice", func(j *Judge) {
-			j.Ran(1, 1, 9, Effectful, All, 0, 0, 0)
-			j.Ran(2, 2, 9, Effectful, All, 0, 0, 0)
+		{"ran twice", Twice, "took place twice", func(j *Checker) {
+			j.Executed(1, 1, 9, NonIdempotent, All, 0, 0, 0)
+			j.Executed(2, 2, 9, NonIdempotent, All, 0, 0, 0)
 		}},
-		{"a repeat that its group drops", 0, "", func(j *Judge) {
-			j.Ran(1, 1, 9, Receipted, SameZone, 5, 2, 0)
-			j.Ran(2, 2, 9, Receipted, SameZone, 5, 2, 1)
+		{"a repeat that its group drops", 0, "", func(j *Checker) {
+			j.Executed(1, 1, 9, Deduplicated, SameZone, 5, 2, 0)
+			j.Executed(2, 2, 9, Deduplicated, SameZone, 5, 2, 1)
 		}},
-		{"a repeat elsewhere", Twice, "took place twice", func(j *Judge) {
-			j.Ran(1, 1, 9, Receipted, SameZone, 5, 2, 0)
-			j.Ran(2, 2, 9, Receipted, SameZone, 5, 1, 1)
+		{"a repeat elsewhere", Twice, "took place twice", func(j *Checker) {
+			j.Executed(1, 1, 9, Deduplicated, SameZone, 5, 2, 0)
+			j.Executed(2, 2, 9, Deduplicated, SameZone, 5, 1, 1)
 		}},
-		{"within the grace", 0, "", func(j *Judge) {
-			j.Listed(0.5, 3, 7, false, 0)
-			j.Taken(0.6, cmd(Pure, All))
-			j.Sent(0.8, 1, 7, 0, 0, false)
-			j.Ended(0.9, 1, true, false, false)
+		{"within the grace", 0, "", func(j *Checker) {
+			j.EndpointReceived(0.5, 3, 7, false, 0)
+			j.Accepted(0.6, cmd(Idempotent, All))
+			j.AttemptSent(0.8, 1, 7, 0, 0, false)
+			j.RequestEnded(0.9, 1, true, false, false)
 		}},
-		{"past the grace", Drain, "after word that it drains", func(j *Judge) {
-			j.Listed(0.5, 3, 7, false, 0)
-			j.Listed(0.8, 3, 7, false, 0) // said again: the first word counts
-			j.Taken(0.6, cmd(Pure, All))
-			j.Sent(1, 1, 7, 0, 0, false)
-			j.Ended(1.1, 1, true, false, false)
+		{"past the grace", Drain, "after word that it drains", func(j *Checker) {
+			j.EndpointReceived(0.5, 3, 7, false, 0)
+			j.EndpointReceived(0.8, 3, 7, false, 0) // said again: the first word counts
+			j.Accepted(0.6, cmd(Idempotent, All))
+			j.AttemptSent(1, 1, 7, 0, 0, false)
+			j.RequestEnded(1.1, 1, true, false, false)
 		}},
-		{"listed again", 0, "", func(j *Judge) {
-			j.Listed(0.1, 3, 7, false, 0)
-			j.Listed(0.5, 3, 7, true, 0)
-			j.Taken(0.6, cmd(Pure, All))
-			j.Sent(1, 1, 7, 0, 0, false)
-			j.Ended(1.1, 1, true, false, false)
+		{"listed again", 0, "", func(j *Checker) {
+			j.EndpointReceived(0.1, 3, 7, false, 0)
+			j.EndpointReceived(0.5, 3, 7, true, 0)
+			j.Accepted(0.6, cmd(Idempotent, All))
+			j.AttemptSent(1, 1, 7, 0, 0, false)
+			j.RequestEnded(1.1, 1, true, false, false)
 		}},
-		{"pushed over by those who knew", Cold, "bears", func(j *Judge) {
-			j.Listed(1, 3, 7, true, 1)
+		{"pushed over by those who knew", Cold, "bears", func(j *Checker) {
+			j.EndpointReceived(1, 3, 7, true, 1)
 			for i := range 60 {
-				j.Reached(1+float64(i)/100, 7, 3, 0.1, 1, 1)
+				j.ReachedWarmingUp(1+float64(i)/100, 7, 3, 0.1, 1, 1)
 			}
 		}},
-		{"pushed over by those who did not know", 0, "", func(j *Judge) {
+		{"pushed over by those who did not know", 0, "", func(j *Checker) {
 			for i := range 60 {
-				j.Reached(1+float64(i)/100, 7, 3, 0.1, 1, 1)
+				j.ReachedWarmingUp(1+float64(i)/100, 7, 3, 0.1, 1, 1)
 			}
 		}},
-		{"the same spread over a longer time", 0, "", func(j *Judge) {
-			j.Listed(1, 3, 7, true, 1)
+		{"the same spread over a longer time", 0, "", func(j *Checker) {
+			j.EndpointReceived(1, 3, 7, true, 1)
 			for i := range 60 {
-				j.Reached(1+float64(i)/18, 7, 3, 0.1, 1, 1)
+				j.ReachedWarmingUp(1+float64(i)/18, 7, 3, 0.1, 1, 1)
 			}
 		}},
 	} {
@@ -132,16 +132,16 @@
 }
 
 func TestWorth(t *testing.T) {
-	a := told(terms, func(j *Judge) {
+	a := told(terms, func(j *Checker) {
 		for i := range 10 {
 			j.Asked(float64(i), i%2, 2)
 			if i%2 == 0 {
-				j.Got(float64(i), float64(i)+0.1, 0, 2)
+				j.Answered(float64(i), float64(i)+0.1, 0, 2)
 			} else {
-				j.Lost(Loss{Declined, Refused, 1}, 2)
+				j.Lost(Loss{Rejected, Refused, 1}, 2)
 			}
 		}
-		j.LateNo(2)
+		j.RejectedLate(2)
 	})
 	if a.Asked != 20 || a.Served != 10 || a.Prices != 0.6 || math.Abs(a.G(true)-0.47) > 1e-9 {
 		t.Errorf("asked %v, served %v, prices %v, G %v", a.Asked, a.Served, a.Prices, a.G(true))
--- a/internal/emulator/backends.go
+++ b/internal/emulator/backends.go
@@ -183,7 +183,7 @@
 func (d *Day) ran(b *backend, r *relay) {
 	v := &d.verbs[r.verb]
 	r.made = true
-	d.judge.Ran(d.now, r.sent, r.op, checker.Effect(v.Effect), checker.Scope(v.Scope), v.Window, b.zone, b.cell)
+	d.judge.Executed(d.now, r.sent, r.op, checker.Effect(v.Effect), checker.Scope(v.Scope), v.Window, b.zone, b.cell)
 }
 
 // leave sends a command's outcome back and lets in the next that waits.
@@ -375,7 +375,7 @@
 	if r.to != b { // it named who was there before: nobody could know
 		from = -1
 	}
-	d.judge.Reached(d.now, b.serial, from, work, capacity, b.started)
+	d.judge.ReachedWarmingUp(d.now, b.serial, from, work, capacity, b.started)
 	b.recent = append(b.recent, arrived{d.now, work})
 	b.pushed += work
 	for b.recent[0].at < d.now-rules.ColdWindow {
--- a/internal/emulator/clients.go
+++ b/internal/emulator/clients.go
@@ -306,7 +306,7 @@
 			worth *= v.Late
 			d.judge.Lost(o.loss, o.worth-worth)
 		}
-		d.judge.Got(o.due, d.now, o.customer, worth)
+		d.judge.Answered(o.due, d.now, o.customer, worth)
 		return
 	}
 	d.again(o, a, comeBack)
--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -54,7 +54,7 @@
 	seed   uint64
 	now    float64
 	queue  queue
-	judge  *checker.Judge
+	judge  *checker.Checker
 	events uint64
 	verbs  []balance.Verb
 	limits balance.Limits
@@ -109,9 +109,9 @@
 	d.netChance, d.worldChance = d.stream("net", 0), d.stream("world", 0)
 	d.clientChance, d.listChance, d.lifeChance = d.stream("clients", 0), d.stream("list", 0), d.stream("life", 0)
 	d.judge = checker.New(checker.Terms{Slack: w.Rules.Slack, Grace: w.Rules.Grace, Multiple: w.Rules.ColdMultiple,
-		Window: w.Rules.ColdWindow, Copies: w.Rules.Copies, Relay: w.Prices.Relay, Message: w.Prices.Message,
-		Crossing: w.Prices.Crossing, LateNo: w.Prices.LateNo, Length: w.Length, Customers: len(w.Customers),
-		LimitOff: w.Rules.LimitOff, Free: w.Rules.Free, Share: w.Rules.FreeShare, Span: w.Rules.FreeSpan})
+		Window: w.Rules.ColdWindow, Hedges: w.Rules.Copies, AttemptPrice: w.Prices.Relay, MessagePrice: w.Prices.Message,
+		CrossingPrice: w.Prices.Crossing, LateRejectionPrice: w.Prices.LateNo, Length: w.Length, Tenants: len(w.Customers),
+		DeadlineError: w.Rules.LimitOff, FreeRetries: w.Rules.Free, RetryRatio: w.Rules.FreeShare, BudgetWindow: w.Rules.FreeSpan})
 	for _, v := range w.Verbs {
 		d.verbs = append(d.verbs, balance.Verb{Effect: effects[v.Effect], Scope: scopes[v.Scope], Window: v.Window,
 			Goal: v.Goal, TimeLimit: v.Limit, Utility: v.Utility, Late: v.Late, Was: -1})
--- a/internal/emulator/day_test.go
+++ b/internal/emulator/day_test.go
@@ -230,7 +230,7 @@
 					w.host.Relay(id, w.known[int(id)%len(w.known)])
 				}
 			}})},
-		{"declines what may have run", checker.Twice, "declines command", spoil,
+		{"declines what may have run", checker.Twice, "rejects request", spoil,
 			build(nil, wrong{after: func(w *wrong, id uint64, result balance.Result) {
 				if result == balance.Reset {
 					w.host.Decline(id, 0)
@@ -294,15 +294,15 @@
 		{"instances killed", "two", faults.Plan{{Kind: faults.Kill, Zone: -1, To: -1, Share: 0.5, From: 6, For: 3}},
 			func(w *emulator.World) { w.Tiers[0].Speeds, w.Rate = []float64{0.1}, 90 }, checker.Died, checker.Work, 0},
 		{"clients leave", "two", all(faults.Rude, 1), nil, checker.Left, checker.Work, 0},
-		{"turned away", "two", all(faults.Refuse, 1), nil, checker.Declined, checker.Refused, 0},
-		{"failed below", "two", faults.Plan{{Kind: faults.Errors, Tier: 1, Zone: -1, To: -1, Share: 1, From: 3, For: 8, Hard: 1}}, nil, checker.Declined, checker.Failed, 1},
+		{"turned away", "two", all(faults.Refuse, 1), nil, checker.Rejected, checker.Refused, 0},
+		{"failed below", "two", faults.Plan{{Kind: faults.Errors, Tier: 1, Zone: -1, To: -1, Share: 1, From: 3, For: 8, Hard: 1}}, nil, checker.Rejected, checker.Failed, 1},
 		{"hung", "two", all(faults.Hang, 0), nil, checker.Limit, checker.Stuck, 0},
 		{"hung below", "two", faults.Plan{{Kind: faults.Hang, Tier: 1, Zone: -1, To: -1, Share: 1, From: 3, For: 8}}, nil, checker.Limit, checker.Stuck, 1},
-		{"out of connections", "two", faults.Plan{{Kind: faults.Table, Zone: -1, Share: 1, For: 8, Hard: 1}}, nil, checker.Declined, checker.Connecting, 0},
-		{"dead", "two", all(faults.Crash, 0), nil, checker.Declined, checker.Connecting, 0},
+		{"out of connections", "two", faults.Plan{{Kind: faults.Table, Zone: -1, Share: 1, For: 8, Hard: 1}}, nil, checker.Rejected, checker.Connecting, 0},
+		{"dead", "two", all(faults.Crash, 0), nil, checker.Rejected, checker.Connecting, 0},
 		{"broken off", "two", all(faults.Spoil, 1), nil, checker.Terminated, checker.Network, 0},
 		{"slow", "two", all(faults.Slow, 0.95), nil, checker.Late, checker.Work, 0},
-		{"held", "module", nil, func(w *emulator.World) { w.Load = 3 }, checker.Declined, checker.Instance, 0},
+		{"held", "module", nil, func(w *emulator.World) { w.Load = 3 }, checker.Rejected, checker.Instance, 0},
 		{"queued", "random", nil, func(w *emulator.World) { w.Load, w.Tiers[0].Slots = 0.9, 2 }, checker.Late, checker.Queue, 0},
 		{"cut", "two", faults.Plan{{Kind: faults.Cut, Zone: 0, To: -1, From: 3, For: 8, Hard: 1}}, nil, checker.Limit, checker.Network, 0},
 	} {
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -132,7 +132,7 @@
 	}
 	x.at, x.whole = upTo, false
 	for i, e := range entries {
-		d.judge.Listed(d.now, x.serial, d.named(e.ID).serial, e.State == balance.Ready, starts[i])
+		d.judge.EndpointReceived(d.now, x.serial, d.named(e.ID).serial, e.State == balance.Ready, starts[i])
 	}
 	if len(entries) > 0 || whole {
 		x.policy.Fleet(d.now, whole, entries)
@@ -147,7 +147,7 @@
 	}
 	for _, b := range d.backends[1:] {
 		if b.tier == x.tier && !named[b.serial] {
-			d.judge.Listed(d.now, x.serial, b.serial, false, 0)
+			d.judge.EndpointReceived(d.now, x.serial, b.serial, false, 0)
 		}
 	}
 }
@@ -159,7 +159,7 @@
 		return
 	}
 	x.watching = false
-	d.judge.Asking(d.now, x.serial)
+	d.judge.ListRequested(d.now, x.serial)
 	until, _ := d.inForce(faults.Silent)
 	if until > d.now || d.busyList > d.now+queued {
 		d.later(d.now+silence, func() {
--- a/internal/emulator/instances.go
+++ b/internal/emulator/instances.go
@@ -72,7 +72,7 @@
 		return
 	}
 	x.alive = false
-	d.judge.Killed(x.serial)
+	d.judge.InstanceKilled(x.serial)
 	if x.tier == 0 {
 		d.later(d.now+d.w.Clients.Notice, func() { d.fronts[x.zone].remove(x) })
 	}
@@ -147,7 +147,7 @@
 // take hands a command to its instance.
 func (d *Day) take(c *command) {
 	v := &d.verbs[c.verb]
-	d.judge.Taken(d.now, checker.Command{ID: c.id, Op: c.opID, Instance: c.inst.serial, Expires: c.expires,
+	d.judge.Accepted(d.now, checker.Request{ID: c.id, Op: c.opID, Instance: c.inst.serial, Expires: c.expires,
 		Effect: checker.Effect(v.Effect), Scope: checker.Scope(v.Scope), Window: v.Window})
 	d.queue.push(onLimit, event{at: c.expires, n: c.id})
 	c.inst.policy.Command(d.now, c.id, c.verb, c.customer, c.expires-d.skew(c.inst), c.key)
@@ -199,7 +199,7 @@
 		return
 	}
 	c.done = true
-	d.judge.Departed(id)
+	d.judge.ClientLeft(id)
 	x.policy.Departed(d.now, id)
 	d.forget(c)
 }
@@ -318,11 +318,11 @@
 func (d *Day) outcome(x *instance, c *command, r *relay, result balance.Result) {
 	r.result = result
 	c.out--
-	d.judge.Told(c.id, r.n, result.NeverRan())
+	d.judge.AttemptEnded(c.id, r.n, result.NeverRan())
 	final := c.done
 	if result == balance.Answered && !c.done {
 		final = true
-		d.judge.Ended(d.now, c.id, false, true, r.made)
+		d.judge.RequestEnded(d.now, c.id, false, true, r.made)
 		d.finish(c, answered, 0, d.slowest(c, r))
 	}
 	x.policy.Outcome(d.now, c.id, r.n, result, d.now-r.sent, final, balance.Load{Active: -1, Waiting: -1, CPU: -1, Took: -1})
@@ -348,7 +348,7 @@
 		c.op.loss = l
 	}
 	if a == declined && len(c.relays) == 0 && d.now-c.came > (c.expires-c.came)/2 && c.op.counts {
-		d.judge.LateNo(c.op.worth)
+		d.judge.RejectedLate(c.op.worth)
 	}
 	d.answerClient(c, a, comeBack)
 }
@@ -368,10 +368,10 @@
 	d := x.d
 	b, c := d.named(to), d.command(id)
 	if b == nil || c == nil || c.inst != x {
-		d.judge.Sent(d.now, id, -1, -1, -1, false)
+		d.judge.AttemptSent(d.now, id, -1, -1, -1, false)
 		return
 	}
-	d.judge.Sent(d.now, id, b.serial, b.zone, b.cell, b.zone != x.zone)
+	d.judge.AttemptSent(d.now, id, b.serial, b.zone, b.cell, b.zone != x.zone)
 	r := d.newRelay()
 	d.opsMade++
 	r.holds, r.serial, r.command, r.n, r.inst, r.to = 1, d.opsMade, id, len(c.relays), x, b
@@ -395,7 +395,7 @@
 		return
 	}
 	r.state = connecting
-	d.judge.Opened(d.now, b.serial)
+	d.judge.ConnectionOpened(d.now, b.serial)
 	d.forth(r, onConnect, 1)
 }
 
@@ -422,11 +422,11 @@
 	if c == nil || c.done || c.inst != x {
 		return
 	}
-	d.judge.Ended(d.now, id, a == declined, false, false)
+	d.judge.RequestEnded(d.now, id, a == declined, false, false)
 	l := d.where(c)
 	switch {
 	case a == declined:
-		l.How = checker.Declined
+		l.How = checker.Rejected
 	case d.now >= c.expires-2*d.w.Tick:
 		l.How = checker.Limit
 	default:
@@ -447,7 +447,7 @@
 // Tell is the policy's word.
 func (x *instance) Tell(to int, text []byte) {
 	d := x.d
-	d.judge.Message()
+	d.judge.MessageSent()
 	if to < 0 || to >= len(d.places[x.tier]) || len(text) > 256 {
 		return
 	}
--- a/internal/emulator/troubles.go
+++ b/internal/emulator/troubles.go
@@ -94,7 +94,7 @@
 			x := d.places[0][me]
 			x.still = max(x.still, f.From+f.For)
 			d.later(f.From+f.For, func() {
-				d.judge.Stood(x.serial, f.From, d.now)
+				d.judge.Stalled(x.serial, f.From, d.now)
 				if s, ok := x.policy.(interface{ Stood(float64) }); ok && x.alive {
 					s.Stood(d.now)
 				}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -1,7 +1,7 @@
 // Package emulator is a deterministic, event-driven world for the decision module: backends, a network, discovery
 // and clients on a virtual clock, with hundreds of instances in one world, each driven through balance.Host.
 //
-// One seed decides a day. The world carries out a faults.Plan and reports what truly happens to a judge.Judge. It
+// One seed decides a day. The world carries out a faults.Plan and reports what truly happens to a checker.Checker. It
 // must never copy the module's logic, read its books, or go by wall time. What it models and what it leaves out is
 // told in docs/emulator.md.
 package emulator
--- a/internal/testbed/books.go
+++ b/internal/testbed/books.go
@@ -30,7 +30,7 @@
 // books are the judge's, behind a lock. A command's record stays: a backend may run it long after its end.
 type books struct {
 	mu    sync.Mutex
-	judge *checker.Judge
+	judge *checker.Checker
 	world *emulator.World
 	start time.Time
 	all   map[uint64]*record
@@ -44,7 +44,7 @@
 	defer b.mu.Unlock()
 	b.all[id] = &r
 	e, s := ranAs(&b.world.Verbs[r.verb])
-	b.judge.Taken(b.now(), checker.Command{ID: id, Op: r.op, Instance: r.instance, Expires: b.now() + limit, Effect: e, Scope: s,
+	b.judge.Accepted(b.now(), checker.Request{ID: id, Op: r.op, Instance: r.instance, Expires: b.now() + limit, Effect: e, Scope: s,
 		Window: b.world.Verbs[r.verb].Window})
 }
 
@@ -62,9 +62,9 @@
 	}
 	relay = r.relays
 	r.relays++
-	b.judge.Sent(sent, id, x.serial, x.zone, x.cell, false)
+	b.judge.AttemptSent(sent, id, x.serial, x.zone, x.cell, false)
 	if warm := x.machine.warmth(time.Now()); warm < 1 {
-		b.judge.Reached(b.now(), x.serial, r.instance, b.world.Verbs[verb].Work[x.tier], x.machine.cores*x.machine.speed*warm,
+		b.judge.ReachedWarmingUp(b.now(), x.serial, r.instance, b.world.Verbs[verb].Work[x.tier], x.machine.cores*x.machine.speed*warm,
 			x.started.Sub(b.start).Seconds())
 	}
 	return relay, true
@@ -75,7 +75,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if relay >= 0 {
-		b.judge.Told(id, relay, never)
+		b.judge.AttemptEnded(id, relay, never)
 	}
 }
 
@@ -83,7 +83,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e, s := ranAs(&b.world.Verbs[verb])
-	b.judge.Ran(b.now(), sent, b.all[id].op, e, s, b.world.Verbs[verb].Window, x.zone, x.cell)
+	b.judge.Executed(b.now(), sent, b.all[id].op, e, s, b.world.Verbs[verb].Window, x.zone, x.cell)
 }
 
 func (b *books) ended(id uint64, result result, made bool) {
@@ -92,10 +92,10 @@
 	b.all[id].ended = b.now()
 	switch result {
 	case served, declinedThat, failed:
-		b.judge.Ended(b.now(), id, result == declinedThat, result == served, made)
+		b.judge.RequestEnded(b.now(), id, result == declinedThat, result == served, made)
 	case broken, left, unreached:
 		b.all[id].gone = true
-		b.judge.Departed(id) // its instance is gone, or its client is
+		b.judge.ClientLeft(id) // its instance is gone, or its client is
 	}
 }
 
@@ -106,16 +106,16 @@
 	if !started.IsZero() {
 		at = started.Sub(b.start).Seconds()
 	}
-	b.judge.Listed(b.now(), instance, x.serial, ready, at)
+	b.judge.EndpointReceived(b.now(), instance, x.serial, ready, at)
 }
 
 func (b *books) killed(instance int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.judge.Killed(instance)
+	b.judge.InstanceKilled(instance)
 }
 
-func (b *books) client(what func(j *checker.Judge)) {
+func (b *books) client(what func(j *checker.Checker)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	what(b.judge)
--- a/internal/testbed/clients.go
+++ b/internal/testbed/clients.go
@@ -193,7 +193,7 @@
 	switch a.StatusCode {
 	case 200:
 		if string(body) != r.books.answer(id) {
-			r.books.client(func(j *checker.Judge) { j.Ended(r.books.now(), id, false, true, false) })
+			r.books.client(func(j *checker.Checker) { j.RequestEnded(r.books.now(), id, false, true, false) })
 			return got{result: silent}, keep, false
 		}
 		return got{result: served}, keep, false
@@ -260,13 +260,13 @@
 				worth := a.Worth
 				if took > v.Goal {
 					worth *= v.Late
-					r.books.client(func(j *checker.Judge) { j.Lost(checker.Loss{How: checker.Late, Where: checker.Work}, a.Worth-worth) })
+					r.books.client(func(j *checker.Checker) { j.Lost(checker.Loss{How: checker.Late, Where: checker.Work}, a.Worth-worth) })
 				}
-				r.books.client(func(j *checker.Judge) { j.Got(a.Due, a.Due+took, a.Customer, worth) })
+				r.books.client(func(j *checker.Checker) { j.Answered(a.Due, a.Due+took, a.Customer, worth) })
 			}
 			return
 		case declinedThat:
-			loss = checker.Loss{How: checker.Declined}
+			loss = checker.Loss{How: checker.Rejected}
 		case failed:
 			loss = checker.Loss{How: checker.Terminated, Where: checker.Failed}
 		case broken:
@@ -292,7 +292,7 @@
 			effect == balance.Receipted && scope == balance.ScopeAll && time.Since(first).Seconds()+backoff+limit < v.Window
 		if g.result == left || !allowed || tries > most || took+backoff > v.Limit-0.02 {
 			if a.Counts {
-				r.books.client(func(j *checker.Judge) { j.Lost(loss, a.Worth) })
+				r.books.client(func(j *checker.Checker) { j.Lost(loss, a.Worth) })
 			}
 			return
 		}
--- a/internal/testbed/fleet_test.go
+++ b/internal/testbed/fleet_test.go
@@ -115,19 +115,19 @@
 // The books have to see each way in which a process can go on with what it knew before it stood still.
 func TestStandingStillIsForgivenAndNothingElse(t *testing.T) {
 	j := checker.New(checker.Terms{Slack: 0.05, Grace: 0.4, Length: 20})
-	j.Taken(1, checker.Command{ID: 1, Instance: 1, Expires: 3})
-	j.Taken(1, checker.Command{ID: 2, Instance: 1, Expires: 1.5})
-	j.Taken(1, checker.Command{ID: 3, Instance: 2, Expires: 3})
-	j.Stood(1, 2, 6) // the second was due before
-	j.Ended(6.04, 1, false, true, true)
-	j.Ended(6.04, 2, false, true, true)
-	j.Ended(6.04, 3, false, true, true)
-	j.Taken(7, checker.Command{ID: 4, Instance: 1, Expires: 9})
-	j.Listed(7, 1, 5, false, 0)
-	j.Sent(7.5, 4, 5, 0, 0, false)
+	j.Accepted(1, checker.Request{ID: 1, Instance: 1, Expires: 3})
+	j.Accepted(1, checker.Request{ID: 2, Instance: 1, Expires: 1.5})
+	j.Accepted(1, checker.Request{ID: 3, Instance: 2, Expires: 3})
+	j.Stalled(1, 2, 6) // the second was due before
+	j.RequestEnded(6.04, 1, false, true, true)
+	j.RequestEnded(6.04, 2, false, true, true)
+	j.RequestEnded(6.04, 3, false, true, true)
+	j.Accepted(7, checker.Request{ID: 4, Instance: 1, Expires: 9})
+	j.EndpointReceived(7, 1, 5, false, 0)
+	j.AttemptSent(7.5, 4, 5, 0, 0, false)
 	acc := j.Close(12)
-	for _, want := range []string{"command 2 at instance 1 has its final answer", "command 3 at instance 2 has its final answer",
-		"command 4 to backend 5, 500 ms after word", "command 4 at instance 1 never had"} {
+	for _, want := range []string{"request 2 at instance 1 has its final answer", "request 3 at instance 2 has its final answer",
+		"request 4 to backend 5, 500 ms after word", "request 4 at instance 1 never had"} {
 		if !strings.Contains(fmt.Sprint(acc.Broken), want) {
 			t.Errorf("%q is missing in %v", want, acc.Broken)
 		}
--- a/internal/testbed/lives.go
+++ b/internal/testbed/lives.go
@@ -168,7 +168,7 @@
 	for _, p := range still {
 		to := r.clock() // noted first: it answers within a millisecond
 		p.goesOn(to)
-		r.books.client(func(j *checker.Judge) { j.Stood(p.serial, from, to+wakes) })
+		r.books.client(func(j *checker.Checker) { j.Stalled(p.serial, from, to+wakes) })
 		p.signal(syscall.SIGCONT)
 	}
 }
--- a/internal/testbed/rolling.go
+++ b/internal/testbed/rolling.go
@@ -154,7 +154,7 @@
 	all.Wait()
 	r.troubles.Wait()
 	slices.Sort(out.Lost)
-	r.books.client(func(j *checker.Judge) { out.Account = j.Close(r.books.now()) })
+	r.books.client(func(j *checker.Checker) { out.Account = j.Close(r.books.now()) })
 	return out, r.failure
 }
 
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -131,8 +131,8 @@
 	}
 	w := &r.world
 	r.books = &books{world: w, start: time.Now(), all: map[uint64]*record{}, judge: checker.New(checker.Terms{Slack: 0.05 + w.Rules.Slack,
-		Grace: w.Rules.Grace, Multiple: w.Rules.ColdMultiple, Window: w.Rules.ColdWindow, Copies: w.Rules.Copies, Relay: w.Prices.Relay,
-		LateNo: w.Prices.LateNo, Length: w.Length, Customers: len(w.Customers)})}
+		Grace: w.Rules.Grace, Multiple: w.Rules.ColdMultiple, Window: w.Rules.ColdWindow, Hedges: w.Rules.Copies, AttemptPrice: w.Prices.Relay,
+		LateRejectionPrice: w.Prices.LateNo, Length: w.Length, Tenants: len(w.Customers)})}
 	return r.build()
 }
 
@@ -165,7 +165,7 @@
 		}
 		r.lateness = max(r.lateness, time.Since(r.at(a.Due)).Seconds())
 		if a.Counts {
-			r.books.client(func(j *checker.Judge) { j.Asked(a.Due, a.Customer, a.Worth) })
+			r.books.client(func(j *checker.Checker) { j.Asked(a.Due, a.Customer, a.Worth) })
 		}
 		r.busy.Add(1)
 		go r.operation(a)
