--- /dev/null
+++ b/internal/control/bench_test.go
@@ -0,0 +1,130 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"sandpass/internal/revision"
+)
+
+// benchDocument has so many keys.
+func benchDocument(keys, value int) string {
+	text := "{"
+	for i := range keys {
+		text += fmt.Sprintf(`"setting%03d":{"limit":%d,"name":"value of setting %d"},`, i, value+i, i)
+	}
+	return text + `"last":1}`
+}
+
+// benchFleet is 560 proxies in 3 regions, 11 zones and 51 services, and a state with documents of all of these scopes.
+func benchFleet(b *testing.B) (*State, []revision.Identity) {
+	s := NewState(simFleet)
+	add := func(scope revision.Scope, keys int) {
+		latest, _ := s.Latest(scope)
+		command := apply(fmt.Sprint(s.Newest(), scope), scope, latest.Number, benchDocument(keys, int(s.Newest())))
+		if outcome := s.Apply(command); outcome.Err != nil {
+			b.Fatal(outcome.Err)
+		}
+	}
+	add(revision.Fleet, 100)
+	var identities []revision.Identity
+	scopes := map[revision.Scope]bool{}
+	for i := range 560 {
+		identity := revision.Identity{
+			Fleet:   simFleet,
+			Proxy:   fmt.Sprintf("p%03d", i),
+			Region:  fmt.Sprintf("r%d", i%11%3),
+			Zone:    fmt.Sprintf("z%02d", i%11),
+			Service: fmt.Sprintf("s%02d", i%51),
+		}
+		identities = append(identities, identity)
+		for _, scope := range identity.Scopes()[1:4] {
+			if !scopes[scope] {
+				scopes[scope] = true
+				add(scope, 20)
+			}
+		}
+	}
+	return s, identities
+}
+
+// BenchmarkUpdateOf560 is a change of the fleet's document, told to all proxies that have what was before it.
+func BenchmarkUpdateOf560(b *testing.B) {
+	s, identities := benchFleet(b)
+	sessions := benchSessions(b, s, identities)
+	for b.Loop() {
+		latest, _ := s.Latest(revision.Fleet)
+		command := apply(fmt.Sprint(s.Newest()), revision.Fleet, latest.Number, benchDocument(100, int(s.Newest())))
+		if outcome := s.Apply(command); outcome.Err != nil {
+			b.Fatal(outcome.Err)
+		}
+		tell(b, s, sessions)
+	}
+}
+
+// benchSessions gives the watches of proxies that have all that there is.
+func benchSessions(b *testing.B, s *State, identities []revision.Identity) []*Session {
+	var sessions []*Session
+	for _, identity := range identities {
+		session, err := NewSession(revision.Hello{Protocol: revision.Protocol, Identity: identity})
+		if err != nil {
+			b.Fatal(err)
+		}
+		sessions = append(sessions, session)
+	}
+	tell(b, s, sessions)
+	return sessions
+}
+
+func tell(b *testing.B, s *State, sessions []*Session) {
+	for _, session := range sessions {
+		update, err := session.Next(s)
+		if err != nil || update == nil {
+			b.Fatal(update, err)
+		}
+		session.Reported(revision.Report{Revision: update.Revision, Verdict: revision.InForce, Checksum: update.Checksum})
+	}
+}
+
+// BenchmarkNothingNewFor560 is what each committed command costs that concerns none of them.
+func BenchmarkNothingNewFor560(b *testing.B) {
+	s, identities := benchFleet(b)
+	sessions := benchSessions(b, s, identities)
+	for b.Loop() {
+		for _, session := range sessions {
+			if update, err := session.Next(s); update != nil || err != nil {
+				b.Fatal(update, err)
+			}
+		}
+	}
+}
+
+func BenchmarkApply(b *testing.B) {
+	s, _ := benchFleet(b)
+	document := benchDocument(100, 1)
+	b.SetBytes(int64(len(document)))
+	for b.Loop() {
+		latest, _ := s.Latest(revision.Fleet)
+		if outcome := s.Apply(apply(fmt.Sprint(s.Newest()), revision.Fleet, latest.Number, document)); outcome.Err != nil {
+			b.Fatal(outcome.Err)
+		}
+	}
+}
+
+// BenchmarkMarshal is a snapshot of a full history of documents of 5 KB.
+func BenchmarkMarshal(b *testing.B) {
+	s, _ := benchFleet(b)
+	for i := range HistoryMost {
+		latest, _ := s.Latest(revision.Fleet)
+		if outcome := s.Apply(apply(fmt.Sprint("h", i), revision.Fleet, latest.Number, benchDocument(100, i))); outcome.Err != nil {
+			b.Fatal(outcome.Err)
+		}
+	}
+	for b.Loop() {
+		text, err := s.Marshal()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.SetBytes(int64(len(text)))
+	}
+}
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -50,7 +49,7 @@
 	if err := c.check(); err != nil {
 		return nil, err
 	}
-	text, err := encodeJSON(c)
+	text, err := revision.Encode(c)
 	if err != nil {
 		return nil, &BadCommandError{Reason: err.Error()}
 	}
@@ -139,17 +138,6 @@
 	return nil
 }
 
-// encodeJSON writes a value as JSON. Documents in it keep their bytes, which json.Marshal would not let them.
-func encodeJSON(value any) ([]byte, error) {
-	var out bytes.Buffer
-	encoder := json.NewEncoder(&out)
-	encoder.SetEscapeHTML(false)
-	if err := encoder.Encode(value); err != nil {
-		return nil, err
-	}
-	return bytes.TrimSuffix(out.Bytes(), []byte("\n")), nil
-}
-
 // oneLine is an error's text without line ends.
 func oneLine(err error) string {
 	return strings.Join(strings.Fields(err.Error()), " ")
--- a/internal/control/errors.go
+++ b/internal/control/errors.go
@@ -45,7 +45,7 @@
 
 // UnknownRevisionError names a revision that the scope does not have, or no longer has in its history.
 type UnknownRevisionError struct {
-	Scope  revision.Scope  `json:"scope"` // the zero scope where the number alone was asked for
+	Scope  revision.Scope  `json:"scope,omitzero"` // zero where the number alone was asked for
 	Number revision.Number `json:"number"`
 }
 
--- /dev/null
+++ b/internal/control/fuzz_test.go
@@ -0,0 +1,161 @@
+package control
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/cryptotest"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"sandpass/internal/revision"
+)
+
+func FuzzUnmarshalState(f *testing.F) {
+	whole, err := everyOutcome(f).Marshal()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole, false)
+	f.Add([]byte(`{"newest":1,"entries":[null]}`), true)
+	f.Fuzz(func(t *testing.T, text []byte, seal bool) {
+		if seal {
+			text = sealed(string(text))
+		}
+		s, err := UnmarshalState(text)
+		if bad := new(SnapshotError); err != nil {
+			if !errors.As(err, &bad) {
+				t.Fatalf("%T: %v", err, err)
+			}
+			return
+		}
+		exercise(t, s)
+	})
+}
+
+// exercise calls what reads and what changes a state.
+func exercise(t *testing.T, s *State) {
+	s.History(nil, 10)
+	identity := someone
+	identity.Fleet = s.Fleet()
+	_, _ = s.Update(revision.Hello{Identity: identity})
+	_, _ = s.Explain(identity)
+	NewGuard(GuardConfig{}).Due(1, s)
+	latest, _ := s.Latest(revision.Fleet)
+	s.Apply(tried("new", revision.Fleet, latest.Number, `{"a":1}`, "p1"))
+	s.Apply(hold(s.Newest()))
+	if _, err := s.Marshal(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func FuzzDecodeCommand(f *testing.F) {
+	for _, command := range []Command{tried("a", zoneA, 3, `{"a":1}`, "p1"), release(2), hold(2)} {
+		text, err := EncodeCommand(command)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		command, err := DecodeCommand(text)
+		if bad := new(BadCommandError); err != nil {
+			if !errors.As(err, &bad) {
+				t.Fatalf("%T: %v", err, err)
+			}
+			return
+		}
+		s := deliveryState(t)
+		before := s.Newest()
+		if outcome := s.Apply(command); outcome.Err != nil && s.Newest() != before {
+			t.Fatalf("%v, and yet revision %d is new", outcome.Err, s.Newest())
+		}
+		first, err := s.Marshal()
+		if err != nil {
+			t.Fatal(err)
+		}
+		read, err := UnmarshalState(first)
+		if err != nil {
+			t.Fatal(err)
+		}
+		second, err := read.Marshal()
+		if err != nil || string(first) != string(second) {
+			t.Fatalf("%v\n%s\n%s", err, first, second)
+		}
+	})
+}
+
+func FuzzUpdate(f *testing.F) {
+	f.Add([]byte(`{"protocol":1,"identity":{"fleet":"shop","proxy":"p1","zone":"a"},"revision":4,"held":[{"scope":"fleet","number":4}]}`))
+	f.Add([]byte(`{"identity":{"fleet":"shop","proxy":"p9","zone":"a"},"revision":5,"held":[{"scope":"zone:a","number":5}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var hello revision.Hello
+		if json.Unmarshal(text, &hello) != nil {
+			return
+		}
+		s := deliveryState(t)
+		update, err := s.Update(hello)
+		if err != nil || update == nil {
+			return
+		}
+		if update.Revision < hello.Revision || update.Revision == hello.Revision && !update.Whole {
+			t.Fatalf("%s, revision %d is in force", told(update), hello.Revision)
+		}
+		for _, change := range update.Scopes {
+			if change.Number < heldNumber(hello.Held, change.Scope) {
+				t.Fatalf("%s goes back: %s", told(update), text)
+			}
+		}
+	})
+}
+
+func FuzzStep(f *testing.F) {
+	seed := &raftpb.Message{Type: raftpb.MsgApp.Enum(), Term: proto.Uint64(9), Index: proto.Uint64(2), LogTerm: proto.Uint64(1)}
+	text, err := proto.Marshal(seed)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(uint8(0), text)
+	f.Fuzz(func(t *testing.T, to uint8, text []byte) {
+		cryptotest.SetGlobalRandom(t, 1)
+		s := newSim(seedChooser{rand.New(rand.NewPCG(1, 1))}, defects{})
+		if err := s.replicas[0].node.Campaign(); err != nil {
+			t.Fatal(err)
+		}
+		for range 3 {
+			s.round()
+		}
+		s.checkFuzzedMessage(t, s.replicas[to%simReplicas], text)
+	})
+}
+
+// checkFuzzedMessage has a replica take a message as if a peer had sent it. It may refuse it or fail with an error; no
+// call panics.
+func (s *sim) checkFuzzedMessage(t *testing.T, r *simReplica, text []byte) {
+	message := &raftpb.Message{}
+	if proto.Unmarshal(text, message) != nil {
+		return
+	}
+	message.To = proto.Uint64(r.id)
+	message.From = proto.Uint64(r.id%simReplicas + 1)
+	err := r.node.Step(message)
+	for range 3 {
+		r.node.Tick()
+		work, any := r.node.Ready()
+		if !any {
+			break
+		}
+		if _, err := r.node.Advance(work); err != nil {
+			break
+		}
+	}
+	if bad, failed := new(MessageError), new(FailedError); err != nil && !errors.As(err, &bad) && !errors.As(err, &failed) {
+		t.Fatalf("%T: %v", err, err)
+	}
+	if fmt.Sprint(err) == "" {
+		t.Fatal("an error without a text")
+	}
+}
--- a/internal/control/guard.go
+++ b/internal/control/guard.go
@@ -102,8 +102,8 @@
 	return proxy < other
 }
 
-// Reported takes a proxy's report; now is in seconds of any steady clock.
-func (g *Guard) Reported(now float64, proxy string, report revision.Report) {
+// Reported takes a proxy's report.
+func (g *Guard) Reported(_ float64, proxy string, report revision.Report) {
 	known := g.answers[proxy]
 	switch report.Verdict {
 	case revision.InForce:
@@ -119,7 +119,7 @@
 }
 
 // Learn takes over what a new leader knows of all proxies. Proxies that are not known there are forgotten.
-func (g *Guard) Learn(now float64, view *FleetView) {
+func (g *Guard) Learn(_ float64, view *FleetView) {
 	clear(g.answers)
 	for _, status := range view.All() {
 		g.answers[status.Identity.Proxy] = answer{
@@ -130,7 +130,7 @@
 	}
 }
 
-// Due gives the commands to propose now, each about one revision. One that the state does not show carried out is given
+// Due gives the commands to propose now, in seconds of any steady clock, each about one revision. One that the state does not show carried out is given
 // again after a while, with the same ID.
 func (g *Guard) Due(now float64, s *State) []Command {
 	var commands []Command
--- /dev/null
+++ b/internal/control/node_test.go
@@ -0,0 +1,238 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/cryptotest"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"sandpass/internal/revision"
+)
+
+// quietSim is five replicas that have chosen a leader.
+func quietSim(t *testing.T) *sim {
+	t.Helper()
+	cryptotest.SetGlobalRandom(t, 1)
+	s := newSim(seedChooser{rand.New(rand.NewPCG(1, 1))}, defects{})
+	for range 30 {
+		s.round()
+	}
+	if s.violation != nil || s.leader() == nil {
+		t.Fatal("nobody leads after 30 ticks:", s.violation)
+	}
+	return s
+}
+
+// follower gives a replica that does not lead.
+func (s *sim) follower() *simReplica {
+	for _, r := range s.replicas {
+		if !r.node.IsLeader() {
+			return r
+		}
+	}
+	return nil
+}
+
+func TestOnlyTheLeaderTakesProposals(t *testing.T) {
+	s := quietSim(t)
+	command := apply("a", revision.Fleet, 0, "{}")
+	if err := s.follower().node.Propose(command); !errors.Is(err, ErrNotLeader) {
+		t.Errorf("a follower: %v", err)
+	}
+	bad := new(BadCommandError)
+	if err := s.leader().node.Propose(Command{}); !errors.As(err, &bad) {
+		t.Errorf("an empty command: %v", err)
+	}
+	if err := s.leader().node.Propose(command); err != nil {
+		t.Fatal(err)
+	}
+	s.round()
+	for _, r := range s.replicas {
+		if r.node.State().Newest() != 1 {
+			t.Errorf("replica %d is at %d", r.id, r.node.State().Newest())
+		}
+	}
+}
+
+func TestALeaderWithoutAQuorumTellsThatItsProposalIsUndecided(t *testing.T) {
+	s := quietSim(t)
+	leader := s.leader()
+	for _, r := range s.replicas {
+		s.cut[[2]uint64{r.id, leader.id}] = true
+		s.cut[[2]uint64{leader.id, r.id}] = true
+	}
+	if err := leader.node.Propose(apply("a", revision.Fleet, 0, "{}")); err != nil {
+		t.Fatal(err)
+	}
+	for range 30 {
+		s.round()
+	}
+	if s.counts["undecided"] != 1 || leader.node.IsLeader() {
+		t.Errorf("%d are undecided, it leads: %v", s.counts["undecided"], leader.node.IsLeader())
+	}
+	if err := leader.node.Propose(apply("b", revision.Fleet, 0, "{}")); !errors.Is(err, ErrNotLeader) {
+		t.Errorf("the next proposal: %v", err)
+	}
+	if other := s.leader(); other == nil || other == leader {
+		t.Error("the others have no leader")
+	}
+}
+
+func TestTooManyWaitingProposalsAreDropped(t *testing.T) {
+	s := quietSim(t)
+	leader := s.leader()
+	large := fmt.Sprintf(`{"a":%q}`, strings.Repeat("x", 1<<20-100))
+	for i := range 32 {
+		err := leader.node.Propose(apply(fmt.Sprint(i), revision.Fleet, 0, large))
+		if errors.Is(err, ErrDropped) {
+			return
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Error("none of 32 MB is dropped")
+}
+
+func TestALateReplicaIsBroughtUpByASnapshot(t *testing.T) {
+	s := quietSim(t)
+	late := s.follower()
+	s.crash(late)
+	base := revision.Number(0)
+	for i := range 40 {
+		if err := s.leader().node.Propose(apply(fmt.Sprint(i), revision.Fleet, base, "{}")); err != nil {
+			t.Fatal(err)
+		}
+		s.round()
+		base = s.leader().node.State().Newest()
+	}
+	s.start(late)
+	for range 20 {
+		s.round()
+	}
+	if late.node.State().Newest() != 40 || s.counts["states restored"] == 0 {
+		t.Errorf("it is at %d, %d were restored", late.node.State().Newest(), s.counts["states restored"])
+	}
+	s.crash(late)
+	s.start(late)
+	for range 20 {
+		s.round()
+	}
+	s.checkReplicas()
+	if s.violation != nil {
+		t.Error(s.violation)
+	}
+}
+
+func TestStorageThatCannotBeRightIsRefused(t *testing.T) {
+	s := quietSim(t)
+	for i := range 3 {
+		if err := s.leader().node.Propose(apply(fmt.Sprint(i), revision.Fleet, revision.Number(i), "{}")); err != nil {
+			t.Fatal(err)
+		}
+		s.round()
+	}
+	good := s.replicas[0].disk
+	for name, spoil := range map[string]func(*Persisted){
+		"a gap": func(p *Persisted) { p.Entries = append(p.Entries[:1:1], p.Entries[2:]...) },
+		"a lost end": func(p *Persisted) {
+			p.Entries = p.Entries[:1]
+			p.HardState.Commit = proto.Uint64(4)
+		},
+		"a torn snapshot": func(p *Persisted) {
+			p.Snapshot = &raftpb.Snapshot{Data: []byte("{"), Metadata: &raftpb.SnapshotMetadata{
+				Index: proto.Uint64(2), Term: proto.Uint64(1), ConfState: &raftpb.ConfState{Voters: []uint64{1, 2, 3, 4, 5}},
+			}}
+		},
+		"a snapshot of others": func(p *Persisted) {
+			p.Snapshot = &raftpb.Snapshot{Metadata: &raftpb.SnapshotMetadata{Index: proto.Uint64(2), Term: proto.Uint64(1)}}
+		},
+	} {
+		saved := good.copy()
+		spoil(&saved)
+		_, err := NewNode(NodeConfig{ID: 1, Peers: []uint64{1, 2, 3, 4, 5}, Fleet: simFleet, Persisted: saved})
+		bad := new(StorageError)
+		if !errors.As(err, &bad) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := NewNode(NodeConfig{ID: 1, Peers: []uint64{1, 2, 3, 4, 5}, Fleet: simFleet, Persisted: good.copy()}); err != nil {
+		t.Error("a good one:", err)
+	}
+	for _, peers := range [][]uint64{nil, {2, 3}, {1, 1, 2}} {
+		if _, err := NewNode(NodeConfig{ID: 1, Peers: peers, Fleet: simFleet}); err == nil {
+			t.Errorf("peers %v are taken", peers)
+		}
+	}
+}
+
+func TestMessagesOfNoSoundPeerChangeNothing(t *testing.T) {
+	s := quietSim(t)
+	r := s.follower()
+	from := s.leader().id
+	foreign, err := NewState("other").Marshal()
+	if err != nil {
+		t.Fatal(err)
+	}
+	voters := &raftpb.ConfState{Voters: []uint64{1, 2, 3, 4, 5}}
+	message := func(kind raftpb.MessageType, change func(*raftpb.Message)) *raftpb.Message {
+		m := &raftpb.Message{
+			Type: kind.Enum(),
+			From: proto.Uint64(from),
+			To:   proto.Uint64(r.id),
+			Term: proto.Uint64(r.node.Term()),
+		}
+		change(m)
+		return m
+	}
+	for name, m := range map[string]*raftpb.Message{
+		"nothing":            nil,
+		"empty":              {},
+		"from a stranger":    message(raftpb.MsgHeartbeat, func(m *raftpb.Message) { m.From = proto.Uint64(9) }),
+		"to another":         message(raftpb.MsgHeartbeat, func(m *raftpb.Message) { m.To = proto.Uint64(9) }),
+		"from itself":        message(raftpb.MsgHeartbeat, func(m *raftpb.Message) { m.From = m.To }),
+		"local":              message(raftpb.MsgHup, func(*raftpb.Message) {}),
+		"without a term":     message(raftpb.MsgApp, func(m *raftpb.Message) { m.Term = nil }),
+		"beyond the log":     message(raftpb.MsgHeartbeat, func(m *raftpb.Message) { m.Commit = proto.Uint64(999) }),
+		"answer beyond":      message(raftpb.MsgAppResp, func(m *raftpb.Message) { m.Index = proto.Uint64(999) }),
+		"read of nothing":    message(raftpb.MsgReadIndex, func(*raftpb.Message) {}),
+		"entries with a gap": message(raftpb.MsgApp, func(m *raftpb.Message) { m.Entries = []*raftpb.Entry{{Index: proto.Uint64(7)}} }),
+		"a change of peers": message(raftpb.MsgApp, func(m *raftpb.Message) {
+			m.Entries = []*raftpb.Entry{{Index: proto.Uint64(1), Type: raftpb.EntryConfChange.Enum()}}
+		}),
+		"no snapshot": message(raftpb.MsgSnap, func(*raftpb.Message) {}),
+		"a torn snapshot": message(raftpb.MsgSnap, func(m *raftpb.Message) {
+			m.Snapshot = &raftpb.Snapshot{Data: []byte("x"), Metadata: &raftpb.SnapshotMetadata{ConfState: voters}}
+		}),
+		"a foreign snapshot": message(raftpb.MsgSnap, func(m *raftpb.Message) {
+			m.Snapshot = &raftpb.Snapshot{Data: foreign, Metadata: &raftpb.SnapshotMetadata{ConfState: voters}}
+		}),
+	} {
+		bad := new(MessageError)
+		if err := r.node.Step(m); !errors.As(err, &bad) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, any := r.node.Ready(); any || r.node.Failed() != nil {
+		t.Error("there is work after them:", r.node.Failed())
+	}
+}
+
+func TestACommittedEntryThatIsNoCommandChangesNothing(t *testing.T) {
+	s := quietSim(t)
+	before := s.leader().node.Applied()
+	if err := s.leader().node.raft.Propose([]byte("{no command")); err != nil {
+		t.Fatal(err)
+	}
+	s.round()
+	for _, r := range s.replicas {
+		if r.node.Applied() != before+1 || r.node.State().Newest() != 0 || r.node.Failed() != nil {
+			t.Errorf("replica %d: applied %d, %v", r.id, r.node.Applied(), r.node.Failed())
+		}
+	}
+}
--- a/internal/control/outcome.go
+++ b/internal/control/outcome.go
@@ -69,7 +69,7 @@
 		return record, fmt.Errorf("no outcome has an error of type %T", o.Err)
 	}
 	var err error
-	record.Error, err = encodeJSON(o.Err)
+	record.Error, err = revision.Encode(o.Err)
 	return record, err
 }
 
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -13,6 +13,9 @@
 // SnapshotFormat is the version of a snapshot's form. A replica refuses one that it does not know.
 const SnapshotFormat = 1
 
+// numberMost is the highest number of a revision that a snapshot may have: one more must be countable.
+const numberMost = 1 << 53
+
 // snapshotHeader is a snapshot's first line, the body is its second.
 type snapshotHeader struct {
 	Format   int    `json:"format"`
@@ -40,11 +43,11 @@
 		}
 		body.Outcomes = append(body.Outcomes, record)
 	}
-	text, err := encodeJSON(body)
+	text, err := revision.Encode(body)
 	if err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
-	header, err := encodeJSON(snapshotHeader{Format: SnapshotFormat, Checksum: revision.Checksum(text)})
+	header, err := revision.Encode(snapshotHeader{Format: SnapshotFormat, Checksum: revision.Checksum(text)})
 	if err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
@@ -77,6 +80,9 @@
 
 // state builds the state and checks what its methods rely on.
 func (b *snapshotBody) state() (*State, error) {
+	if b.Newest > numberMost {
+		return nil, fmt.Errorf("revision %d is beyond any that there could be", b.Newest)
+	}
 	s := NewState(b.Fleet)
 	s.newest = b.Newest
 	last := revision.Number(0)
--- a/internal/revision/document.go
+++ b/internal/revision/document.go
@@ -46,7 +46,7 @@
 	if err := checkValue(value, "", 0); err != nil {
 		return nil, err
 	}
-	return encode(value)
+	return Encode(value)
 }
 
 // placed gives a decoder's error with its place.
@@ -106,8 +106,8 @@
 	return path + "." + key
 }
 
-// encode writes a value in canonical form.
-func encode(value any) (Document, error) {
+// Encode writes a value as canonical JSON: keys sorted, no white space, nothing escaped that need not be.
+func Encode(value any) (Document, error) {
 	var out bytes.Buffer
 	encoder := json.NewEncoder(&out)
 	encoder.SetEscapeHTML(false)
