Control: what is kept for many proxies is bounded by bytes; State.Checksum; leaders that stood still

Trees and patches were bounded by their number, with documents of 1 MB that was gigabytes; now 16 MB of text each. State.Checksum lets replicas be compared.

--- a/internal/control/delivery_test.go
+++ b/internal/control/delivery_test.go
@@ -209,6 +209,16 @@
 	})
 }
 
+func TestWhatIsKeptForManyProxiesIsBounded(t *testing.T) {
+	kept := newBounded[int, string](100)
+	for i := range 1000 {
+		kept.put(i, "value", 7)
+		if _, known := kept.get(i); !known || len(kept.values) > 100/7 {
+			t.Fatalf("after %d values %d are kept", i, len(kept.values))
+		}
+	}
+}
+
 func TestExplainGivesEachValueItsScope(t *testing.T) {
 	s := NewState(simFleet)
 	accept(t, s,
--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -41,7 +41,7 @@
 
 // Limits of what is computed once for many proxies.
 const (
-	mergedMost  = 16384 // checksums of merged configurations
-	parsedMost  = 2048  // documents as values
-	patchesMost = 2048  // changes from one revision to another
+	mergedMost      = 16384    // checksums of merged configurations
+	parsedBytesMost = 16 << 20 // of documents that are kept as trees, which take several times as much
+	patchBytesMost  = 16 << 20 // of changes from one revision to another
 )
--- a/internal/control/merged.go
+++ b/internal/control/merged.go
@@ -8,12 +8,13 @@
 	"sandpass/internal/revision"
 )
 
-// cache holds what is computed once for many proxies. All of it follows from the entries; a full map is emptied.
+// cache holds what is computed once for many proxies. All of it follows from the entries.
 type cache struct {
-	checksums map[string]string // of merged configurations, by combination
-	parsed    map[revision.Number]*tree
-	patches   map[patchKey]revision.Change
+	checksums bounded[string, string] // of merged configurations, by combination
+	parsed    bounded[revision.Number, *tree]
+	patches   bounded[patchKey, revision.Change]
 	text      bytes.Buffer // of the last merged configuration, to be written over
+	state     string       // checksum of the state, empty while it is not known
 }
 
 // patchKey names the way from one revision of a scope to another.
@@ -23,18 +24,34 @@
 
 func newCache() cache {
 	return cache{
-		checksums: map[string]string{},
-		parsed:    map[revision.Number]*tree{},
-		patches:   map[patchKey]revision.Change{},
+		checksums: newBounded[string, string](mergedMost),
+		parsed:    newBounded[revision.Number, *tree](parsedBytesMost),
+		patches:   newBounded[patchKey, revision.Change](patchBytesMost),
 	}
 }
 
-// remember adds to a map of bounded size.
-func remember[K comparable, V any](cached map[K]V, most int, key K, value V) {
-	if len(cached) >= most {
-		clear(cached)
+// bounded is a map whose values have a size. It is emptied before they are too large together.
+type bounded[K comparable, V any] struct {
+	values     map[K]V
+	size, most int
+}
+
+func newBounded[K comparable, V any](most int) bounded[K, V] {
+	return bounded[K, V]{values: map[K]V{}, most: most}
+}
+
+func (b *bounded[K, V]) get(key K) (V, bool) {
+	value, known := b.values[key]
+	return value, known
+}
+
+func (b *bounded[K, V]) put(key K, value V, size int) {
+	if b.size+size > b.most {
+		clear(b.values)
+		b.size = 0
 	}
-	cached[key] = value
+	b.values[key] = value
+	b.size += size
 }
 
 // combinationKey names a combination of revisions, widest scope first.
@@ -50,7 +67,7 @@
 // mergedChecksum is the checksum of the configuration that a combination of revisions gives.
 func (s *State) mergedChecksum(entries []*Entry) (string, error) {
 	key := combinationKey(entries)
-	if checksum, known := s.cache.checksums[key]; known {
+	if checksum, known := s.cache.checksums.get(key); known {
 		return checksum, nil
 	}
 	merged, err := s.mergedTree(entries)
@@ -63,7 +80,7 @@
 		return "", &LimitError{What: "bytes of a merged configuration", Most: revision.DocumentMost}
 	}
 	checksum := revision.Checksum(s.cache.text.Bytes())
-	remember(s.cache.checksums, mergedMost, key, checksum)
+	s.cache.checksums.put(key, checksum, 1)
 	return checksum, nil
 }
 
@@ -82,14 +99,14 @@
 
 // parsed gives a document's tree.
 func (s *State) parsed(entry *Entry) (*tree, error) {
-	if value, known := s.cache.parsed[entry.Number]; known {
+	if value, known := s.cache.parsed.get(entry.Number); known {
 		return value, nil
 	}
 	value, err := parseDocument(entry.Document)
 	if err != nil {
 		return nil, fmt.Errorf("revision %d: %w", entry.Number, err)
 	}
-	remember(s.cache.parsed, parsedMost, entry.Number, value)
+	s.cache.parsed.put(entry.Number, value, len(entry.Document))
 	return value, nil
 }
 
@@ -100,7 +117,7 @@
 		return whole
 	}
 	key := patchKey{held.Number, target.Number}
-	if change, known := s.cache.patches[key]; known {
+	if change, known := s.cache.patches.get(key); known {
 		return change
 	}
 	change := whole
@@ -108,7 +125,7 @@
 	if err == nil && len(patch) < len(target.Document) && leadsTo(held.Document, patch, target.Document) {
 		change = revision.Change{Scope: target.Scope, Number: target.Number, From: held.Number, Patch: patch}
 	}
-	remember(s.cache.patches, patchesMost, key, change)
+	s.cache.patches.put(key, change, len(change.Patch)+len(change.Document))
 	return change
 }
 
--- a/internal/control/node_test.go
+++ b/internal/control/node_test.go
@@ -83,6 +83,98 @@
 	}
 }
 
+func TestALeaderThatStoodStillTellsNothingStale(t *testing.T) {
+	s := quietSim(t)
+	old := s.leader()
+	old.paused = true
+	for range 40 {
+		s.round()
+	}
+	fresh := s.leader()
+	if fresh == nil {
+		t.Fatal("the others have no leader")
+	}
+	command := apply("a", revision.Fleet, 0, "{}")
+	s.submissions[command.ID] = &submission{command: command}
+	if err := fresh.node.Propose(command); err != nil {
+		t.Fatal(err)
+	}
+	s.round()
+	if s.accepted != 1 {
+		t.Fatal("the change is not accepted")
+	}
+	old.paused = false
+	if !old.node.IsLeader() {
+		t.Fatal("it does not believe to lead any more")
+	}
+	s.startRead(old)
+	s.run(old, false)
+	for range 10 {
+		s.round()
+	}
+	s.startRead(old)
+	s.round()
+	if s.violation != nil {
+		t.Error(s.violation)
+	}
+	if s.counts["reads"] == 0 {
+		t.Error("no read at it is ever answered")
+	}
+}
+
+func TestACutOfOneWayLeavesALeader(t *testing.T) {
+	for name, way := range map[string]func(s *sim, leader, other uint64){
+		"the leader is not heard":  func(s *sim, leader, other uint64) { s.cut[[2]uint64{leader, other}] = true },
+		"the leader does not hear": func(s *sim, leader, other uint64) { s.cut[[2]uint64{other, leader}] = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := quietSim(t)
+			old := s.leader()
+			for _, r := range s.replicas {
+				if r != old {
+					way(s, old.id, r.id)
+				}
+			}
+			for range 50 {
+				s.round()
+			}
+			leaders := 0
+			for _, r := range s.replicas {
+				if !r.node.IsLeader() {
+					continue
+				}
+				leaders++
+				if err := r.node.Propose(apply("a", revision.Fleet, 0, "{}")); err != nil {
+					t.Error(err)
+				}
+			}
+			s.round()
+			if leaders != 1 || s.follower().node.State().Newest()+old.node.State().Newest() == 0 {
+				t.Errorf("%d lead, the others are at %d", leaders, s.follower().node.State().Newest())
+			}
+		})
+	}
+}
+
+func TestLargeCommandsMakeASnapshotDue(t *testing.T) {
+	s := quietSim(t)
+	leader := s.leader()
+	leader.node.limits = defaultLimits
+	large := fmt.Sprintf(`{"a":%q}`, strings.Repeat("x", SnapshotBytes/snapshotEntriesMin))
+	for i := range snapshotEntriesMin {
+		if leader.disk.Snapshot != nil {
+			t.Fatalf("after %d commands there is one", i)
+		}
+		if err := leader.node.Propose(apply(fmt.Sprint(i), revision.Fleet, revision.Number(i), large)); err != nil {
+			t.Fatal(err)
+		}
+		s.round()
+	}
+	if leader.disk.Snapshot == nil {
+		t.Error("there is none")
+	}
+}
+
 func TestTooManyWaitingProposalsAreDropped(t *testing.T) {
 	s := quietSim(t)
 	leader := s.leader()
--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -45,6 +45,8 @@
 	view  *FleetView
 	guard *Guard
 	led   bool
+
+	paused bool // it does nothing, what comes in waits
 }
 
 // submission is what a client asked for and what it was told.
@@ -193,7 +195,7 @@
 
 // run does a replica's work. A crash may fall between any two steps of it.
 func (s *sim) run(r *simReplica, mayCrash bool) {
-	for r.node != nil && s.violation == nil {
+	for r.node != nil && !r.paused && s.violation == nil {
 		work, any := r.node.Ready()
 		if !any {
 			break
@@ -243,6 +245,10 @@
 // deliver hands a message over. The bytes travel, not the value.
 func (s *sim) deliver(one envelope) {
 	r := s.replicas[one.to-1]
+	if r.paused {
+		s.network = append(s.network, one)
+		return
+	}
 	if r.node == nil || s.cut[[2]uint64{one.from, one.to}] {
 		return
 	}
@@ -317,11 +323,11 @@
 	}
 }
 
-// leader gives a replica that believes to lead, of several any one.
+// leader gives a replica that believes to lead and runs, of several any one.
 func (s *sim) leader() *simReplica {
 	var leaders []*simReplica
 	for _, r := range s.replicas {
-		if r.node != nil && r.node.IsLeader() {
+		if r.node != nil && !r.paused && r.node.IsLeader() {
 			leaders = append(leaders, r)
 		}
 	}
@@ -383,7 +389,7 @@
 // guard has each leader propose what its guard finds due.
 func (s *sim) guard() {
 	for _, r := range s.replicas {
-		if r.node == nil {
+		if r.node == nil || r.paused {
 			continue
 		}
 		leads := r.node.IsLeader()
@@ -423,7 +429,7 @@
 func (s *sim) round() {
 	s.now += TickInterval.Seconds()
 	for _, r := range s.replicas {
-		if r.node != nil {
+		if r.node != nil && !r.paused {
 			r.node.Tick()
 			s.run(r, false)
 		}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -54,6 +54,19 @@
 	return slices.Concat(header, []byte("\n"), text), nil
 }
 
+// Checksum is that of the whole state: replicas that have applied the same commands have the same.
+func (s *State) Checksum() (string, error) {
+	if s.cache.state != "" {
+		return s.cache.state, nil
+	}
+	text, err := s.Marshal()
+	if err != nil {
+		return "", err
+	}
+	s.cache.state = revision.Checksum(text)
+	return s.cache.state, nil
+}
+
 // UnmarshalState reads a snapshot; the error is a *SnapshotError.
 func UnmarshalState(text []byte) (*State, error) {
 	head, text, cut := bytes.Cut(text, []byte("\n"))
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -62,6 +62,7 @@
 	if err := c.check(); err != nil {
 		return Outcome{Err: err}
 	}
+	s.cache.state = ""
 	outcome := s.carryOut(c)
 	s.outcomes.add(c.ID, outcome)
 	return outcome
--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -301,10 +301,15 @@
 			t.Errorf("%s: %s has become %s", id, before, after)
 		}
 	}
+	before, err := read.Checksum()
+	if err != nil {
+		t.Fatal(err)
+	}
 	accept(t, s, apply("z", revision.Fleet, 2, "{}"))
 	accept(t, read, apply("z", revision.Fleet, 2, "{}"))
-	if stages(s) != stages(read) {
-		t.Errorf("%s and %s", stages(s), stages(read))
+	one, err := s.Checksum()
+	if other, otherErr := read.Checksum(); err != nil || otherErr != nil || one != other || one == before {
+		t.Errorf("%s (%v) and %s (%v), before %s", one, err, other, otherErr, before)
 	}
 }
 
