--- a/internal/control/guard.go
+++ b/internal/control/guard.go
@@ -32,7 +32,8 @@
 // others refuse, those others are all that it fails at, as a proxy that refuses keeps what it had; the first refusal within
 // WatchReleased holds it, and proxies that have not been sent it until then are not. A canary that says nothing until the
 // time-out counts for nothing, so the bound fails where half of the canaries pass a revision and each that would refuse
-// it is silent. A new leader forgets that it watched a released revision, not that one is on trial. Revisions applied at
+// it is silent. A refusal counts against each trial whose canary the proxy is and that it had not passed before, as one
+// update may carry several. A new leader forgets that it watched a released revision, not that one is on trial. Revisions applied at
 // once, and those applied while no proxy is connected, have no canaries: all proxies may take them.
 type Guard struct {
 	config   GuardConfig
--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -189,6 +189,12 @@
 	if s.Newest() != 2 {
 		t.Errorf("newest is %d", s.Newest())
 	}
+	if outcome, known := s.Outcome("c"); !known || outcome.Number != 2 {
+		t.Errorf("the outcome of c is told as %v, %v", outcome, known)
+	}
+	if _, known := s.Outcome("d"); known {
+		t.Error("an outcome of d is told")
+	}
 }
 
 func TestRollbackIsANewRevision(t *testing.T) {
