--- a/internal/control/guard.go
+++ b/internal/control/guard.go
@@ -30,11 +30,12 @@
 // A revision that any canary refuses is taken by the other canaries at most: one proxy in each zone, and at most the share
 // of the proxies concerned, but one at least. That is 11 of 560 in 11 zones. Where all canaries take a revision that
 // others refuse, those others are all that it fails at, as a proxy that refuses keeps what it had; the first refusal within
-// WatchReleased holds it, and proxies that have not been sent it until then are not. A canary that says nothing until the
-// time-out counts for nothing, so the bound fails where half of the canaries pass a revision and each that would refuse
-// it is silent. A refusal counts against each trial whose canary the proxy is and that it had not passed before, as one
-// update may carry several. A new leader forgets that it watched a released revision, not that one is on trial. Revisions applied at
-// once, and those applied while no proxy is connected, have no canaries: all proxies may take them.
+// WatchReleased holds it, and proxies that have not been sent it until then are not. A refusal counts against each trial
+// whose canary the proxy is and that it had not passed before, as one update may carry several.
+//
+// The bound fails where half of the canaries pass a revision and each that would refuse it is silent until the time-out:
+// all proxies may take it then. Revisions applied at once, and those applied while no proxy is connected, have no canaries.
+// A new leader forgets that it watched a released revision, not that one is on trial.
 type Guard struct {
 	config   GuardConfig
 	answers  map[string]answer
@@ -131,8 +132,8 @@
 	}
 }
 
-// Due gives the commands to propose now, in seconds of any steady clock, each about one revision. One that the state does not show carried out is given
-// again after a while, with the same ID.
+// Due gives the commands to propose now, each about one revision; now is in seconds of any steady clock. A command that
+// the state does not show carried out is given again after a while, with the same ID.
 func (g *Guard) Due(now float64, s *State) []Command {
 	var commands []Command
 	onTrial := s.onTrial()
--- a/internal/control/history_test.go
+++ b/internal/control/history_test.go
@@ -176,6 +176,7 @@
 		"the base is not checked":         {noBaseCheck: true},
 		"the guard is off":                {noGuard: true},
 		"reads don't ask the leader":      {readLocally: true},
+		"what proxies hold is forgotten":  {heldForgotten: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			err := firstViolation(t, wrong, 30)
--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -22,6 +22,7 @@
 	noBaseCheck        bool // a submitter's base is replaced by the newest revision
 	noGuard            bool // revisions have no canaries
 	readLocally        bool // reads don't ask the leader
+	heldForgotten      bool // replicas take proxies to hold nothing
 }
 
 const (
