Tests: the unsaved acknowledgement loses the last write only

The seeded defect never synced at all; now each write is synced with the next one, which is the mistake that a program makes.

--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -185,13 +185,17 @@
 // write saves a Work, and all before it if it has to be synced.
 func (s *sim) write(r *simReplica, work Work) {
 	r.cache = append(r.cache, work)
-	if !work.MustSync || s.defects.acknowledgeUnsaved {
+	if !work.MustSync {
 		return
 	}
-	for _, earlier := range r.cache {
+	synced := len(r.cache)
+	if s.defects.acknowledgeUnsaved {
+		synced-- // it is synced with the next one only
+	}
+	for _, earlier := range r.cache[:synced] {
 		r.disk.save(earlier)
 	}
-	r.cache = nil
+	r.cache = slices.Clone(r.cache[synced:])
 }
 
 // run does a replica's work. A crash may fall between any two steps of it.
