--- a/internal/configwatch/follower_test.go
+++ b/internal/configwatch/follower_test.go
@@ -130,9 +130,10 @@
 		reason string
 		giveUp bool
 	}{
-		"wrong checksum":     {func(u *revision.Update) { u.Checksum = "f00" }, "checksum f00", false},
-		"wrong, and whole":   {func(u *revision.Update) { whole(u); u.Checksum = "f00" }, "checksum f00", true},
-		"another scope":      {func(u *revision.Update) { u.Scopes[0].Scope.Name = "us-1" }, "scopes[0] zone:us-1: this proxy does not lie", false},
+		"wrong checksum":   {func(u *revision.Update) { u.Checksum = "f00" }, "checksum f00", false},
+		"wrong, and whole": {func(u *revision.Update) { whole(u); u.Checksum = "f00" }, "checksum f00", true},
+		"another scope": {func(u *revision.Update) { u.Scopes[0].Scope.Name = "us-1" },
+			"scopes[0] zone:us-1: this proxy does not lie", false},
 		"a gap":              {func(u *revision.Update) { u.Scopes[0].From = 2 }, "a patch of 2, and 3 is held", false},
 		"a lower number":     {func(u *revision.Update) { u.Scopes[0].Number = 2 }, "number 2 is below 3", false},
 		"no number":          {func(u *revision.Update) { u.Scopes[0].Number = 0 }, "number 0 in an update", false},
@@ -140,11 +141,12 @@
 		"no change":          {func(u *revision.Update) { u.Scopes[0].Patch = nil }, "one of patch and document", false},
 		"both":               {func(u *revision.Update) { u.Scopes[0].Document = document }, "one of patch and document", false},
 		"a patch in a whole": {func(u *revision.Update) { u.Whole = true }, "a patch where the whole is due", true},
-		"twice":              {func(u *revision.Update) { u.Scopes = append(u.Scopes, u.Scopes[0]) }, "scopes[1] zone:eu-1: it comes twice", false},
-		"back":               {func(u *revision.Update) { u.Revision, u.Scopes[0].Number = 2, 2 }, "revision 2 is below 3", false},
-		"back, and whole":    {func(u *revision.Update) { whole(u); u.Revision = 2 }, "revision 2 is below 3", true},
-		"again, in part":     {func(u *revision.Update) { u.Revision, u.Scopes[0].Number = 3, 3 }, "without the whole", false},
-		"no revision":        {func(u *revision.Update) { u.Revision = 0 }, "without a revision", true},
+		"twice": {func(u *revision.Update) { u.Scopes = append(u.Scopes, u.Scopes[0]) },
+			"scopes[1] zone:eu-1: it comes twice", false},
+		"back":            {func(u *revision.Update) { u.Revision, u.Scopes[0].Number = 2, 2 }, "revision 2 is below 3", false},
+		"back, and whole": {func(u *revision.Update) { whole(u); u.Revision = 2 }, "revision 2 is below 3", true},
+		"again, in part":  {func(u *revision.Update) { u.Revision, u.Scopes[0].Number = 3, 3 }, "without the whole", false},
+		"no revision":     {func(u *revision.Update) { u.Revision = 0 }, "without a revision", true},
 		"a null in a document": {func(u *revision.Update) { whole(u); u.Scopes[1].Document = revision.Document(`{"x":null}`) },
 			"scopes[1] zone:eu-1: x is null", true},
 		"nested too deep": {func(u *revision.Update) {
@@ -176,12 +178,14 @@
 		}
 	}
 	for text, reason := range map[string]string{
-		`{"revision":4,`: "byte 14", `[]`: "byte 1", `{"revision":-1}`: "byte 14", `{"scopes":[{"scope":"rack:1"}]}`: `scope "rack:1" is unknown`, "": "byte 0",
-		`{"revision":1e400}`: "byte 17",
+		`{"revision":4,`: "byte 14", `[]`: "byte 1", `{"revision":-1}`: "byte 14", "": "byte 0",
+		`{"scopes":[{"scope":"rack:1"}]}`: `scope "rack:1" is unknown`,
+		`{"revision":1e400}`:              "byte 17",
 	} {
 		f := following(holds(t), true)
 		end := f.Received([]byte(text))
-		if end.Step != Idle || end.Report.Verdict != revision.Unknown || !strings.Contains(end.Report.Reason, reason) || end.GiveUp == nil {
+		if end.Step != Idle || end.Report.Verdict != revision.Unknown || !strings.Contains(end.Report.Reason, reason) ||
+			end.GiveUp == nil {
 			t.Errorf("%s: %+v, given up %v", text, end.Report, end.GiveUp)
 		}
 	}
@@ -247,11 +251,13 @@
 	if err != nil || string(laid.Settings) != want || laid.Discovery != local.Discovery || len(laid.Peers) != 1 {
 		t.Errorf("%s %+v, %v", laid.Settings, laid, err)
 	}
-	if laid, err := (Reloadable{}).Overlay(revision.Document(`{"discovery":"x"}`)); err != nil || laid.Settings != nil || laid.Peers != nil {
+	laid, err = (Reloadable{}).Overlay(revision.Document(`{"discovery":"x"}`))
+	if err != nil || laid.Settings != nil || laid.Peers != nil {
 		t.Errorf("%+v, %v", laid, err)
 	}
 	for text, reason := range map[string]string{
-		`{"known":{},"listen":"x"}`: "known: it needs a start", `{"discovery":3}`: "cannot unmarshal", `{"peers":"x"}`: "cannot unmarshal",
+		`{"known":{},"listen":"x"}`: "known: it needs a start",
+		`{"discovery":3}`:           "cannot unmarshal", `{"peers":"x"}`: "cannot unmarshal",
 	} {
 		if _, err := local.Overlay(revision.Document(text)); err == nil || !strings.Contains(err.Error(), reason) {
 			t.Errorf("%s: %v", text, err)
@@ -359,7 +365,8 @@
 	case TakeOver:
 		w.pending = w.follow.TakenOver(err)
 	}
-	if r := w.pending.Report; r != nil && r.Verdict == revision.InForce && (w.disk.Revision < r.Revision || w.follow.InForce().Revision != r.Revision) {
+	r := w.pending.Report
+	if r != nil && r.Verdict == revision.InForce && (w.disk.Revision < r.Revision || w.follow.InForce().Revision != r.Revision) {
 		t.Fatalf("%d reported in force, %d is, and %d is saved", r.Revision, w.follow.InForce().Revision, w.disk.Revision)
 	}
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -26,21 +26,22 @@
 }
 
 func TestEachMistakeIsOneLineWithItsPlace(t *testing.T) {
+	const oneReplica = "[control]\nreplicas = [\"127.0.0.1:1\"]\n"
 	for text, want := range map[string]string{
-		"[state]\nfolder = \"x\"\n":                                                                        "state.fleet is missing",
-		"[state]\nfleet = \"x\"\n":                                                                         "state.folder is missing",
-		"[state]\nfolder = \"x\"\nfleet = \"y\"\nevery = -1\n":                                             "state.every = -1 is not between 0.1 and 3600",
-		"[state]\nfolder = \"x\"\nfleet = \"y\"\nevery = nan\n":                                            "state.every = NaN",
-		"[state]\nfoldr = \"x\"\n":                                                                         "line 2, column 1: key state.foldr is unknown",
-		"[state]\nfolder = 3\n":                                                                            "line 2, column 10",
-		"[control]\nfleet = \"x\"\n":                                                                       "control.replicas is missing",
-		"[control]\nreplicas = [\"127.0.0.1:1\"]\n":                                                        "control.fleet is missing",
-		"[control]\nreplicas = [\"here\"]\nfleet = \"x\"\n":                                                "control.replicas[0]",
-		"[control]\nreplicas = [\"127.0.0.1:1\", \"127.0.0.1:1\"]\nfleet = \"x\"\n":                        "control.replicas[1]: 127.0.0.1:1 comes twice",
-		"[control]\nreplicas = [\"127.0.0.1:1\"]\nfleet = \"x\"\nzone = \"a b\"\n":                         "control: zone \"a b\" is not a name",
-		"[control]\nreplicas = [\"127.0.0.1:1\"]\nfleet = \"x\"\n[state]\nfolder = \"f\"\nfleet = \"y\"\n": "control.fleet is \"x\", and state.fleet \"y\"",
-		"[control]\nreplica = []\n":                                                                        "line 2, column 1: key control.replica is unknown",
-		"[state\n":                                                                                         "line 1",
+		"[state]\nfolder = \"x\"\n":                                                 "state.fleet is missing",
+		"[state]\nfleet = \"x\"\n":                                                  "state.folder is missing",
+		"[state]\nfolder = \"x\"\nfleet = \"y\"\nevery = -1\n":                      "state.every = -1 is not between 0.1 and 3600",
+		"[state]\nfolder = \"x\"\nfleet = \"y\"\nevery = nan\n":                     "state.every = NaN",
+		"[state]\nfoldr = \"x\"\n":                                                  "line 2, column 1: key state.foldr is unknown",
+		"[state]\nfolder = 3\n":                                                     "line 2, column 10",
+		"[control]\nfleet = \"x\"\n":                                                "control.replicas is missing",
+		"[control]\nreplica = []\n":                                                 "line 2, column 1: key control.replica is unknown",
+		oneReplica:                                                                  "control.fleet is missing",
+		oneReplica + "fleet = \"x\"\nzone = \"a b\"\n":                              "control: zone \"a b\" is not a name",
+		oneReplica + "fleet = \"x\"\n[state]\nfolder = \"f\"\nfleet = \"y\"\n":      "control.fleet is \"x\", and state.fleet \"y\"",
+		"[control]\nreplicas = [\"here\"]\nfleet = \"x\"\n":                         "control.replicas[0]",
+		"[control]\nreplicas = [\"127.0.0.1:1\", \"127.0.0.1:1\"]\nfleet = \"x\"\n": "control.replicas[1]: 127.0.0.1:1 comes twice",
+		"[state\n": "line 1",
 	} {
 		_, err := Parse([]byte(text))
 		if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
