--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -20,7 +20,7 @@
 func (h *benchHost) Decline(uint64, float64)      {}
 func (h *benchHost) Terminate(uint64)             {}
 func (h *benchHost) Watch()                       {}
-func (h *benchHost) Tell(int, []byte)             {}
+func (h *benchHost) Send(int, []byte)             {}
 func (h *benchHost) WakeAfter(s float64, token uint64) {
 	h.wakes = append(h.wakes, wake{h.now + s, token})
 }
--- a/balance/helper_test.go
+++ b/balance/helper_test.go
@@ -55,7 +55,7 @@
 func (h *fakeHost) Terminate(cmd uint64)            { h.end(cmd); h.terminated = append(h.terminated, cmd) }
 func (h *fakeHost) WakeAfter(s float64, tok uint64) { h.wakes = append(h.wakes, wake{h.now + s, tok}) }
 func (h *fakeHost) Watch()                          { h.watches++ }
-func (h *fakeHost) Tell(to int, text []byte) {
+func (h *fakeHost) Send(to int, text []byte) {
 	h.told = append(h.told, telling{to, slices.Clone(text)})
 }
 
--- a/balance/host.go
+++ b/balance/host.go
@@ -21,7 +21,7 @@
 	// Watch subscribes to changes of the list; Fleet or ListFailed follows.
 	Watch()
 	// Tell sends a few bytes to a sibling by its number; they may be lost.
-	Tell(to int, text []byte)
+	Send(to int, text []byte)
 }
 
 // Effect says what a second run of a command would do.
--- a/balance/keeper_test.go
+++ b/balance/keeper_test.go
@@ -20,7 +20,7 @@
 			for _, m := range told {
 				if pass(from, &m) {
 					more = true
-					hosts[m.to].b.Heard(hosts[m.to].now, from, m.text)
+					hosts[m.to].b.Received(hosts[m.to].now, from, m.text)
 				}
 			}
 		}
@@ -168,7 +168,7 @@
 	f.Fuzz(func(t *testing.T, from int, text []byte) {
 		h := start(t, setup{place: Place{Siblings: 3}, limits: Limits{Relays: 3, Peers: true}})
 		h.b.Command(h.now, 1, 0, 0, h.now+6, 0)
-		h.b.Heard(h.now, from, text)
+		h.b.Received(h.now, from, text)
 		if h.until(h.now + 7); !h.ended[1] {
 			t.Error("no final answer")
 		}
--- a/balance/living.go
+++ b/balance/living.go
@@ -52,7 +52,7 @@
 func (b *Balancer) keeper(cell uint16) int {
 	for turn := range keepersMost {
 		at := b.inLine(cell, turn)
-		if at == b.place.Me || b.view.Lives(b.now, at) {
+		if at == b.place.Me || b.view.Alive(b.now, at) {
 			return at
 		}
 	}
@@ -79,17 +79,17 @@
 
 // tell has a sibling told, in a form that it reads.
 func (b *Balancer) tell(at int, n note) {
-	if b.view.Old(b.now, at) {
+	if b.view.UsesOldForm(b.now, at) {
 		n.flag = min(n.flag, flagYes) // which is all that form can say
-		b.host.Tell(at, n.bytes())
+		b.host.Send(at, n.bytes())
 	} else {
-		b.host.Tell(at, n.lived(b.life))
+		b.host.Send(at, n.lived(b.life))
 	}
 }
 
 // question asks a keeper.
 func (b *Balancer) question(at int, n note) {
-	b.view.Ask(b.now, at)
+	b.view.Sending(b.now, at)
 	b.tell(at, n)
 }
 
@@ -112,7 +112,7 @@
 	if !ok || !b.limits.Peers || from == b.place.Me {
 		return n, false
 	}
-	counts, fresh := b.view.Heard(b.now, from, life)
+	counts, fresh := b.view.Received(b.now, from, life)
 	if counts && n.kind == noteAsk && n.turn != 0 && b.view.Repeats(b.now, from, n.turn) {
 		return n, false // would be granted twice
 	}
--- a/balance/living_test.go
+++ b/balance/living_test.go
@@ -102,7 +102,7 @@
 	other := 1 - keeper.b.place.Me
 	k := keeper.b.fleet[0]
 	says := func(life uint64, amount byte) {
-		keeper.b.Heard(keeper.now, other, note{noteOut, 0, k.tag(), amount, flagSent, 0}.lived(life))
+		keeper.b.Received(keeper.now, other, note{noteOut, 0, k.tag(), amount, flagSent, 0}.lived(life))
 	}
 	says(100, 9)
 	if sum := k.tally.sum(keeper.now, noteLife); sum != 9 {
@@ -143,7 +143,7 @@
 			}
 		}
 	}
-	if !hosts[0].b.view.Old(hosts[0].now, old) {
+	if !hosts[0].b.view.UsesOldForm(hosts[0].now, old) {
 		t.Error("the process that speaks the old form is not spoken to in it")
 	}
 }
@@ -154,12 +154,12 @@
 		t.Errorf("%+v %d %t", got, life, ok)
 	}
 	plain := n.bytes()
-	if IsNote(plain) {
+	if IsMessage(plain) {
 		t.Error("the old form has no word for what a keeper that has just come says")
 	}
 	zero := binary.LittleEndian.AppendUint64(append([]byte{noteAsk + noteLived}, plain[1:]...), 0)
 	for _, text := range [][]byte{nil, plain[:6], zero, n.lived(77)[:15], append(n.lived(77), 0), bytes.Repeat([]byte{255}, 16)} {
-		if IsNote(text) {
+		if IsMessage(text) {
 			t.Errorf("% x is taken for a note", text)
 		}
 	}
@@ -182,7 +182,7 @@
 		}
 	}
 	for i := range hosts {
-		if !h.b.view.Lives(h.now, i) {
+		if !h.b.view.Alive(h.now, i) {
 			t.Errorf("sibling %d is given up", i)
 		}
 	}
@@ -230,7 +230,7 @@
 	other, k := 1-keeper.b.place.Me, keeper.b.fleet[0]
 	says := func(turn, amount, flag byte, want float64) {
 		t.Helper()
-		keeper.b.Heard(keeper.now, other, note{noteOut, 0, k.tag(), amount, flag, turn}.lived(100))
+		keeper.b.Received(keeper.now, other, note{noteOut, 0, k.tag(), amount, flag, turn}.lived(100))
 		if sum := k.tally.sum(keeper.now, noteLife); sum != want {
 			t.Errorf("word %d: %v out, want %v", turn, sum, want)
 		}
@@ -244,7 +244,7 @@
 
 	asks := func(turn byte) int {
 		keeper.told = nil
-		keeper.b.Heard(keeper.now, other, note{noteAsk, 0, 0, 255, flagNone, turn}.lived(100))
+		keeper.b.Received(keeper.now, other, note{noteAsk, 0, 0, 255, flagNone, turn}.lived(100))
 		return len(keeper.told)
 	}
 	if asks(7) != 1 || asks(7) != 0 || asks(8) != 1 {
--- a/balance/memory.go
+++ b/balance/memory.go
@@ -17,7 +17,7 @@
 
 // Memory is what was learned. Verbs are in the order of the settings.
 type Memory struct {
-	Life              uint64 // of the instance
+	Incarnation       uint64 // of the instance
 	Usual             float64
 	Ease, Level, Rate float64
 	Any               []byte
@@ -53,7 +53,7 @@
 
 // Remember gives what was learned so far.
 func (b *Balancer) Remember() Memory {
-	m := Memory{Life: b.life, Usual: b.usual, Ease: b.ease, Level: b.level, Rate: b.arrivals.Usual(), Any: b.anyDelay.bytes(),
+	m := Memory{Incarnation: b.life, Usual: b.usual, Ease: b.ease, Level: b.level, Rate: b.arrivals.Usual(), Any: b.anyDelay.bytes(),
 		Weights: map[BackendID]float64{}}
 	for _, v := range b.verbs {
 		m.Verbs = append(m.Verbs, v.delay.bytes())
@@ -71,7 +71,7 @@
 // set back, is as good as none known.
 func (b *Balancer) Recall(now float64, m Memory, age float64) {
 	b.now = now
-	b.life = max(b.life, m.Life+1)
+	b.life = max(b.life, m.Incarnation+1)
 	fresh := func(life float64) float64 {
 		if age < 0 {
 			return 0
--- a/balance/memory_test.go
+++ b/balance/memory_test.go
@@ -24,7 +24,7 @@
 	if d, learned := n.b.delay(n.b.verbs[0]); !learned || math.Abs(d-h.b.verbs[0].delay.after(h.now)) > 0.01 {
 		t.Errorf("copies after %.3f s (learned %t), %.3f s before", d, learned, h.b.verbs[0].delay.after(h.now))
 	}
-	if n.b.usual != m.Usual || n.b.ease != m.Ease || n.b.arrivals.Usual() != m.Rate || n.b.life <= m.Life {
+	if n.b.usual != m.Usual || n.b.ease != m.Ease || n.b.arrivals.Usual() != m.Rate || n.b.life <= m.Incarnation {
 		t.Errorf("usual %v of %v, ease %v of %v, rate %v of %v", n.b.usual, m.Usual, n.b.ease, m.Ease, n.b.arrivals.Usual(), m.Rate)
 	}
 	if w := n.b.fleet[2].weight; w > 0.3 {
--- a/balance/notes.go
+++ b/balance/notes.go
@@ -48,7 +48,7 @@
 }
 
 // IsNote tells whether the bytes have the form of a message.
-func IsNote(text []byte) bool {
+func IsMessage(text []byte) bool {
 	_, _, ok := readNote(text)
 	return ok
 }
--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -254,7 +254,7 @@
 }
 
 // Heard is not used.
-func (p *plain) Heard(now float64, _ int, _ []byte) { p.now = now }
+func (p *plain) Received(now float64, _ int, _ []byte) { p.now = now }
 
 // Command sends it at once.
 func (p *plain) Command(now float64, id uint64, verb, _ int, expires float64, _ uint64) {
--- a/internal/benchwire/wire.go
+++ b/internal/benchwire/wire.go
@@ -96,7 +96,7 @@
 	*h.reply = append(*h.reply, 1)
 }
 
-func (h *host) Tell(to int, text []byte) {
+func (h *host) Send(to int, text []byte) {
 	h.record(outSignal, 6+len(text))
 	*h.reply = binary.LittleEndian.AppendUint32(*h.reply, uint32(to))
 	*h.reply = binary.LittleEndian.AppendUint16(*h.reply, uint16(len(text)))
@@ -223,7 +223,7 @@
 			return nil
 		}
 		h := &host{who: who, reply: &l.reply}
-		b, fields, err := settings.Balancer(h, seed, now, text)
+		b, fields, err := settings.NewBalancer(h, seed, now, text)
 		if err != nil {
 			return err
 		}
@@ -288,7 +288,7 @@
 	case inNeighbour:
 		from := int(f.u16())
 		text := f.bytes(int(f.u16()))
-		call = func() { at.Heard(now, from, text) }
+		call = func() { at.Received(now, from, text) }
 	default:
 		return errors.New("the code is unknown")
 	}
--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -31,7 +31,7 @@
 	Departed(now float64, id uint64)
 	Fleet(now float64, whole bool, entries []balance.Entry)
 	ListFailed(now float64)
-	Heard(now float64, from int, text []byte)
+	Received(now float64, from int, text []byte)
 	Wake(now float64, token uint64)
 }
 
--- a/internal/emulator/instances.go
+++ b/internal/emulator/instances.go
@@ -445,7 +445,7 @@
 }
 
 // Tell is the policy's word.
-func (x *instance) Tell(to int, text []byte) {
+func (x *instance) Send(to int, text []byte) {
 	d := x.d
 	d.judge.Message()
 	if to < 0 || to >= len(d.places[x.tier]) || len(text) > 256 {
@@ -493,7 +493,7 @@
 func (d *Day) noted(n int) {
 	w := d.noteTo[n]
 	if w.to.alive {
-		w.to.policy.Heard(d.now, w.from, d.notes[n])
+		w.to.policy.Received(d.now, w.from, d.notes[n])
 	}
 	d.spare = append(d.spare, n)
 }
--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -1,11 +1,11 @@
 // Package liveness says when a watch that should speak counts as dead, and after what wait it is opened again.
 //
 // It is free of I/O and of a clock of its own; all times are in seconds. It must never take anything but a whole line for a
-// sign of life, nor let what was missed go beyond the time after which it counts as told.
+// sign of life, nor let what was missed go beyond the time after which it counts as received.
 package liveness
 
 const (
-	// What is missed counts as told 6 s after the watch fell silent, or discovery could be reached again: silence, a wait and
+	// What is missed counts as received 6 s after the watch fell silent, or discovery could be reached again: silence, a wait and
 	// one opening that hangs must fit in, and so must an opening that hangs, the longest wait and another.
 	heartbeat  = 2.0 // seconds between empty lines while nothing changes
 	silence    = 3.0 // seconds without a whole line after which the watch is dead: a heartbeat and a half
@@ -16,12 +16,12 @@
 
 // Watch is one watch, over all its openings. The zero value is ready for the first.
 type Watch struct {
-	Heard  bool // a line was had since the start
-	Lost   bool // and none since the last loss
-	why    string
-	wait   float64
-	lineAt float64 // when this opening's first line came, 0 before
-	deadAt float64
+	Received bool // a line was had since the start
+	Lost     bool // and none since the last loss
+	why      string
+	wait     float64
+	lineAt   float64 // when this opening's first line came, 0 before
+	deadAt   float64
 }
 
 // Opened says that an opening was begun.
@@ -36,7 +36,7 @@
 		w.lineAt = now
 	}
 	back = w.Lost
-	w.Heard, w.Lost, w.deadAt = true, false, now+silence
+	w.Received, w.Lost, w.deadAt = true, false, now+silence
 	return back
 }
 
--- a/internal/liveness/liveness_test.go
+++ b/internal/liveness/liveness_test.go
@@ -45,7 +45,7 @@
 	if _, news := w.Ended(now+4, "refused", 0); news {
 		t.Error("the same again is none")
 	}
-	if back := w.Line(now + 5); !back || w.Lost || !w.Heard {
+	if back := w.Line(now + 5); !back || w.Lost || !w.Received {
 		t.Error("back")
 	}
 }
--- a/internal/membership/arrivals.go
+++ b/internal/membership/arrivals.go
@@ -1,7 +1,7 @@
-// Package membership tells a proxy how many of its siblings there still are, so that the shares which it takes of what is
-// common go by who is there and not by who should be.
+// Package membership tells a proxy how many of its peers are still there, so that its part of what is common goes by who is
+// there and not by who should be.
 //
-// Arrivals goes by what comes to the proxy itself and needs no message; View goes by what siblings say. Both are free of
+// Arrivals goes by what comes to the proxy itself and needs no message; View goes by what peers send. Both are free of
 // I/O and of a clock of their own: they are told times in seconds, which never run backwards. Neither may decide what a
 // share is of, nor be believed beyond the bound that its page states. docs/recovery.md has the design and its source.
 package membership
@@ -15,7 +15,7 @@
 	usualLeast = 20    // steps until it is known
 	nowSpan    = 0.5   // seconds over which the present rate is counted
 	roots      = 2.0   // of what came lately by which it may be more by chance
-	surge      = 2.5   // times the usual rate from which siblings may be missing: the fleet bears less by its usual room, and a surge is seldom more
+	surge      = 2.5   // times the usual rate from which peers may be missing: the fleet bears less by its usual room, and a surge is seldom more
 	lateSpan   = 0.5   // seconds over which it is counted what is late just now
 	lateGain   = 0.002 // by which each answer moves the part that usually is
 	lateMore   = 0.1   // more of them than usually that are still in good time
@@ -24,7 +24,7 @@
 	mostSteps  = 400   // steps that are made up for after a pause; more say no more
 )
 
-// Arrivals takes a lasting jump of what comes, while all that is sent is answered in good time, for siblings that are no
+// Arrivals takes a lasting jump of what comes, while all that is sent is answered in good time, for peers that are no
 // more. The zero value is ready.
 //
 // A jump alone proves nothing, since a surge of all clients looks the same; so the part that is believed to live falls
@@ -32,7 +32,7 @@
 // wrong, each proxy counts itself as one of part times the siblings: all together take at most 1/part of what is
 // common, where 1/part is the factor by which arrivals rose, and only for as long as what they take is answered in time.
 type Arrivals struct {
-	usual            float64 // commands a second
+	usual            float64 // requests a second
 	count            float64 // that came in this step
 	steps            int
 	next             float64 // when the step ends
@@ -47,7 +47,7 @@
 	jumped           bool // more comes than chance and a swing explain
 }
 
-// Came is told of a command that arrives.
+// Came notes a request that arrives.
 func (a *Arrivals) Came(now float64) {
 	a.turn(now)
 	a.count++
@@ -66,7 +66,7 @@
 	}
 }
 
-// Ended is told that a command has ended, and whether it was late by the measure of its user.
+// Ended notes that a request has ended, and whether it was late by its user's measure.
 func (a *Arrivals) Ended(now float64, late bool) {
 	x := 0.0
 	if late {
@@ -105,7 +105,7 @@
 	}
 }
 
-// Usual is how many commands a second come usually, 0 while that is not known.
+// Usual is how many requests a second come usually, 0 while that is not known.
 func (a *Arrivals) Usual() float64 {
 	if a.steps < usualLeast {
 		return 0
@@ -113,7 +113,7 @@
 	return a.usual
 }
 
-// Part is the part of the siblings that is believed to live, from above 0 to 1. response is how long an answer usually
+// Part is the part of the peers that is believed to run, from above 0 to 1. response is how long an answer usually
 // takes, in seconds, 0 where it is not known.
 func (a *Arrivals) Part(now, response float64) float64 {
 	a.turn(now)
--- a/internal/membership/arrivals_test.go
+++ b/internal/membership/arrivals_test.go
@@ -22,7 +22,7 @@
 func always(float64) bool { return true }
 func never(float64) bool  { return false }
 
-func TestAJumpThatIsAnsweredInTimeMeansFewerSiblings(t *testing.T) {
+func TestAJumpThatIsAnsweredInTimeMeansFewerPeers(t *testing.T) {
 	chance := rand.New(rand.NewPCG(1, 1))
 	for _, rate := range []float64{2, 30, 500} {
 		var a Arrivals
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -1,131 +1,131 @@
-// This file owns what a proxy knows of each sibling by messages: which life of it speaks, whether it answers, and in
-// which form it is spoken to. It must never take a word of a former life for one of the present, nor give a sibling up
+// This file owns what a proxy knows of each peer by messages: its incarnation, whether it answers, and the form in which
+// messages are sent to it. It must never take a message of a former incarnation for one of the present, nor give a peer up
 // for good.
 package membership
 
 import "math"
 
 const (
-	missesDead = 2    // questions in a row without any word, each asked after the one before was given up
-	leaveFirst = 0.5  // seconds for which one that does not answer is not asked
-	leaveLast  = 4.0  // and at most, doubling: so long may a return stay unseen where it says nothing itself
-	trialFor   = 0.1  // seconds for which one question alone tries it again
-	stepsBack  = 1.0  // seconds of words of a lower life, with none of the higher, after which that one is no more
-	oldFor     = 10.0 // seconds for which the old form is spoken to one that does not answer in the new
-	turnsKept  = 8    // questions of a sibling that are known again
-	repeatFor  = 0.2  // seconds for which they are: a number comes again after 255
+	missesDead     = 2    // requests in a row without any message, each sent after the one before was given up
+	pauseFirst     = 0.5  // seconds for which a peer that does not answer is sent no request
+	pauseLast      = 4.0  // and at most, doubling: so long may a return stay unnoticed where the peer sends nothing itself
+	trialFor       = 0.1  // seconds for which one request alone tries it again
+	stepsBackAfter = 1.0  // seconds of messages of a lower incarnation, with none of the higher, after which the higher has ended
+	oldFor         = 10.0 // seconds for which a peer that does not answer in the new form is sent the old one
+	requestsKept   = 8    // requests of a peer that are remembered, to recognize repeats
+	repeatFor      = 0.2  // seconds for which they are: a number is used again after 255
 )
 
-// View is what one proxy knows. The zero value knows nobody; Resize must follow.
+// View is what one proxy knows of its peers. The zero value knows none; Resize must follow.
 type View struct {
-	all []sibling
+	peers []peer
 }
 
-type sibling struct {
-	life      uint64  // 0: not known
-	lifeHeard float64 // latest word of it
-	lower     uint64  // a lower one that has spoken since
-	lowerFrom float64 // and since when
-	heard     float64 // latest word of any life
-	misses    int
-	missedAt  float64         // when the last question was given up
-	leave     float64         // seconds for which it is left next time
-	until     float64         // not asked before
-	old       bool            // speaks the old form
-	oldUntil  float64         // is spoken to in it
-	turns     [turnsKept]byte // of its latest questions
-	askedAt   [turnsKept]float64
-	nextTurn  int
+type peer struct {
+	incarnation         uint64  // 0: not known
+	incarnationReceived float64 // time of its latest message
+	lower               uint64  // a lower one received since
+	lowerFrom           float64 // and since when
+	received            float64 // time of the latest message of any incarnation
+	misses              int
+	missedAt            float64            // when the last request was given up
+	pause               float64            // seconds of the next pause
+	pausedUntil         float64            // no request before
+	oldForm             bool               // sends the old form
+	oldFormUntil        float64            // is sent it
+	requests            [requestsKept]byte // numbers of its latest ones
+	requestedAt         [requestsKept]float64
+	nextRequest         int
 }
 
-// Resize sets how many siblings there are; what is known of those that stay is kept.
+// Resize sets how many peers there are; what is known of those that stay is kept.
 func (v *View) Resize(n int) {
-	for len(v.all) < n {
-		v.all = append(v.all, sibling{heard: math.Inf(-1), lifeHeard: math.Inf(-1)})
+	for len(v.peers) < n {
+		v.peers = append(v.peers, peer{received: math.Inf(-1), incarnationReceived: math.Inf(-1)})
 	}
-	v.all = v.all[:n]
+	v.peers = v.peers[:n]
 }
 
-// Heard is told of a word: life says which life of the sibling speaks, 0 in the old form, which has none. It tells
-// whether the word counts, and whether it is the first of a life, so that all that the former one said is void.
-func (v *View) Heard(now float64, from int, life uint64) (counts, fresh bool) {
-	if from < 0 || from >= len(v.all) {
+// Received notes a message: incarnation is the sending peer's, 0 in the old form, which has none. It tells whether the
+// message counts, and whether it is the first of an incarnation, so that all that the former one sent is void.
+func (v *View) Received(now float64, from int, incarnation uint64) (counts, fresh bool) {
+	if from < 0 || from >= len(v.peers) {
 		return false, false
 	}
-	s := &v.all[from]
+	s := &v.peers[from]
 	switch {
-	case life == 0: // a process of an earlier version
-		fresh = s.life != 0
-		s.old, s.life = true, 0
-	case life > s.life:
-		fresh = s.life != 0 || s.old
-		s.life, s.lifeHeard, s.lower, s.old = life, now, 0, false
-	case life == s.life:
-		s.lifeHeard, s.lower = now, 0
-	case life != s.lower:
-		s.lower, s.lowerFrom = life, now
+	case incarnation == 0: // a process of an earlier version
+		fresh = s.incarnation != 0
+		s.oldForm, s.incarnation = true, 0
+	case incarnation > s.incarnation:
+		fresh = s.incarnation != 0 || s.oldForm
+		s.incarnation, s.incarnationReceived, s.lower, s.oldForm = incarnation, now, 0, false
+	case incarnation == s.incarnation:
+		s.incarnationReceived, s.lower = now, 0
+	case incarnation != s.lower:
+		s.lower, s.lowerFrom = incarnation, now
 		return false, false
-	case now < max(s.lowerFrom, s.lifeHeard)+stepsBack: // late words of a former life
+	case now < max(s.lowerFrom, s.incarnationReceived)+stepsBackAfter: // late messages of a former incarnation
 		return false, false
 	default: // it goes on while the higher one is silent: a clock was set back
 		fresh = true
-		s.life, s.lifeHeard, s.lower = life, now, 0
+		s.incarnation, s.incarnationReceived, s.lower = incarnation, now, 0
 	}
-	s.heard, s.misses, s.leave, s.until = now, 0, 0, 0
-	if life != 0 {
-		s.oldUntil = 0
+	s.received, s.misses, s.pause, s.pausedUntil = now, 0, 0, 0
+	if incarnation != 0 {
+		s.oldFormUntil = 0
 	}
 	return true, fresh
 }
 
-// Repeats tells whether a question of that number has come from a sibling just now, and notes it.
-func (v *View) Repeats(now float64, from int, turn byte) bool {
-	s := &v.all[from]
-	for i, t := range s.turns {
-		if t == turn && now < s.askedAt[i]+repeatFor {
+// Repeats tells whether a request of that number was received from a peer just now, and notes it.
+func (v *View) Repeats(now float64, from int, number byte) bool {
+	s := &v.peers[from]
+	for i, known := range s.requests {
+		if known == number && now < s.requestedAt[i]+repeatFor {
 			return true
 		}
 	}
-	s.turns[s.nextTurn], s.askedAt[s.nextTurn] = turn, now
-	s.nextTurn = (s.nextTurn + 1) % len(s.turns)
+	s.requests[s.nextRequest], s.requestedAt[s.nextRequest] = number, now
+	s.nextRequest = (s.nextRequest + 1) % len(s.requests)
 	return false
 }
 
-// Missed is told that a question asked at a time was given up now without an answer.
-func (v *View) Missed(now float64, at int, asked float64) {
-	if at < 0 || at >= len(v.all) {
+// Missed notes that a request sent at a time was given up now without an answer.
+func (v *View) Missed(now float64, at int, sent float64) {
+	if at < 0 || at >= len(v.peers) {
 		return
 	}
-	s := &v.all[at]
-	if s.heard >= asked || s.misses > 0 && asked < s.missedAt {
-		return // it spoke since, or this one was out beside one that counts already
+	s := &v.peers[at]
+	if s.received >= sent || s.misses > 0 && sent < s.missedAt {
+		return // it answered since, or this one was out beside one that counts already
 	}
 	s.misses++
 	s.missedAt = now
-	if s.life == 0 && !s.old && now >= s.oldUntil { // never heard in the new form: it may know only the old one
-		s.oldUntil = now + oldFor
+	if s.incarnation == 0 && !s.oldForm && now >= s.oldFormUntil { // never received in the new form: it may know only the old one
+		s.oldFormUntil = now + oldFor
 		return
 	}
-	if s.misses >= missesDead || s.leave > 0 {
-		s.leave = min(leaveLast, max(leaveFirst, 2*s.leave))
-		s.until = now + s.leave
+	if s.misses >= missesDead || s.pause > 0 {
+		s.pause = min(pauseLast, max(pauseFirst, 2*s.pause))
+		s.pausedUntil = now + s.pause
 	}
 }
 
-// Lives tells whether a sibling is believed to be there.
-func (v *View) Lives(now float64, at int) bool {
-	return at >= 0 && at < len(v.all) && now >= v.all[at].until
+// Alive tells whether a peer is believed to be there.
+func (v *View) Alive(now float64, at int) bool {
+	return at >= 0 && at < len(v.peers) && now >= v.peers[at].pausedUntil
 }
 
-// Ask is called when a question is about to be sent. One that was left alone is tried by one question at a time.
-func (v *View) Ask(now float64, at int) {
-	if s := &v.all[at]; s.leave > 0 {
-		s.until = now + trialFor
+// Sending is called before a request is sent. A peer whose pause has ended is tried by one request at a time.
+func (v *View) Sending(now float64, at int) {
+	if s := &v.peers[at]; s.pause > 0 {
+		s.pausedUntil = now + trialFor
 	}
 }
 
-// Old tells whether a sibling is spoken to in the old form.
-func (v *View) Old(now float64, at int) bool {
-	s := &v.all[at]
-	return s.old || now < s.oldUntil
+// UsesOldForm tells whether messages to a peer are sent in the old form.
+func (v *View) UsesOldForm(now float64, at int) bool {
+	s := &v.peers[at]
+	return s.oldForm || now < s.oldFormUntil
 }
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -13,97 +13,97 @@
 
 func TestOneMissProvesNothingTwoInARowDo(t *testing.T) {
 	v := view(3)
-	v.Heard(10, 1, 7)
+	v.Received(10, 1, 7)
 	v.Missed(10.1, 1, 10.06)
-	for range 50 { // questions that were out at the same time count once
+	for range 50 { // requests that were out at the same time count once
 		v.Missed(10.12, 1, 10.07)
 	}
-	if !v.Lives(10.13, 1) {
-		t.Error("given up for one miss, though fifty questions shared it")
+	if !v.Alive(10.13, 1) {
+		t.Error("given up for one miss, though fifty requests shared it")
 	}
 	v.Missed(10.2, 1, 10.15)
-	if v.Lives(10.21, 1) {
+	if v.Alive(10.21, 1) {
 		t.Error("two misses in a row, and it is still asked")
 	}
-	if !v.Lives(10.21, 2) {
+	if !v.Alive(10.21, 2) {
 		t.Error("another is given up for it")
 	}
-	v.Heard(10.3, 1, 7)
-	if !v.Lives(10.3, 1) {
+	v.Received(10.3, 1, 7)
+	if !v.Alive(10.3, 1) {
 		t.Error("it spoke, and is not asked")
 	}
 }
 
-func TestOneThatIsGivenUpIsTriedByOneQuestionAtATime(t *testing.T) {
+func TestOneThatIsGivenUpIsTriedByOneRequestAtATime(t *testing.T) {
 	v := view(2)
-	v.Heard(0, 1, 7)
+	v.Received(0, 1, 7)
 	now, tries, last := 1.0, 0, 0.0
 	for ; now < 60; now += 0.01 {
-		if v.Lives(now, 1) {
-			v.Ask(now, 1)
+		if v.Alive(now, 1) {
+			v.Sending(now, 1)
 			tries, last = tries+1, now
 			v.Missed(now+0.04, 1, now)
 		}
 	}
 	if tries > 25 {
-		t.Errorf("%d questions in a minute to one that never answers", tries)
+		t.Errorf("%d requests in a minute to one that never answers", tries)
 	}
-	if last < 60-leaveLast-0.2 {
+	if last < 60-pauseLast-0.2 {
 		t.Errorf("not tried after %.1f s", last)
 	}
 }
 
-func TestAFormerLifeNoLongerCounts(t *testing.T) {
+func TestAFormerIncarnationNoLongerCounts(t *testing.T) {
 	v := view(2)
-	says := func(now float64, life uint64, counts, fresh bool) {
+	receives := func(now float64, incarnation uint64, counts, fresh bool) {
 		t.Helper()
-		if c, f := v.Heard(now, 1, life); c != counts || f != fresh {
-			t.Errorf("at %.1f s life %d: counts %t, fresh %t", now, life, c, f)
+		if c, f := v.Received(now, 1, incarnation); c != counts || f != fresh {
+			t.Errorf("at %.1f s incarnation %d: counts %t, fresh %t", now, incarnation, c, f)
 		}
 	}
-	says(1, 100, true, false)
-	says(2, 100, true, false)
-	says(3, 200, true, true) // a new process: what the old one said is void
-	says(3.1, 100, false, false)
-	says(3.2, 100, false, false) // late words of the old one
-	says(3.3, 200, true, false)
-	says(3.9, 100, false, false)
-	says(4.2, 100, false, false) // within stepsBack of the higher one's last word
-	says(4.25, 200, true, false)
+	receives(1, 100, true, false)
+	receives(2, 100, true, false)
+	receives(3, 200, true, true) // a new process: what the old one said is void
+	receives(3.1, 100, false, false)
+	receives(3.2, 100, false, false) // late messages of the old one
+	receives(3.3, 200, true, false)
+	receives(3.9, 100, false, false)
+	receives(4.2, 100, false, false) // within stepsBackAfter of the higher one's last message
+	receives(4.25, 200, true, false)
 	// A restart whose clock was set back: it goes on alone, and soon counts.
-	says(9, 50, false, false)
-	says(9.5, 50, false, false)
-	says(10.1, 50, true, true)
-	says(10.2, 50, true, false)
-	says(10.3, 200, true, true) // the higher life speaks again: it was a cut, not an end
+	receives(9, 50, false, false)
+	receives(9.5, 50, false, false)
+	receives(10.1, 50, true, true)
+	receives(10.2, 50, true, false)
+	receives(10.3, 200, true, true) // the higher incarnation sends again: it was a cut, not an end
 }
 
 func TestOldAndNewFormBesideOneAnother(t *testing.T) {
 	v := view(3)
-	if v.Old(0, 1) {
-		t.Error("a sibling nobody has heard is first spoken to in the new form")
+	if v.UsesOldForm(0, 1) {
+		t.Error("a peer from which nothing was received is first sent the new form")
 	}
 	v.Missed(0.04, 1, 0)
-	if !v.Old(0.05, 1) || !v.Lives(0.05, 1) {
+	if !v.UsesOldForm(0.05, 1) || !v.Alive(0.05, 1) {
 		t.Error("one that does not answer in the new form is to be asked in the old one before it is given up")
 	}
-	if counts, fresh := v.Heard(0.1, 1, 0); !counts || fresh {
-		t.Error("a word in the old form counts")
+	if counts, fresh := v.Received(0.1, 1, 0); !counts || fresh {
+		t.Error("a message in the old form counts")
 	}
-	if !v.Old(100, 1) {
-		t.Error("who speaks the old form is spoken to in it")
+	if !v.UsesOldForm(100, 1) {
+		t.Error("a peer that sends the old form is sent it")
 	}
-	if counts, fresh := v.Heard(200, 1, 9); !counts || !fresh || v.Old(200, 1) {
-		t.Error("a sibling that was renewed speaks the new form, and its former life's words are void")
+	if counts, fresh := v.Received(200, 1, 9); !counts || !fresh || v.UsesOldForm(200, 1) {
+		t.Error("a restarted peer sends the new form, and its former incarnation's messages are void")
 	}
 	v.Missed(201, 1, 200.9)
-	if v.Old(201.1, 1) {
-		t.Error("one miss of a sibling that speaks the new form is no reason for the old one")
+	if v.UsesOldForm(201.1, 1) {
+		t.Error("one miss of a peer that sends the new form is no reason for the old one")
 	}
 }
 
-// Any words in any order: never a panic, never a sibling given up while it speaks, and who speaks last is the life that
-// counts.
+// Any messages in any order: never a panic, never a peer given up while it sends, and the sender of the last is the incarnation
+// that counts.
 func FuzzView(f *testing.F) {
 	f.Add(uint64(1))
 	f.Fuzz(func(t *testing.T, seed uint64) {
@@ -114,21 +114,21 @@
 			at := chance.IntN(5) - 1
 			switch chance.IntN(3) {
 			case 0:
-				if counts, fresh := v.Heard(now, at, chance.Uint64N(4)); counts && !v.Lives(now, at) || fresh && !counts {
+				if counts, fresh := v.Received(now, at, chance.Uint64N(4)); counts && !v.Alive(now, at) || fresh && !counts {
 					t.Fatal("it has just spoken, and is not asked")
 				}
 			case 1:
 				v.Missed(now, at, now-0.1*chance.Float64())
 			case 2:
-				if v.Lives(now, at) {
-					v.Ask(now, at)
-					v.Old(now, at)
+				if v.Alive(now, at) {
+					v.Sending(now, at)
+					v.UsesOldForm(now, at)
 				}
 			}
 		}
-		for _, s := range v.all {
-			if s.until > now+leaveLast {
-				t.Fatalf("left alone for %.1f s", s.until-now)
+		for _, s := range v.peers {
+			if s.pausedUntil > now+pauseLast {
+				t.Fatalf("left alone for %.1f s", s.pausedUntil-now)
 			}
 		}
 	})
--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -36,14 +36,14 @@
 
 // target is a backend as the list has it.
 type target struct {
-	name  string
-	id    balance.BackendID
-	at    netip.AddrPort
-	said  balance.Entry // what the list says
-	state balance.State // what counts, with what operators said
-	since float64       // when its process started, as the list has it
-	links int           // connections, also those being opened
-	idle  []*link       // the one used last at the end
+	name   string
+	id     balance.BackendID
+	at     netip.AddrPort
+	listed balance.Entry // what the list says
+	state  balance.State // what counts, with what operators said
+	since  float64       // when its process started, as the list has it
+	links  int           // connections, also those being opened
+	idle   []*link       // the one used last at the end
 }
 
 // idOf gives a backend an id from its name, the same at every proxy, and one of its own where two names collide.
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -246,7 +246,7 @@
 		return no(404, "the verb is unknown, or not the same in path and Req-Kind")
 	}
 	v := &p.names.Verbs[verb]
-	if get := string(c.msg.Method(in)) == "GET"; get != v.Pure || get && (c.coming || len(c.msg.Body(in)) > 0) {
+	if get := string(c.msg.Method(in)) == "GET"; get != v.Idempotent || get && (c.coming || len(c.msg.Body(in)) > 0) {
 		return no(400, "a GET without a body is for verbs that may be repeated, a POST for the others")
 	}
 	id := c.msg.Get(in, "Req-Id")
@@ -256,7 +256,7 @@
 	if p.ids[string(id)] != nil {
 		return no(409, "a command with this Req-Id is open")
 	}
-	if v.Receipted && len(c.msg.Get(in, "Idempotency-Key")) == 0 {
+	if v.Deduplicated && len(c.msg.Get(in, "Idempotency-Key")) == 0 {
 		return no(400, "this verb needs an Idempotency-Key")
 	}
 	wait = v.TimeLimit
@@ -269,7 +269,7 @@
 	}
 	customer, known = p.customers[string(c.msg.Get(in, "Req-Owner"))]
 	if !known {
-		customer = len(p.names.Customers)
+		customer = len(p.names.Tenants)
 	}
 	return verb, customer, wait, nil
 }
@@ -303,7 +303,7 @@
 		c.turnAway("this proxy has ended\n")
 		return
 	}
-	if p.unheard() { // who asks already found this process under the address of the one before it
+	if p.awaitsDiscovery() { // who asks already found this process under the address of the one before it
 		p.declined++
 		c.reply(503, "the list is not known yet\n", c.msg.Keep) // never relayed, so harmless to repeat
 		return
@@ -461,7 +461,7 @@
 		return
 	}
 	cmd.done, cmd.from = true, nil
-	p.kept.count(from != nil)
+	p.snapshot.count(from != nil)
 	keep := c.msg.Keep && !p.closes() && !c.coming
 	var body []byte
 	if from != nil {
--- a/internal/proxy/control_test.go
+++ b/internal/proxy/control_test.go
@@ -220,11 +220,12 @@
 	if report := wantsReport(t, r, 1, revision.InForce); report.Checksum != h.checksum(t) {
 		t.Errorf("%+v", report)
 	}
-	r.send(h.change(t, revision.Scope{Kind: revision.ZoneKind, Name: "eu-1"}, `{"settings": {"realms": [{"name": "mill", "allowance_per_s": 5}]}}`))
+	zone := revision.Scope{Kind: revision.ZoneKind, Name: "eu-1"}
+	r.send(h.change(t, zone, `{"settings": {"realms": [{"name": "mill", "allowance_per_s": 5}]}}`))
 	wantsReport(t, r, 2, revision.InForce)
 	p.do(func() {
-		if len(p.names.Customers) != 1 || p.names.Customers[0] != "mill" {
-			t.Errorf("customers are %v", p.names.Customers)
+		if len(p.names.Tenants) != 1 || p.names.Tenants[0] != "mill" {
+			t.Errorf("customers are %v", p.names.Tenants)
 		}
 	})
 	close(answer)
@@ -293,7 +294,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if names := again.names.Customers; len(names) != 1 || names[0] != "mill" {
+	if names := again.names.Tenants; len(names) != 1 || names[0] != "mill" {
 		t.Errorf("starts with customers %v", names)
 	}
 	q := run(t, again)
@@ -348,8 +349,8 @@
 	p.Reload(&changed)
 	p.await(t, "the new address", func() bool { return p.watch.at == netip.MustParseAddrPort(changed.Discovery) })
 	p.do(func() {
-		if len(p.names.Customers) != 1 || p.names.Customers[0] != "mill" {
-			t.Errorf("customers are %v", p.names.Customers)
+		if len(p.names.Tenants) != 1 || p.names.Tenants[0] != "mill" {
+			t.Errorf("customers are %v", p.names.Tenants)
 		}
 	})
 }
@@ -391,7 +392,7 @@
 	}
 	two.await(t, "it serves", func() bool { return two.takesClients() })
 
-	two.do(func() { two.handover.before.conn.Close() })
+	two.do(func() { two.handover.predecessor.conn.Close() })
 	if hello := awaited(t, r.hellos); hello.Revision != 2 && hello.Revision != 3 {
 		t.Errorf("the old version says %+v", hello)
 	}
--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -59,7 +59,7 @@
 	r := runHeld(t, p, func() {
 		if !told && len(p.commands) > 0 { // it went to the one that fails: the other is listed only now
 			told = true
-			p.take(both)
+			p.applyEndpoints(both)
 		}
 		if l := p.dialling("s-2"); l != nil && !held.Load() {
 			held.Store(true)
@@ -185,11 +185,11 @@
 	})
 	p := run(t, launch(t, 200, "", first))
 	wants(t, askedFirst, "/api/targets?follow=1")
-	p.await(t, "the list", func() bool { return p.watch.has })
+	p.await(t, "the list", func() bool { return p.watch.hasList })
 	p.Reload(config("", second, settingsText))
 	wants(t, askedSecond, "/api/targets?follow=1")
 	wants(t, askedSecond, "/api/targets?follow=1") // and not from version 2 on
-	p.await(t, "the whole", func() bool { return p.watch.has })
+	p.await(t, "the whole", func() bool { return p.watch.hasList })
 	p.do(func() {
 		if p.backends.byName["s-a"] != nil || p.backends.byName["s-b"].state != balance.Draining || p.watch.index != 3 {
 			t.Errorf("%v at %d", p.backends.byName, p.watch.index)
@@ -220,7 +220,7 @@
 			if took := time.Since(began).Seconds(); took < 0.7 { // 0.1, 0.2, 0.4 and 0.8 s, and half of that by chance
 				t.Errorf("asked five times in %.2f s", took)
 			}
-			p.await(t, "the list is taken, where there is one", func() bool { return p.watch.has == strings.Contains(answer, "s-b") })
+			p.await(t, "the list is taken, where there is one", func() bool { return p.watch.hasList == strings.Contains(answer, "s-b") })
 		})
 	}
 }
@@ -253,14 +253,14 @@
 			})
 			p := run(t, launch(t, 200, "", first))
 			wants(t, askedFirst, "/api/targets?follow=1")
-			p.await(t, "the list", func() bool { return p.watch.has })
+			p.await(t, "the list", func() bool { return p.watch.hasList })
 			// Both in one turn: the old one's last is with the kernel when the configuration is turned to.
 			p.do(func() {
 				now <- true
 				if <-done; name == "its reopening" {
 					p.watch.Lose(io.EOF)
 				}
-				p.turnTo(netip.MustParseAddrPort(second.Addr().String()))
+				p.watchDiscovery(netip.MustParseAddrPort(second.Addr().String()))
 			})
 			wants(t, askedSecond, "/api/targets?follow=1")
 			p.await(t, "the new list", func() bool { return p.watch.index == 1 })
@@ -423,7 +423,7 @@
 	r := runHeld(t, p, func() {
 		if l := p.dialling("s-1"); l != nil && !held.Load() {
 			held.Store(true)
-			p.take(moved)
+			p.applyEndpoints(moved)
 		}
 	})
 	status, _, _ := r.caller(t).ask(text("pay", "Content-Length: 0\r\n"))
@@ -442,7 +442,7 @@
 	io.WriteString(c, text("pay", "Content-Length: 0\r\n"))
 	until(t, "the command", func() bool { return left.commands.Load() == 1 })
 	moved := decode(t, listing(2, false, moves("s-1", now)))
-	r.do(func() { r.take(moved) })
+	r.do(func() { r.applyEndpoints(moved) })
 	close(finish)
 	if status, _, _ := c.read(); status != 200 {
 		t.Errorf("the first answered %d", status)
@@ -537,7 +537,7 @@
 		t.Errorf("%d %s %v before the list", status, text, h)
 	}
 	close(say)
-	p.await(t, "the list is there", func() bool { return p.watch.Heard })
+	p.await(t, "the list is there", func() bool { return p.watch.Received })
 	if status, _, _ := c.ask(text("look")); status != 503 || b.commands.Load() != 0 {
 		t.Errorf("%d with nobody but one that drains, which ran %d", status, b.commands.Load())
 	}
--- a/internal/proxy/end_test.go
+++ b/internal/proxy/end_test.go
@@ -204,7 +204,7 @@
 	rest := one.caller(t)
 	rest.ask(text("look"))
 	two := begin(t, next(t, l, fd))
-	one.await(t, "the new one has said hello", func() bool { return one.handover.after != nil })
+	one.await(t, "the new one has said hello", func() bool { return one.handover.successor != nil })
 	one.do(func() {
 		if one.handover.succeeded {
 			t.Error("the new one serves already")
@@ -231,5 +231,5 @@
 		}
 		c.Close()
 	}
-	two.await(t, "the new one serves alone", func() bool { return two.takesClients() && two.handover.before == nil })
+	two.await(t, "the new one serves alone", func() bool { return two.takesClients() && two.handover.predecessor == nil })
 }
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -1,6 +1,6 @@
-// This file owns the upgrade: the meeting of the running process and the one that takes its place, what they tell each
-// other, and what each does when the other is gone. It must never accept clients in a process that can't serve them, nor
-// believe that the other lives once their connection has ended.
+// This file owns the upgrade: the connection between the running process and its successor, their messages, and what each
+// does when the other is gone. It must never accept clients in a process that can't serve them, nor take the other for
+// running once their connection has ended.
 package proxy
 
 import (
@@ -21,50 +21,50 @@
 )
 
 const (
-	handoverVersion = 1
-	meetWithin      = 1.5     // seconds for the running process to hand over: the yes is due 6 s after the start
-	serveWithin     = 3.0     // seconds after which a new process serves though nobody is listed: no list may come
-	takeOverWithin  = 10.0    // seconds after its hello in which a new process must serve, or counts as gone
-	tellWithin      = 0.5     // seconds for the other process to do what operators said: their answer is due within 1 s
-	meetLine        = 4 << 20 // bytes of a line: thousands of backends
-	shedFrom        = 0.3     // seconds after the successor serves, from which what rests is closed: most go with an answer first
-	shedTo          = 1.5     // and by which it is closed: the kill comes no sooner than 3.7 s after that
-	stayLeast       = 0.5     // seconds that the old process stays, for what was accepted last
-	pairMemory      = 0.5     // of the memory for each of two processes
-	lookEvery       = 0.05    // seconds between looks at what is still open, and at whether an address is free
+	handoverVersion     = 1
+	meetWithin          = 1.5     // seconds for the running process to hand over: the yes is due 6 s after the start
+	serveWithin         = 3.0     // seconds after which a new process serves though nobody is listed: no list may come
+	takeOverWithin      = 10.0    // seconds after its hello in which a new process must serve, or counts as gone
+	operateWithin       = 0.5     // seconds for the other process to do what operators called for: their answer is due within 1 s
+	handoverMessageMost = 4 << 20 // bytes of a line: thousands of backends
+	shedFrom            = 0.3     // seconds after the successor serves, from which what rests is closed: most go with an answer first
+	shedTo              = 1.5     // and by which it is closed: the kill comes no sooner than 3.7 s after that
+	stayLeast           = 0.5     // seconds that the old process stays, for what was accepted last
+	pairMemory          = 0.5     // of the memory for each of two processes
+	lookEvery           = 0.05    // seconds between looks at what is still open, and at whether an address is free
 )
 
-// word is a line between two processes. Unknown fields are passed over; a larger version says that others mean otherwise.
-type word struct {
-	Version     int          `json:"v"`
-	Say         string       `json:"say"` // hello, state, serving, holds, call, done
-	Discovery   string       `json:"discovery,omitempty"`
-	List        *roster      `json:"list,omitempty"`
-	Maintenance *maintenance `json:"maintenance,omitempty"`
-	Drained     bool         `json:"drained,omitempty"`
-	Sockets     int          `json:"sockets,omitempty"`
-	Number      int          `json:"number,omitempty"`
-	Call        string       `json:"call,omitempty"`
-	ID          string       `json:"id,omitempty"`
+// handoverMessage is a line between two processes. Unknown fields are passed over; in a larger version they mean something else.
+type handoverMessage struct {
+	Version     int             `json:"v"`
+	Kind        string          `json:"say"` // hello, state, serving, holds, call, done
+	Discovery   string          `json:"discovery,omitempty"`
+	List        *endpointUpdate `json:"list,omitempty"`
+	Maintenance *maintenance    `json:"maintenance,omitempty"`
+	Drained     bool            `json:"drained,omitempty"`
+	Sockets     int             `json:"sockets,omitempty"`
+	Number      int             `json:"number,omitempty"`
+	Call        string          `json:"call,omitempty"`
+	ID          string          `json:"id,omitempty"`
 }
 
 // handover is where this process stands between the one before and the one after.
 type handover struct {
-	path      string         // of the Unix socket; empty where there is no inherited listener
-	listener  *loop.Listener // where the next version comes
-	before    *mate          // the process whose place this one takes, while it lives
-	after     *mate          // the one that takes this one's place, while it lives
-	met       bool           // nothing is handed over any more
-	serving   bool           // clients are accepted, or were
-	succeeded bool           // the one after serves
-	since     float64        // when that began
-	asked     int            // calls told to the other
-	waits     map[int]func() // for what it has done of these
-	setMemory func(bytes int64)
+	path        string         // of the Unix socket; empty where there is no inherited listener
+	listener    *loop.Listener // where the next version comes
+	predecessor *otherProcess  // the process whose place this one takes, while it lives
+	successor   *otherProcess  // the one that takes this one's place, while it lives
+	met         bool           // nothing is handed over any more
+	serving     bool           // clients are accepted, or were
+	succeeded   bool           // the one after serves
+	since       float64        // when that began
+	asked       int            // calls sent to the other
+	waits       map[int]func() // for what it has done of these
+	setMemory   func(bytes int64)
 }
 
-// mate is the other process.
-type mate struct {
+// otherProcess is the predecessor or the successor.
+type otherProcess struct {
 	p    *Proxy
 	conn *loop.Conn
 	up   bool
@@ -82,7 +82,7 @@
 	return fd, nil
 }
 
-// OnMemory has f told how much memory the process may use, now and when that changes; before Run.
+// OnMemory has f called with how much memory the process may use, now and when that changes; before Run.
 func (p *Proxy) OnMemory(f func(bytes int64)) {
 	p.handover.setMemory = f
 	p.useMemory(1)
@@ -98,26 +98,26 @@
 	}
 }
 
-// meet looks for a running process. Without one, or where it has nothing to say, this one serves at once.
-func (p *Proxy) meet() {
+// meetPredecessor looks for a running process. Without one, or where it has nothing to say, this one serves at once.
+func (p *Proxy) meetPredecessor() {
 	h := &p.handover
 	if h.path == "" {
 		h.met, h.serving = true, true
 		p.control.Open()
 		return
 	}
-	m := &mate{p: p}
-	conn, err := p.loop.DialAt(h.path, m, meetLine)
+	m := &otherProcess{p: p}
+	conn, err := p.loop.DialAt(h.path, m, handoverMessageMost)
 	if err != nil {
 		log.Printf("msg=alone error=%q", err)
 		p.handed()
 		p.serve()
 		return
 	}
-	m.conn, h.before = conn, m
+	m.conn, h.predecessor = conn, m
 	p.useMemory(pairMemory)
 	p.loop.After(meetWithin, func() {
-		if h.before == m && !h.met {
+		if h.predecessor == m && !h.met {
 			log.Printf("msg=handover_silent")
 			m.lost(errors.New("no handover in time"))
 		}
@@ -132,21 +132,21 @@
 	}
 	h.met = true
 	began := p.loop.Now()
-	if h.before != nil {
+	if h.predecessor != nil {
 		p.serveSoon(began)
 	}
 }
 
 // serveSoon accepts as soon as what comes can be relayed, or by the time that somebody must.
 func (p *Proxy) serveSoon(began float64) {
-	if now := p.loop.Now(); p.handover.before != nil && !(p.listed() && p.control.Settled()) && now < began+serveWithin {
+	if now := p.loop.Now(); p.handover.predecessor != nil && !(p.listed() && p.control.Settled()) && now < began+serveWithin {
 		p.loop.After(soon, func() { p.serveSoon(began) })
 		return
 	}
 	p.serve()
 }
 
-// serve accepts clients and tells the process before, if it lives; the next version comes here from now on.
+// serve accepts clients and says so to the predecessor, if it runs; the next version connects here from now on.
 func (p *Proxy) serve() {
 	h := &p.handover
 	if p.listener.Closed() || h.serving {
@@ -156,18 +156,18 @@
 	p.listener.Take()
 	p.control.Open()
 	p.expectNext()
-	if h.before != nil {
+	if h.predecessor != nil {
 		p.useSockets(p.launch.Limits.Sockets / 2)
-		h.before.say(word{Say: "serving"})
+		h.predecessor.send(handoverMessage{Kind: "serving"})
 	}
-	log.Printf("msg=accepting successor=%t ready=%t", h.before != nil, p.ready())
-	p.joinAgain()
+	log.Printf("msg=accepting successor=%t ready=%t", h.predecessor != nil, p.ready())
+	p.rejoinPeers()
 }
 
-// joinAgain takes the address for messages once the process before has let it go.
-func (p *Proxy) joinAgain() {
-	if len(p.peers.at) > 0 && p.peers.sock == nil && !p.handover.succeeded && p.join(p.peers) != nil {
-		p.loop.After(lookEvery, p.joinAgain)
+// rejoinPeers takes the address for messages once the process before has let it go.
+func (p *Proxy) rejoinPeers() {
+	if len(p.peers.at) > 0 && p.peers.sock == nil && !p.handover.succeeded && p.joinPeers(p.peers) != nil {
+		p.loop.After(lookEvery, p.rejoinPeers)
 	}
 }
 
@@ -175,8 +175,8 @@
 func (p *Proxy) expectNext() {
 	h := &p.handover
 	var err error
-	h.listener, err = p.loop.ListenAt(h.path, meetLine, func(conn *loop.Conn) loop.Handler {
-		return &mate{p: p, conn: conn, up: true}
+	h.listener, err = p.loop.ListenAt(h.path, handoverMessageMost, func(conn *loop.Conn) loop.Handler {
+		return &otherProcess{p: p, conn: conn, up: true}
 	})
 	if err != nil {
 		log.Printf("msg=no_handover error=%q", err) // the proxy serves all the same
@@ -186,40 +186,40 @@
 // useSockets has the process keep to so many descriptors.
 func (p *Proxy) useSockets(n int) { p.share(max(n, p.own()+ownDescriptors)) }
 
-func (m *mate) say(w word) {
+func (m *otherProcess) send(w handoverMessage) {
 	w.Version = handoverVersion
 	text, _ := json.Marshal(w)
 	m.conn.Write(append(text, '\n'))
 }
 
-func (m *mate) Up(*loop.Conn) {
+func (m *otherProcess) Up(*loop.Conn) {
 	m.up = true
-	m.say(word{Say: "hello"})
+	m.send(handoverMessage{Kind: "hello"})
 }
 
-func (m *mate) Flushed(*loop.Conn) {}
+func (m *otherProcess) Flushed(*loop.Conn) {}
 
-func (m *mate) Down(_ *loop.Conn, err error) { m.lost(err) }
+func (m *otherProcess) Down(_ *loop.Conn, err error) { m.lost(err) }
 
 // lost says that the other process is gone, or is to count as that: all that was shared falls to this one.
-func (m *mate) lost(err error) {
+func (m *otherProcess) lost(err error) {
 	p, h := m.p, &m.p.handover
 	m.conn.Close()
 	switch m {
-	case h.before:
-		h.before = nil
+	case h.predecessor:
+		h.predecessor = nil
 		log.Printf("msg=predecessor_gone error=%q", err)
 		p.handed()
 		p.serve()
-	case h.after:
-		h.after = nil
+	case h.successor:
+		h.successor = nil
 		p.control.Resume()
 		log.Printf("msg=successor_gone error=%q served=%t", err, h.succeeded)
 		if h.succeeded && !p.end.on {
 			h.succeeded = false
 			p.listener.Take()
 			p.expectNext()
-			p.joinAgain()
+			p.rejoinPeers()
 		}
 	default:
 		log.Printf("msg=stranger error=%q", err)
@@ -229,13 +229,13 @@
 		delete(h.waits, n)
 		f()
 	}
-	if h.before == nil && h.after == nil {
+	if h.predecessor == nil && h.successor == nil {
 		p.useMemory(1)
 		p.useSockets(p.launch.Limits.Sockets)
 	}
 }
 
-func (m *mate) Data(c *loop.Conn) {
+func (m *otherProcess) Data(c *loop.Conn) {
 	for {
 		end := bytes.IndexByte(c.In(), '\n')
 		if end < 0 {
@@ -244,7 +244,7 @@
 			}
 			return
 		}
-		var w word
+		var w handoverMessage
 		err := json.Unmarshal(c.In()[:end], &w)
 		if err == nil && w.Version != handoverVersion {
 			err = fmt.Errorf("version %d is unknown", w.Version)
@@ -254,30 +254,30 @@
 			return
 		}
 		c.Consume(end + 1)
-		if m.heard(&w); m.p.handover.before != m && m.p.handover.after != m {
+		if m.received(&w); m.p.handover.predecessor != m && m.p.handover.successor != m {
 			return
 		}
 	}
 }
 
-// heard does what the other process says. Whoever has not said hello, and was not called by this one, is a stranger.
-func (m *mate) heard(w *word) {
+// received acts on a message of the other process. One that has sent no hello, and was not called by this one, is a stranger.
+func (m *otherProcess) received(w *handoverMessage) {
 	p, h := m.p, &m.p.handover
-	if m != h.before && m != h.after && w.Say != "hello" || m != h.before && (w.Say == "state" || w.Say == "holds") {
-		m.lost(fmt.Errorf("%q is not this process's to say", w.Say))
+	if m != h.predecessor && m != h.successor && w.Kind != "hello" || m != h.predecessor && (w.Kind == "state" || w.Kind == "holds") {
+		m.lost(fmt.Errorf("%q is not this process's to say", w.Kind))
 		return
 	}
-	switch w.Say {
+	switch w.Kind {
 	case "hello":
-		if h.after != nil {
-			h.after.lost(errors.New("another came"))
+		if h.successor != nil {
+			h.successor.lost(errors.New("another came"))
 		}
-		h.after = m
+		h.successor = m
 		p.control.Pause() // what is saved by now is what the other starts with
 		p.useMemory(pairMemory)
-		m.say(p.state())
+		m.send(p.handoverState())
 		p.loop.After(takeOverWithin, func() {
-			if h.after == m && !h.succeeded {
+			if h.successor == m && !h.succeeded {
 				m.lost(errors.New("it does not serve"))
 			}
 		})
@@ -291,7 +291,7 @@
 	case "call":
 		log.Printf("msg=ops call=%s id=%q told=true", w.Call, w.ID)
 		p.operate(w.Call, w.ID)
-		m.say(word{Say: "done", Number: w.Number})
+		m.send(handoverMessage{Kind: "done", Number: w.Number})
 	case "done":
 		if f := h.waits[w.Number]; f != nil {
 			delete(h.waits, w.Number)
@@ -300,34 +300,34 @@
 	}
 }
 
-// state is what the next version must know to keep the rules.
-func (p *Proxy) state() word {
+// handoverState is what the next version must know to keep the rules.
+func (p *Proxy) handoverState() handoverMessage {
 	names := map[balance.State]string{}
-	for name, s := range states {
+	for name, s := range endpointStates {
 		names[s] = name
 	}
-	l := &roster{Index: p.watch.index, Snapshot: true}
+	l := &endpointUpdate{Index: p.watch.index, Snapshot: true}
 	for _, t := range p.backends.byName {
-		if t.said.State != balance.Gone {
-			l.Endpoints = append(l.Endpoints, endpoint{Name: t.name, Address: t.at.String(), Zone: p.names.Zones[t.said.Zone],
-				Group: t.said.Cell, Status: names[t.said.State], Weight: t.said.Size, SinceMs: t.since})
+		if t.listed.State != balance.Gone {
+			l.Endpoints = append(l.Endpoints, endpoint{Name: t.name, Address: t.at.String(), Zone: p.names.Zones[t.listed.Zone],
+				Group: t.listed.Cell, Status: names[t.listed.State], Weight: t.listed.Size, SinceMs: t.since})
 		}
 	}
 	slices.SortFunc(l.Endpoints, func(a, b endpoint) int { return strings.Compare(a.Name, b.Name) })
-	return word{Say: "state", Discovery: p.watch.at.String(), List: l, Maintenance: &p.maintenance, Drained: p.drain.on}
+	return handoverMessage{Kind: "state", Discovery: p.watch.at.String(), List: l, Maintenance: &p.maintenance, Drained: p.drain.on}
 }
 
-// takeOver goes on from what the process before said. The list's index counts only with the discovery that it is from.
-func (p *Proxy) takeOver(w *word) {
+// takeOver goes on from the predecessor's state. The list's index counts only with the discovery that it is from.
+func (p *Proxy) takeOver(w *handoverMessage) {
 	if w.Maintenance != nil {
 		p.maintenance = *w.Maintenance
 	}
-	if w.List != nil && !p.watch.Heard {
-		p.take(w.List)
-		p.watch.has = w.Discovery == p.watch.at.String()
+	if w.List != nil && !p.watch.Received {
+		p.applyEndpoints(w.List)
+		p.watch.hasList = w.Discovery == p.watch.at.String()
 	} else {
 		for _, name := range slices.Sorted(maps.Keys(p.backends.byName)) {
-			p.retell(name)
+			p.refreshBackend(name)
 		}
 	}
 	if w.Drained {
@@ -338,9 +338,9 @@
 }
 
 // giveWay leaves new connections to the process after. What is open here is finished.
-func (p *Proxy) giveWay(m *mate) {
+func (p *Proxy) giveWay(m *otherProcess) {
 	h := &p.handover
-	if h.after != m || h.succeeded {
+	if h.successor != m || h.succeeded {
 		return
 	}
 	h.succeeded, h.since = true, p.loop.Now()
@@ -358,15 +358,15 @@
 }
 
 // giveWayOn closes what rests and leaves once nothing is open.
-func (p *Proxy) giveWayOn(m *mate) {
+func (p *Proxy) giveWayOn(m *otherProcess) {
 	h := &p.handover
-	if h.after != m || p.end.leaving {
+	if h.successor != m || p.end.leaving {
 		return
 	}
 	t := p.loop.Now() - h.since
 	p.shed(t, shedFrom, shedTo)
 	p.backends.most = min(p.backends.most, max(p.clients.count, len(p.backends.links), 1))
-	m.say(word{Say: "holds", Sockets: p.own() + p.clients.count + p.backends.most})
+	m.send(handoverMessage{Kind: "holds", Sockets: p.own() + p.clients.count + p.backends.most})
 	if t > stayLeast && p.clients.count == 0 && len(p.commands) == 0 {
 		log.Printf("msg=left")
 		p.loop.Stop()
@@ -376,8 +376,8 @@
 }
 
 // others are the processes that must do what operators say as well.
-func (p *Proxy) others() (all []*mate) {
-	for _, m := range []*mate{p.handover.before, p.handover.after} {
+func (p *Proxy) others() (all []*otherProcess) {
+	for _, m := range []*otherProcess{p.handover.predecessor, p.handover.successor} {
 		if m != nil && m.up {
 			all = append(all, m)
 		}
@@ -408,8 +408,8 @@
 		h.asked++
 		n := h.asked
 		h.waits[n] = done
-		m.say(word{Say: "call", Number: n, Call: what, ID: id})
-		p.loop.After(tellWithin, func() {
+		m.send(handoverMessage{Kind: "call", Number: n, Call: what, ID: id})
+		p.loop.After(operateWithin, func() {
 			if h.waits[n] != nil {
 				delete(h.waits, n)
 				done()
--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -81,7 +81,7 @@
 		t.Errorf("%d %v after the strangers", status, h)
 	}
 	p.do(func() {
-		if p.drain.on || len(p.maintenance.Out) > 0 || p.handover.after != nil || p.loop.Most != int(bufferPart*192*(1<<20)) {
+		if p.drain.on || len(p.maintenance.Out) > 0 || p.handover.successor != nil || p.loop.Most != int(bufferPart*192*(1<<20)) {
 			t.Error("strangers changed something")
 		}
 	})
@@ -183,7 +183,7 @@
 	two := begin(t, next(t, l, fd))
 	two.want(t, 200, "POST", "/admin/resume") // waits for the handover
 	two.do(func() {
-		if two.handover.before == nil {
+		if two.handover.predecessor == nil {
 			t.Error("they did not meet")
 		}
 	})
--- a/internal/proxy/helper_test.go
+++ b/internal/proxy/helper_test.go
@@ -259,9 +259,9 @@
 	return c.read()
 }
 
-func decode(t *testing.T, text string) *roster {
+func decode(t *testing.T, text string) *endpointUpdate {
 	t.Helper()
-	var l roster
+	var l endpointUpdate
 	if err := json.Unmarshal([]byte(text), &l); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/proxy/maintenance.go
+++ b/internal/proxy/maintenance.go
@@ -1,26 +1,26 @@
-// This file owns what operators said of backends: who is left out, and when who was called back. It must never do I/O,
-// nor know what discovery says: both are put together in settle.
+// This file owns which backends operators have cordoned, and when each was uncordoned. It must never do I/O, nor know what
+// discovery lists: both are combined in applyMaintenance.
 package proxy
 
 import "sandpass/balance"
 
-// maintenance is what operators said, by the backend's name: targets come and go with the list.
+// maintenance is what operators asked for, by the backend's name: targets come and go with the list.
 type maintenance struct {
-	Out  map[string]bool    `json:"out"`  // left out until the call back
-	Back map[string]float64 `json:"back"` // when it was called back last
+	Out  map[string]bool    `json:"out"`  // cordoned
+	Back map[string]float64 `json:"back"` // when each was uncordoned last
 }
 
-// leave has a backend left out; once or many times is the same.
-func (m *maintenance) leave(name string) {
+// cordon notes a backend; once or many times is the same.
+func (m *maintenance) cordon(name string) {
 	if m.Out == nil {
 		m.Out = map[string]bool{}
 	}
 	m.Out[name] = true
 }
 
-// call has it back, cold from now on: it was started anew meanwhile, whether the list tells that or not. One that was
-// not left out stays as it is.
-func (m *maintenance) call(name string, now float64) {
+// uncordon has it back, warming up from now on: it was restarted meanwhile, whether the list says so or not. One that was
+// not cordoned stays as it is.
+func (m *maintenance) uncordon(name string, now float64) {
 	if !m.Out[name] {
 		return
 	}
@@ -31,7 +31,7 @@
 	m.Back[name] = now
 }
 
-// forget gives up when backends were called back that are not listed any more.
+// forget drops the times of backends that are not listed any more.
 func (m *maintenance) forget(listed func(name string) bool) {
 	for name := range m.Back {
 		if !listed(name) {
@@ -40,11 +40,11 @@
 	}
 }
 
-// over is what counts of a backend of which the list says this.
-func (m *maintenance) over(name string, said balance.Entry) balance.Entry {
-	if m.Out[name] && said.State == balance.Ready {
-		said.State = balance.Draining
+// applyTo gives the entry that counts for a backend from the listed one.
+func (m *maintenance) applyTo(name string, listed balance.Entry) balance.Entry {
+	if m.Out[name] && listed.State == balance.Ready {
+		listed.State = balance.Draining
 	}
-	said.Started = max(said.Started, m.Back[name])
-	return said
+	listed.Started = max(listed.Started, m.Back[name])
+	return listed
 }
--- a/internal/proxy/memory.go
+++ b/internal/proxy/memory.go
@@ -1,6 +1,6 @@
-// This file owns what this proxy keeps over its end and takes from the one before it: when it is written, what of it is
-// still to be believed, and in which phase after the start the proxy is. It must never wait for a disk while it serves, nor
-// have a start fail for what is kept, unless the folder is another fleet's.
+// This file owns the proxy's snapshot: when it is written, what of it still counts after a restart, and in which phase after
+// the start the proxy is. It must never wait for a disk while it serves, nor have a start fail for a snapshot, unless the
+// folder is another fleet's.
 package proxy
 
 import (
@@ -16,14 +16,14 @@
 )
 
 const (
-	listLife  = 6 * 3600.0 // seconds after which a kept list is no longer taken: addresses have found other owners
-	savedSoon = 1.0        // seconds by which a snapshot may be newer than now: clocks are set
-	standFrom = 0.002      // by which each look moves what is usually served: over some two minutes
+	listMostAge    = 6 * 3600.0 // seconds after which a kept list is no longer taken: addresses have found other owners
+	clockTolerance = 1.0        // seconds by which a snapshot may be newer than now: clocks are set
+	usualGain      = 0.002      // by which each look moves what is usually served: over some two minutes
 )
 
-// kept is what is kept, and how the start goes.
-type kept struct {
-	keeper   *warm.Keeper // nil: nothing is kept
+// snapshot is what goes into the next one, and how the start goes.
+type snapshot struct {
+	keeper   *warm.Keeper // nil: none is written
 	recovery *recovery.Recovery
 	served   float64 // usual part of ended commands that are answered
 	late     float64 // usual part of answers that are late
@@ -31,10 +31,10 @@
 	ended    int
 }
 
-// remember takes what the process before this one has left, each thing as far as it still counts, once the Balancer is
+// restoreSnapshot takes the snapshot of the process before this one, each part as far as it still counts, once the Balancer is
 // there. Where the configuration names a newer list, that one counts.
-func (p *Proxy) remember(known *roster) error {
-	m, l, now := &p.kept, p.launch, p.loop.Now()
+func (p *Proxy) restoreSnapshot(known *endpointUpdate) error {
+	m, l, now := &p.snapshot, p.launch, p.loop.Now()
 	m.recovery = recovery.New(0, 0)
 	if l.State.Folder == "" {
 		return nil
@@ -51,22 +51,22 @@
 		return nil
 	}
 	age := now - s.Saved
-	if age < -savedSoon {
+	if age < -clockTolerance {
 		log.Printf("msg=state_of_the_future seconds=%.1f", -age)
 	} else {
 		age = max(0, age)
 	}
-	w := word{Discovery: s.Discovery, Drained: s.Drained}
-	var list roster
+	w := handoverMessage{Discovery: s.Discovery, Drained: s.Drained}
+	var list endpointUpdate
 	var out maintenance
-	if len(s.List) > 0 && age < listLife && json.Unmarshal(s.List, &list) == nil && (known == nil || known.Index <= list.Index) {
+	if len(s.List) > 0 && age < listMostAge && json.Unmarshal(s.List, &list) == nil && (known == nil || known.Index <= list.Index) {
 		w.List = &list
 	}
 	if len(s.Maintenance) > 0 && json.Unmarshal(s.Maintenance, &out) == nil {
 		w.Maintenance = &out
 	}
 	p.takeOver(&w)
-	learned := balance.Memory{Life: s.Life, Usual: s.Usual, Ease: s.Ease, Level: s.Level, Rate: s.Rate, Any: s.Any,
+	learned := balance.Memory{Incarnation: s.Incarnation, Usual: s.Usual, Ease: s.Ease, Level: s.Level, Rate: s.Rate, Any: s.Any,
 		Weights: map[balance.BackendID]float64{}}
 	for _, v := range p.names.Verbs {
 		learned.Verbs = append(learned.Verbs, s.Verbs[v.Name])
@@ -83,30 +83,30 @@
 	return nil
 }
 
-// keep begins to write what is known, where operators say so.
-func (p *Proxy) keep() {
+// keepSnapshots begins to write snapshots, where operators name a folder.
+func (p *Proxy) keepSnapshots() {
 	l := p.launch
 	if l.State.Folder == "" {
 		return
 	}
-	p.kept.keeper = warm.NewKeeper(l.State.Folder, l.Name, func(err error) {
+	p.snapshot.keeper = warm.NewKeeper(l.State.Folder, l.Name, func(err error) {
 		if err != nil {
 			log.Printf("msg=state_not_kept error=%q", err)
 		} else {
 			log.Printf("msg=state_kept_again")
 		}
 	})
-	p.every(l.State.Every, p.save)
+	p.every(l.State.Every, p.saveSnapshot)
 }
 
-// save hands over what is known now. What is made of it is made elsewhere, from copies.
-func (p *Proxy) save() {
-	m := &p.kept
+// saveSnapshot hands over what is known now; it is encoded and written elsewhere, from copies.
+func (p *Proxy) saveSnapshot() {
+	m := &p.snapshot
 	if m.keeper == nil || p.handover.succeeded {
 		return // the process after this one has the file
 	}
-	b, w := p.balancer.Remember(), p.state()
-	s := &warm.State{Fleet: p.launch.State.Fleet, Name: p.launch.Name, Saved: p.loop.Now(), Life: b.Life, Discovery: w.Discovery,
+	b, w := p.balancer.Remember(), p.handoverState()
+	s := &warm.State{Fleet: p.launch.State.Fleet, Name: p.launch.Name, Saved: p.loop.Now(), Incarnation: b.Incarnation, Discovery: w.Discovery,
 		Drained: w.Drained, Usual: b.Usual, Ease: b.Ease, Level: b.Level, Rate: b.Rate, Any: b.Any, Served: m.served, Late: m.late,
 		Verbs: map[string][]byte{}, Weights: map[string]float64{}}
 	for i, v := range p.names.Verbs {
@@ -127,25 +127,25 @@
 	})
 }
 
-// forgetNothing writes for the last time, after the loop.
-func (p *Proxy) forgetNothing() {
-	if p.kept.keeper != nil {
-		p.save()
-		p.kept.keeper.Close()
+// saveLastSnapshot writes for the last time, after the loop.
+func (p *Proxy) saveLastSnapshot() {
+	if p.snapshot.keeper != nil {
+		p.saveSnapshot()
+		p.snapshot.keeper.Close()
 	}
 }
 
 // count counts a command that has had its final answer.
-func (m *kept) count(answered bool) {
+func (m *snapshot) count(answered bool) {
 	m.ended++
 	if answered {
 		m.answered++
 	}
 }
 
-// follow looks at how the start goes, and what is usual once it is over.
-func (p *Proxy) follow() {
-	m := &p.kept
+// followRecovery looks at how the start goes, and what is usual once it is over.
+func (p *Proxy) followRecovery() {
+	m := &p.snapshot
 	late, living := p.balancer.Standing()
 	serving := p.listed() && p.takesClients()
 	if m.recovery.Look(p.loop.Now(), serving, m.answered, m.ended, late) {
@@ -157,16 +157,16 @@
 		if m.served == 0 {
 			m.served, m.late = part, late
 		}
-		m.served += standFrom * (part - m.served)
-		m.late += standFrom * (late - m.late)
+		m.served += usualGain * (part - m.served)
+		m.late += usualGain * (late - m.late)
 	}
 	m.answered, m.ended = 0, 0
 }
 
-// status is what the door says of all that, one line of JSON.
+// status is what the admin endpoint shows of all that, one line of JSON.
 func (p *Proxy) status() string {
 	late, living := p.balancer.Standing()
-	took, out := p.kept.recovery.Took()
+	took, out := p.snapshot.recovery.Took()
 	text, _ := json.Marshal(struct { // has no value that can't be encoded
 		Phase    string              `json:"phase"`
 		ToFull   float64             `json:"time_to_full_s"`
@@ -179,7 +179,7 @@
 		Open     int                 `json:"open"`
 		Kept     bool                `json:"state_kept"`
 		Control  *configwatch.Status `json:"control,omitempty"`
-	}{p.kept.recovery.Phase().String(), took, out, living, p.links.Siblings, late, p.kept.served, p.backends.usable,
-		len(p.commands), p.kept.keeper != nil, p.control.Status()})
+	}{p.snapshot.recovery.Phase().String(), took, out, living, p.links.PeerCount, late, p.snapshot.served, p.backends.usable,
+		len(p.commands), p.snapshot.keeper != nil, p.control.Status()})
 	return string(text)
 }
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -42,7 +42,7 @@
 			t.Fatalf("%d %s", status, body)
 		}
 	}
-	r.do(func() { r.leaveOut("s-a"); r.save() })
+	r.do(func() { r.cordon("s-a"); r.saveSnapshot() })
 	usual := 0.0
 	r.do(func() { usual = r.balancer.Remember().Usual })
 	at := filepath.Join(dir, "n0.state")
@@ -68,8 +68,8 @@
 	before := a.commands.Load()
 	s := startKeeping(t, keeping(dir, ""))
 	s.do(func() {
-		if m := s.balancer.Remember(); usual == 0 || m.Usual < 0.5*usual || m.Life <= kept.Life || len(m.Any) == 0 {
-			t.Errorf("usual %.4f, %.4f before; life %d, %d before; %d bytes of latencies", m.Usual, usual, m.Life, kept.Life, len(m.Any))
+		if m := s.balancer.Remember(); usual == 0 || m.Usual < 0.5*usual || m.Incarnation <= kept.Incarnation || len(m.Any) == 0 {
+			t.Errorf("usual %.4f, %.4f before; life %d, %d before; %d bytes of latencies", m.Usual, usual, m.Incarnation, kept.Incarnation, len(m.Any))
 		}
 	})
 	time.Sleep(600 * time.Millisecond)
@@ -84,7 +84,7 @@
 	}
 	var phase recovery.Phase
 	for range 1200 { // some seconds: it is of full use once two of them went as usual
-		if s.do(func() { phase = s.kept.recovery.Phase() }); phase == recovery.Full {
+		if s.do(func() { phase = s.snapshot.recovery.Phase() }); phase == recovery.Full {
 			break
 		}
 		d.ask(text("look"))
@@ -103,7 +103,7 @@
 func TestAStateThatIsNoGoodCostsNoStart(t *testing.T) {
 	t.Parallel()
 	b := newToy(t, ok)
-	good, err := warm.Encode(&warm.State{Fleet: "shop", Name: "n0", Saved: 1, Life: 5, Usual: 0.1, Drained: true, Weights: map[string]float64{"s-b": 1e9}})
+	good, err := warm.Encode(&warm.State{Fleet: "shop", Name: "n0", Saved: 1, Incarnation: 5, Usual: 0.1, Drained: true, Weights: map[string]float64{"s-b": 1e9}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -128,8 +128,8 @@
 	l = keeping(dir, listing(1, true, ready("s-b", b))) // of 1970: what was learned is too old, what operators said is not
 	r := startKeeping(t, l)
 	r.do(func() {
-		if m := r.balancer.Remember(); m.Usual != 0 || m.Life <= 5 || !r.drain.on {
-			t.Errorf("usual %v, life %d, drained %t", m.Usual, m.Life, r.drain.on)
+		if m := r.balancer.Remember(); m.Usual != 0 || m.Incarnation <= 5 || !r.drain.on {
+			t.Errorf("usual %v, life %d, drained %t", m.Usual, m.Incarnation, r.drain.on)
 		}
 	})
 }
--- a/internal/proxy/ops.go
+++ b/internal/proxy/ops.go
@@ -167,7 +167,7 @@
 		c.answer(200, "clients are taken")
 		return
 	}
-	c.operate(word, id, c.p.loop.Now()+tellWithin)
+	c.operate(word, id, c.p.loop.Now()+operateWithin)
 }
 
 // operate carries out a call on this proxy, in all its processes. One that is about to be handed what counts waits for it.
@@ -196,9 +196,9 @@
 func (p *Proxy) operate(word, id string) {
 	switch word {
 	case "cordon":
-		p.leaveOut(id)
+		p.cordon(id)
 	case "uncordon":
-		p.callBack(id)
+		p.uncordon(id)
 	case "quiesce":
 		p.quiesce()
 	case "resume":
--- a/internal/proxy/ops_test.go
+++ b/internal/proxy/ops_test.go
@@ -226,7 +226,7 @@
 		before := one.commands.Load()
 		tell := func(text string) {
 			l := decode(t, text)
-			p.do(func() { p.take(l) })
+			p.do(func() { p.applyEndpoints(l) })
 		}
 		anew := ready("s-1", one)
 		anew["since_ms"] = 5000.0
@@ -248,7 +248,7 @@
 		var state balance.State
 		var started, now float64
 		p.do(func() {
-			e := p.settle(p.backends.byName["s-1"])
+			e := p.applyMaintenance(p.backends.byName["s-1"])
 			state, started, now = e.State, e.Started, p.loop.Now()
 		})
 		if state != balance.Ready || now-started > 1 {
@@ -266,7 +266,7 @@
 		b := newToy(t, ok)
 		p := launch(t, 200, listing(1, true, ready("s-1", b)), nil)
 		p.start(&relay{cmd: &command{id: 1, out: 1}, to: p.backends.byName["s-1"], sent: p.loop.Now()})
-		p.leaveOut("s-1")
+		p.cordon("s-1")
 		run(t, p)
 		time.Sleep(100 * time.Millisecond)
 		if b.conns.Load() != 1 || b.commands.Load() != 0 {
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -1,5 +1,5 @@
-// This file owns the messages between siblings: the socket and whose address is whose. It must never wait for one, nor
-// pass on what comes from anybody else.
+// This file owns the messages between peers: the socket and the peers' addresses. It must never wait for a message, nor pass
+// on one from anybody else.
 package proxy
 
 import (
@@ -12,18 +12,18 @@
 	"sandpass/internal/settings"
 )
 
-const longestNote = 256 // bytes of a message
+const peerMessageMost = 256 // bytes of a message
 
-// peers are the siblings that the configuration names, by their numbers.
+// peers are the proxies that the configuration names, by their numbers, this one among them.
 type peers struct {
-	at              []netip.AddrPort // nobody where messages are not allowed
-	me              int
-	sock            *loop.Datagrams
-	told, took, bad int // messages since the last summary; bad are a stranger's, or in no form that is known
+	at                      []netip.AddrPort // none where messages are not allowed
+	me                      int
+	sock                    *loop.Datagrams
+	sent, received, invalid int // messages since the last summary; invalid are a stranger's, or in no known form
 }
 
-// named decodes the addresses and compares them with the settings. Without messages the addresses are not used.
-func named(texts []string, links settings.Links) (s peers, err error) {
+// parsePeers decodes the addresses and compares them with the settings. Without messages the addresses are not used.
+func parsePeers(texts []string, links settings.Links) (s peers, err error) {
 	s.me = links.Me
 	for i, text := range texts {
 		at, err := netip.ParseAddrPort(text)
@@ -35,21 +35,21 @@
 		}
 		s.at = append(s.at, at)
 	}
-	if !links.Peers {
+	if !links.PeerMessages {
 		s.at = nil
-	} else if len(s.at) != links.Siblings || s.me >= len(s.at) {
-		return s, fmt.Errorf("peers: %d addresses for %d siblings with number %d", len(s.at), links.Siblings, s.me)
+	} else if len(s.at) != links.PeerCount || s.me >= len(s.at) {
+		return s, fmt.Errorf("peers: %d addresses for %d siblings with number %d", len(s.at), links.PeerCount, s.me)
 	}
 	return s, nil
 }
 
-// join has messages come and go by these addresses from now on, or changes nothing where the socket can't be had.
-func (p *Proxy) join(next peers) error {
+// joinPeers sends and receives messages by these addresses from now on, or changes nothing where the socket can't be opened.
+func (p *Proxy) joinPeers(next peers) error {
 	was := p.peers
-	next.sock, next.told, next.took, next.bad = was.sock, was.told, was.took, was.bad
+	next.sock, next.sent, next.received, next.invalid = was.sock, was.sent, was.received, was.invalid
 	same := was.sock != nil && len(next.at) > 0 && was.at[was.me] == next.at[next.me]
 	if !same && len(next.at) > 0 {
-		sock, err := p.loop.Datagrams(next.at[next.me], longestNote, p.heard)
+		sock, err := p.loop.Datagrams(next.at[next.me], peerMessageMost, p.receivePeerMessage)
 		if err != nil {
 			return err
 		}
@@ -65,20 +65,20 @@
 	return nil
 }
 
-// heard passes a sibling's message to the Balancer.
-func (p *Proxy) heard(from netip.AddrPort, text []byte) {
-	if i := slices.Index(p.peers.at, from); i >= 0 && balance.IsNote(text) {
-		p.peers.took++
-		p.balancer.Heard(p.loop.Now(), i, text)
+// receivePeerMessage passes a peer's message to the Balancer.
+func (p *Proxy) receivePeerMessage(from netip.AddrPort, text []byte) {
+	if i := slices.Index(p.peers.at, from); i >= 0 && balance.IsMessage(text) {
+		p.peers.received++
+		p.balancer.Received(p.loop.Now(), i, text)
 	} else {
-		p.peers.bad++
+		p.peers.invalid++
 	}
 }
 
-// Tell sends a sibling a message, which may be lost.
-func (p *Proxy) Tell(to int, text []byte) {
+// Send sends a peer a message, which may be lost.
+func (p *Proxy) Send(to int, text []byte) {
 	if s := &p.peers; s.sock != nil && to >= 0 && to < len(s.at) {
-		s.told++
+		s.sent++
 		s.sock.Send(s.at[to], text)
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -37,7 +37,7 @@
 	spareShare     = 6    // one in so many descriptors is for clients past their part: silent ones, and who is declined
 )
 
-// Launch is what a proxy is told at its start, in the operators' words.
+// Launch is a proxy's configuration as the operators write it.
 type Launch struct {
 	Name      string           `json:"name"`
 	Listen    string           `json:"listen"`
@@ -51,7 +51,7 @@
 		MemoryMB int `json:"memory_mb"`
 		Sockets  int `json:"sockets"`
 	} `json:"limits"`
-	Peers    []string        `json:"peers"` // addresses of all siblings by number, this one's too, for messages
+	Peers    []string        `json:"peers"` // addresses of all peers by number, this one's too, for messages
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 }
@@ -99,13 +99,13 @@
 
 	handover    handover
 	maintenance maintenance
-	kept        kept
+	snapshot    snapshot
 	commands    map[uint64]*command
 	ids         map[string]*command // the same by their Req-Id
 	lastID      uint64
 	scratch     []byte // heads are put together here
 	end         end
-	freshBy     float64                // until when the first word of discovery is waited for
+	freshBy     float64                // until when the first message of discovery is waited for
 	signal      func() bool            // tells that the end was asked for
 	reloaded    atomic.Pointer[Launch] // a configuration to turn to
 	seed        uint64
@@ -134,16 +134,16 @@
 	if p.loop, err = loop.New(); err != nil {
 		return nil, err
 	}
-	p.loop.Stood = p.stood
-	p.watch.Client = watch.New(p.loop, watcher{p}, watch.Config{Servers: []netip.AddrPort{p.watch.at}, Most: lineMost, Chance: p.chance})
+	p.loop.Stood = p.afterStall
+	p.watch.Client = watch.New(p.loop, endpointWatcher{p}, watch.Config{Servers: []netip.AddrPort{p.watch.at}, Most: endpointUpdateMost, Chance: p.chance})
 	p.useMemory(1)
-	if p.balancer, _, err = settings.Balancer(p, p.seed, p.loop.Now(), l.Settings); err != nil {
+	if p.balancer, _, err = settings.NewBalancer(p, p.seed, p.loop.Now(), l.Settings); err != nil {
 		return nil, err
 	}
 	if known != nil {
-		p.take(known)
+		p.applyEndpoints(known)
 	}
-	if err := p.remember(known); err != nil {
+	if err := p.restoreSnapshot(known); err != nil {
 		return nil, err
 	}
 	fd, err := inherited(l.Socket)
@@ -160,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err = p.join(p.peers); err != nil && (fd < 0 || !errors.Is(err, unix.EADDRINUSE)) {
+	if err = p.joinPeers(p.peers); err != nil && (fd < 0 || !errors.Is(err, unix.EADDRINUSE)) {
 		return nil, err // a process before this one may still have the address for messages
 	}
 	return p, p.openDoor()
@@ -180,28 +180,28 @@
 	}
 	defer p.loop.Close()
 	if _, err = inherited(l.Socket); err == nil {
-		_, _, err = settings.Balancer(p, p.seed, p.loop.Now(), l.Settings)
+		_, _, err = settings.NewBalancer(p, p.seed, p.loop.Now(), l.Settings)
 	}
 	return err
 }
 
 // prepare decodes everything that a start can fail on but the sockets.
-func prepare(l *Launch) (p *Proxy, known *roster, err error) {
+func prepare(l *Launch) (p *Proxy, known *endpointUpdate, err error) {
 	p = &Proxy{commands: map[uint64]*command{}, ids: map[string]*command{}, verbs: map[string]int{}, customers: map[string]int{}}
 	p.memory[0].Name = "/memory/classes/total:bytes"
 	if len(l.Settings) == 0 {
 		return nil, nil, errors.New("settings: is missing")
 	}
-	if p.names, p.links, err = settings.Front(l.Settings); err != nil {
+	if p.names, p.links, err = settings.ForProxy(l.Settings); err != nil {
 		return nil, nil, err
 	}
 	for i, v := range p.names.Verbs {
 		p.verbs[v.Name] = i
 	}
-	for i, c := range p.names.Customers {
+	for i, c := range p.names.Tenants {
 		p.customers[c] = i
 	}
-	if p.peers, err = named(l.Peers, p.links); err != nil {
+	if p.peers, err = parsePeers(l.Peers, p.links); err != nil {
 		return nil, nil, err
 	}
 	p.launch = l
@@ -221,7 +221,7 @@
 		return nil, nil, fmt.Errorf("limits: %d sockets are too few, %d are needed", l.Limits.Sockets, least)
 	}
 	if len(l.Known) > 0 {
-		known = &roster{}
+		known = &endpointUpdate{}
 		if err := json.Unmarshal(l.Known, known); err != nil {
 			return nil, nil, fmt.Errorf("known: %w", err)
 		}
@@ -269,15 +269,15 @@
 	p.Ring()
 }
 
-// reload turns to a configuration while commands are open: settings, the siblings' addresses and where discovery is. The
+// reload turns to a configuration while commands are open: settings, the peers' addresses and where discovery is. The
 // list, open commands, clients and what was learned stay; for the rest the process is started anew.
 func (p *Proxy) reload(l *Launch) error {
 	if err := p.turnWhole(l); err != nil {
 		log.Printf("msg=reload_not_taken error=%q", err)
 		return err
 	}
-	log.Printf("msg=reloaded discovery=%s siblings=%d messages=%t keys=%t needs_start=%q", p.watch.at, p.links.Siblings,
-		p.links.Peers, p.links.Keys, p.needsStart(l))
+	log.Printf("msg=reloaded discovery=%s siblings=%d messages=%t keys=%t needs_start=%q", p.watch.at, p.links.PeerCount,
+		p.links.PeerMessages, p.links.Keys, p.needsStart(l))
 	return nil
 }
 
@@ -291,25 +291,25 @@
 	if len(next.names.Zones) > 0 {
 		own = p.zone(next.names.Zones[next.names.Zone])
 	}
-	verbsWere, customersWere := []int{}, []int{}
+	verbsWere, tenantsWere := []int{}, []int{}
 	for _, v := range next.names.Verbs {
 		verbsWere = append(verbsWere, slices.IndexFunc(p.names.Verbs, func(w settings.Verb) bool { return w.Name == v.Name }))
 	}
-	for _, c := range next.names.Customers {
-		customersWere = append(customersWere, slices.Index(p.names.Customers, c))
+	for _, c := range next.names.Tenants {
+		tenantsWere = append(tenantsWere, slices.Index(p.names.Tenants, c))
 	}
 	before := p.peers
-	if err := p.join(next.peers); err != nil {
+	if err := p.joinPeers(next.peers); err != nil {
 		return err
 	}
-	if _, err := settings.Turn(p.balancer, p.loop.Now(), l.Settings, verbsWere, customersWere, own); err != nil {
-		p.join(before)
+	if _, err := settings.Apply(p.balancer, p.loop.Now(), l.Settings, verbsWere, tenantsWere, own); err != nil {
+		p.joinPeers(before)
 		return err
 	}
-	p.names.Verbs, p.names.Customers = next.names.Verbs, next.names.Customers
+	p.names.Verbs, p.names.Tenants = next.names.Verbs, next.names.Tenants
 	p.verbs, p.customers, p.links = next.verbs, next.customers, next.links
 	p.replan()
-	p.turnTo(next.watch.at)
+	p.watchDiscovery(next.watch.at)
 	return nil
 }
 
@@ -335,12 +335,12 @@
 	p.signal = signal
 	p.freshBy = p.loop.Now() + freshFor
 	p.control.Run(p.loop, p.chance, p.takeOverHeld)
-	p.meet()
+	p.meetPredecessor()
 	p.watch.Open()
 	p.every(sweepEvery, p.sweep)
 	p.every(summaryEvery, p.summary)
-	p.every(sweepEvery, p.follow)
-	p.keep()
+	p.every(sweepEvery, p.followRecovery)
+	p.keepSnapshots()
 	log.Printf("msg=serving listen=%s clients=%d backends=%d ready=%t", p.At(), p.clients.part, p.backends.most, p.ready())
 	err := p.loop.Run(func() {
 		if asked := p.signal(); asked && !p.end.on {
@@ -352,7 +352,7 @@
 		p.control.Turn()
 	})
 	p.summary()
-	p.forgetNothing()
+	p.saveLastSnapshot()
 	p.control.Close()
 	for _, m := range p.others() {
 		m.conn.Close() // its end says that this process is gone
@@ -371,13 +371,13 @@
 // listed tells whether a command could be relayed: the list has somebody in it and is not merely the old one, unless
 // discovery stays silent.
 func (p *Proxy) listed() bool {
-	return p.backends.usable > 0 && (p.watch.Heard || p.loop.Now() > p.freshBy)
+	return p.backends.usable > 0 && (p.watch.Received || p.loop.Now() > p.freshBy)
 }
 
-// unheard tells that discovery is being asked for the first time and has had no time to answer. What it has counts as told
+// awaitsDiscovery tells that the first watch is being opened and discovery has had no time to answer. What it has counts as received
 // from a process's first moment, and the known list is older: who began to drain since must get nothing by it.
-func (p *Proxy) unheard() bool {
-	return !p.watch.Heard && !p.watch.Lost && p.loop.Now() <= p.freshBy
+func (p *Proxy) awaitsDiscovery() bool {
+	return !p.watch.Received && !p.watch.Lost && p.loop.Now() <= p.freshBy
 }
 
 // ready tells whether clients are to come: to this process or, while that lives, to the one after it.
@@ -412,10 +412,10 @@
 	metrics.Read(p.memory[:])
 	log.Printf("msg=summary came=%d answered=%d declined=%d no_room=%d terminated=%d departed=%d bad=%d broken_off=%d relays=%d open=%d "+
 		"clients=%d links=%d backends=%d left_out=%d told=%d heard=%d not_heard=%d memory_mb=%d", p.came, p.answered, p.declined, p.noRoom, p.terminated, p.departed,
-		p.bad, p.broken, p.relays, len(p.commands), p.clients.count, len(p.backends.links), p.backends.usable, len(p.maintenance.Out), p.peers.told, p.peers.took, p.peers.bad,
+		p.bad, p.broken, p.relays, len(p.commands), p.clients.count, len(p.backends.links), p.backends.usable, len(p.maintenance.Out), p.peers.sent, p.peers.received, p.peers.invalid,
 		p.memory[0].Value.Uint64()>>20)
 	p.came, p.answered, p.declined, p.noRoom, p.terminated, p.departed, p.bad, p.broken, p.relays = 0, 0, 0, 0, 0, 0, 0, 0, 0
-	p.peers.told, p.peers.took, p.peers.bad = 0, 0, 0
+	p.peers.sent, p.peers.received, p.peers.invalid = 0, 0, 0
 }
 
 // chance is a number in [0, 1) from the seed and a counter, for jitter.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -115,7 +115,7 @@
 			// The good backend comes up after the first command has met the other alone.
 			p := launch(t, 200, listing(1, true, ready("s-1", at)), nil)
 			both := decode(t, listing(2, true, ready("s-1", at), ready("s-2", good)))
-			p.loop.After(0.1, func() { p.take(both) })
+			p.loop.After(0.1, func() { p.applyEndpoints(both) })
 			r := run(t, p)
 			for i := range 2 {
 				status, _, _ := r.caller(t).ask(text(c.verb, "Content-Length: 0\r\n"))
@@ -510,7 +510,7 @@
 		"of a process that was replaced": {ok, func(p *Proxy, b *toy) {
 			l := ready("s-1", b)
 			l["since_ms"] = 1000
-			p.take(decode(t, listing(2, false, l)))
+			p.applyEndpoints(decode(t, listing(2, false, l)))
 		}, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -565,7 +565,7 @@
 		p.start(&relay{cmd: &command{id: 1, out: 1}, to: target, sent: p.loop.Now()})
 		draining := ready("s-1", b)
 		draining["status"] = "draining"
-		p.take(decode(t, listing(2, false, draining)))
+		p.applyEndpoints(decode(t, listing(2, false, draining)))
 		run(t, p)
 		time.Sleep(100 * time.Millisecond)
 		if b.conns.Load() != 1 || b.commands.Load() != 0 {
--- a/internal/proxy/stood.go
+++ b/internal/proxy/stood.go
@@ -1,4 +1,4 @@
-// This file owns what a proxy does when it has stood still and goes on: stopped, starved of its core, or moved. It must
+// This file owns what a proxy does after a stall of its process: stopped, starved of its core, or moved. It must
 // never let what came meanwhile be taken for new, nor act on what it knew before it has read what there is.
 package proxy
 
@@ -6,10 +6,10 @@
 
 const ageFrom = 0.02 // seconds from which a command's wait with the kernel counts: the clock for it is coarse
 
-// stood is called first when the process goes on. What discovery has said meanwhile is read before any command, so that
-// nothing new goes to who was drained; siblings' messages are as old as the pause and say nothing; and what is out is late
+// afterStall is called first when the process goes on. What discovery has sent meanwhile is read before any request, so that
+// nothing new goes to a drained backend; peers' messages are as old as the stall and are dropped; and what is out is late
 // by no backend's fault.
-func (p *Proxy) stood(by float64) {
+func (p *Proxy) afterStall(by float64) {
 	now, dropped := p.loop.Now(), 0
 	p.watch.Look()
 	if p.peers.sock != nil {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -157,7 +157,7 @@
 		c.conn.Write([]byte("0\r\n\r\n"))
 	}
 	p.answered++
-	p.kept.count(true)
+	p.snapshot.count(true)
 	cmd.done, cmd.from, cmd.stream = true, nil, nil
 	c.answered(c.keep)
 	r.link = nil
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -1,4 +1,4 @@
-// This file owns the watch on discovery: its place in the list's history and the list's own words. It must never drop the
+// This file owns the endpoints that discovery lists: the form of an update and what follows from it. It must never drop the
 // last list it had.
 package proxy
 
@@ -14,15 +14,16 @@
 	"sandpass/internal/watch"
 )
 
-const lineMost = 8 << 20 // bytes of a message: tens of thousands of backends
+const endpointUpdateMost = 8 << 20 // bytes of an update: tens of thousands of backends
 
-// roster is a message of discovery's.
-type roster struct {
+// endpointUpdate is a message of discovery: the whole list, or what has changed.
+type endpointUpdate struct {
 	Index     int64      `json:"index"`
 	Snapshot  bool       `json:"snapshot"`
 	Endpoints []endpoint `json:"endpoints"`
 }
 
+// endpoint is one backend in it.
 type endpoint struct {
 	Name    string  `json:"name"`
 	Address string  `json:"address"`
@@ -33,77 +34,77 @@
 	SinceMs float64 `json:"since_ms"`
 }
 
-var states = map[string]balance.State{"ready": balance.Ready, "draining": balance.Draining, "gone": balance.Gone}
+var endpointStates = map[string]balance.State{"ready": balance.Ready, "draining": balance.Draining, "gone": balance.Gone}
 
 // endpointWatch is the watch on discovery.
 type endpointWatch struct {
 	*watch.Client
-	at    netip.AddrPort // discovery's address
-	index int64
-	has   bool   // a list was had
-	next  roster // decoded, and to be taken
+	at      netip.AddrPort // discovery's address
+	index   int64
+	hasList bool           // a whole list was received
+	next    endpointUpdate // decoded, to be applied
 }
 
-// turnTo leaves discovery where it was for another address. Indexes need not mean the same there, so the whole list is
-// asked for; what was told so far holds until it comes.
-func (p *Proxy) turnTo(at netip.AddrPort) {
+// watchDiscovery moves the watch to another address. Indexes need not mean the same there, so the whole list is requested;
+// the known one is used until it is received.
+func (p *Proxy) watchDiscovery(at netip.AddrPort) {
 	if w := &p.watch; at != w.at {
-		w.at, w.has = at, false
+		w.at, w.hasList = at, false
 		w.Turn(at)
 	}
 }
 
-// watcher is told what discovery's watch brings.
-type watcher struct{ p *Proxy }
+// endpointWatcher receives the endpoint updates of discovery's watch.
+type endpointWatcher struct{ p *Proxy }
 
-func (h watcher) Request(to netip.AddrPort) []byte {
+func (h endpointWatcher) Request(to netip.AddrPort) []byte {
 	query := "GET /api/targets?follow=1"
-	if h.p.watch.has {
+	if h.p.watch.hasList {
 		query += "&since=" + strconv.FormatInt(h.p.watch.index, 10)
 	}
 	return []byte(query + " HTTP/1.1\r\nHost: " + to.String() + "\r\n\r\n")
 }
 
-func (h watcher) First() []byte { return nil }
+func (h endpointWatcher) First() []byte { return nil }
 
-func (h watcher) Decode(object []byte) error {
-	h.p.watch.next = roster{}
+func (h endpointWatcher) Decode(object []byte) error {
+	h.p.watch.next = endpointUpdate{}
 	return json.Unmarshal(object, &h.p.watch.next)
 }
 
-func (h watcher) Take() error {
+func (h endpointWatcher) Take() error {
 	next := h.p.watch.next
-	h.p.watch.next = roster{}
-	if h.p.take(&next); !h.p.watch.has {
+	h.p.watch.next = endpointUpdate{}
+	if h.p.applyEndpoints(&next); !h.p.watch.hasList {
 		return errors.New("changes before any list")
 	}
 	return nil
 }
 
-func (h watcher) Returned() { log.Printf("msg=watch_back index=%d", h.p.watch.index) }
+func (h endpointWatcher) Returned() { log.Printf("msg=watch_back index=%d", h.p.watch.index) }
 
-func (h watcher) Lost(err error, news bool) {
+func (h endpointWatcher) Lost(err error, news bool) {
 	if w := &h.p.watch; news {
 		log.Printf("msg=watch_lost error=%q index=%d byte=%d", err, w.index, w.BodyBytes())
 	}
 	h.p.balancer.ListFailed(h.p.loop.Now())
 }
 
-// take brings the backends up to date and tells the Balancer. Changes where no list was had are true of those they name,
-// drains above all, but never stand for the whole: that is still to be asked for.
-func (p *Proxy) take(l *roster) {
+// applyEndpoints updates the backends and the Balancer. Changes without a list before them hold for the backends that they
+// name, drains above all, but never stand for the whole list, which is still to be requested.
+func (p *Proxy) applyEndpoints(update *endpointUpdate) {
 	s := &p.backends
-	if !l.Snapshot && p.watch.has && l.Index < p.watch.index {
-		log.Printf("msg=old_news index=%d known=%d", l.Index, p.watch.index) // a later line may have said the contrary
+	if !update.Snapshot && p.watch.hasList && update.Index < p.watch.index {
+		log.Printf("msg=old_news index=%d known=%d", update.Index, p.watch.index) // a later update may have said the contrary
 		return
 	}
-	if l.Snapshot || p.watch.has {
-		p.watch.index, p.watch.has = l.Index, true
+	if update.Snapshot || p.watch.hasList {
+		p.watch.index, p.watch.hasList = update.Index, true
 	}
 	var entries []balance.Entry
 	named := map[string]bool{}
-	for _, e := range l.Endpoints {
-		state, known := states[e.Status]
+	for _, e := range update.Endpoints {
+		state, known := endpointStates[e.Status]
 		at, err := netip.ParseAddrPort(e.Address)
 		if !known || e.Name == "" || err != nil && state != balance.Gone {
 			log.Printf("msg=list_entry_unknown name=%q status=%q address=%q", e.Name, e.Status, e.Address)
@@ -115,57 +116,57 @@
 			s.byName[e.Name], s.byID[t.id] = t, t
 		}
 		if t.at != at || t.since != e.SinceMs {
-			t.dropIdle() // the process that they led to is no more, though its machine may not have said so
+			t.dropIdle() // they lead to a process that has ended, though its machine may not have closed them
 			t.since = e.SinceMs
 		}
 		if err == nil {
 			t.at = at
 		}
 		named[e.Name] = true
-		t.said = balance.Entry{ID: t.id, Zone: p.zone(e.Zone), Cell: e.Group, State: state, Size: e.Weight, Started: e.SinceMs / 1000}
-		entries = append(entries, p.settle(t))
+		t.listed = balance.Entry{ID: t.id, Zone: p.zone(e.Zone), Cell: e.Group, State: state, Size: e.Weight, Started: e.SinceMs / 1000}
+		entries = append(entries, p.applyMaintenance(t))
 	}
-	if l.Snapshot {
+	if update.Snapshot {
 		for name, t := range s.byName {
 			if !named[name] {
-				t.said.State = balance.Gone
-				p.settle(t)
+				t.listed.State = balance.Gone
+				p.applyMaintenance(t)
 			}
 		}
 		p.maintenance.forget(func(name string) bool { return named[name] })
 	}
-	p.balancer.Fleet(p.loop.Now(), l.Snapshot, entries)
+	p.balancer.Fleet(p.loop.Now(), update.Snapshot, entries)
 }
 
-// settle is where discovery's word and the operators' become the one that counts.
-func (p *Proxy) settle(t *target) balance.Entry {
-	e := p.maintenance.over(t.name, t.said)
-	p.turn(t, e.State)
+// applyMaintenance combines what discovery lists with what operators asked for into the backend's state.
+func (p *Proxy) applyMaintenance(t *target) balance.Entry {
+	e := p.maintenance.applyTo(t.name, t.listed)
+	p.setState(t, e.State)
 	return e
 }
 
-// knows tells whether a backend is listed or left out now; all other names are nobody's.
+// knows tells whether a backend of that name is listed or cordoned.
 func (p *Proxy) knows(name string) bool {
 	t := p.backends.byName[name]
-	return t != nil && t.said.State != balance.Gone || p.maintenance.Out[name]
+	return t != nil && t.listed.State != balance.Gone || p.maintenance.Out[name]
 }
 
-// leaveOut has nothing new go to a backend until it is called back.
-func (p *Proxy) leaveOut(name string) {
-	p.maintenance.leave(name)
-	p.retell(name)
+// cordon keeps new requests from a backend until uncordon.
+func (p *Proxy) cordon(name string) {
+	p.maintenance.cordon(name)
+	p.refreshBackend(name)
 }
 
-// callBack has a backend used again, as one that has just started.
-func (p *Proxy) callBack(name string) {
-	p.maintenance.call(name, p.loop.Now())
-	p.retell(name)
+// uncordon has a backend used again, as one that has just started.
+func (p *Proxy) uncordon(name string) {
+	p.maintenance.uncordon(name, p.loop.Now())
+	p.refreshBackend(name)
 }
 
-// retell has what counts of a backend brought up to date.
-func (p *Proxy) retell(name string) {
-	if t := p.backends.byName[name]; t != nil && t.said.State != balance.Gone {
-		p.balancer.Fleet(p.loop.Now(), false, []balance.Entry{p.settle(t)})
+// refreshBackend passes a backend's state to the Balancer again.
+func (p *Proxy) refreshBackend(name string) {
+	if t := p.backends.byName[name]; t != nil && t.listed.State != balance.Gone {
+		p.balancer.Fleet(p.loop.Now(), false, []balance.Entry{p.applyMaintenance(t)})
 	}
 }
 
@@ -179,8 +180,8 @@
 	return n
 }
 
-// turn notes a backend's state. Idle connections to one that wants nothing new are closed.
-func (p *Proxy) turn(t *target, state balance.State) {
+// setState notes a backend's state. Idle connections to one that takes nothing new are closed.
+func (p *Proxy) setState(t *target, state balance.State) {
 	if (t.state == balance.Ready) != (state == balance.Ready) {
 		if state == balance.Ready {
 			p.backends.usable++
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,5 +1,5 @@
 // Package settings decodes the settings object that an instance is given, on the bench and on sockets, into the
-// arguments of balance.New and the few figures that a front needs. The object's own words end here. It must
+// arguments of balance.New and the few figures that a proxy needs. The object's keys are known here alone. It must
 // never decide anything or keep a figure after it has handed it over.
 package settings
 
@@ -13,8 +13,8 @@
 	"sandpass/balance"
 )
 
-// launch is the part of the settings that the module needs. Every pointer must be present.
-type launch struct {
+// document is the part of the settings that the module needs. Every pointer must be present.
+type document struct {
 	Me        *int    `json:"me"`
 	Siblings  *int    `json:"siblings"`
 	Tier      *int    `json:"tier"`
@@ -137,18 +137,18 @@
 	return ""
 }
 
-// Balancer starts an instance from its settings and names the fields of its load reports.
-func Balancer(h balance.Host, seed uint64, now float64, text []byte) (*balance.Balancer, []string, error) {
+// NewBalancer starts an instance from its settings and names the fields of its load reports.
+func NewBalancer(h balance.Host, seed uint64, now float64, text []byte) (*balance.Balancer, []string, error) {
 	b := balance.New(h, seed, now)
-	fields, err := Turn(b, now, text, nil, nil, -1)
+	fields, err := Apply(b, now, text, nil, nil, -1)
 	return b, fields, err
 }
 
-// Turn has an instance go by other settings from now on, or tells what is wrong with them and changes nothing. The
-// place that each verb and customer had before, or -1, may be left out where there was nothing before; zone is the
-// front's number for the own one, -1 if it goes by the place in the settings.
-func Turn(b *balance.Balancer, now float64, text []byte, verbsWere, customersWere []int, zone int) ([]string, error) {
-	var l launch
+// Apply has an instance go by other settings from now on, or tells what is wrong with them and changes nothing. The
+// index that each verb and tenant had before, or -1, may be left out where there was nothing before; zone is the
+// proxy's number for the own one, -1 if it is the index in the settings.
+func Apply(b *balance.Balancer, now float64, text []byte, verbsWere, tenantsWere []int, zone int) ([]string, error) {
+	var l document
 	if err := json.Unmarshal(text, &l); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -189,7 +189,7 @@
 	}
 	var customers []balance.Customer
 	for i, r := range l.Realms {
-		customers = append(customers, balance.Customer{Allowance: *r.Allowance, Was: was(customersWere, i)})
+		customers = append(customers, balance.Customer{Allowance: *r.Allowance, Was: was(tenantsWere, i)})
 	}
 	limits := balance.Limits{
 		Relays: *l.Limits.Relays, SecondCopies: *l.Limits.SecondCopies, Cancel: *l.Limits.Cancel,
@@ -212,35 +212,35 @@
 	return l.LoadInfo.Fields, nil
 }
 
-// Verb is what a front needs to know of one.
+// Verb is what a proxy needs to know of a request class.
 type Verb struct {
-	Name      string
-	TimeLimit float64 // seconds
-	Receipted bool    // a command carries a mark by which a repeat is known
-	Pure      bool    // may be repeated
+	Name         string
+	TimeLimit    float64 // seconds
+	Deduplicated bool    // a request carries a key by which a repeat is recognized
+	Idempotent   bool    // may be repeated
 }
 
-// Names are what the settings call things; the module knows these by their places.
+// Names are what the settings call things; the module knows these by their indexes.
 type Names struct {
-	Verbs     []Verb
-	Customers []string
-	Zones     []string
-	Zone      int // its own, a place in Zones
+	Verbs   []Verb
+	Tenants []string
+	Zones   []string
+	Zone    int // its own, an index of Zones
 }
 
-// Links bounds a front's connections, and says whether messages go to siblings.
+// Links bounds a proxy's connections, and says whether messages go to peers.
 type Links struct {
-	Connect  float64 // seconds in which a connection to a backend must be up
-	Idle     float64 // seconds of idleness after which a backend closes one
-	Open     int     // commands that may be open at once
-	Peers    bool
-	Me       int // its number among the siblings
-	Siblings int
-	Keys     bool // backends do less for a key that their cell met lately
+	Connect      float64 // seconds in which a connection to a backend must be up
+	Idle         float64 // seconds of idleness after which a backend closes one
+	Open         int     // requests that may be open at once
+	PeerMessages bool
+	Me           int // its number among the peers
+	PeerCount    int
+	Keys         bool // backends do less for a key that their cell has handled lately
 }
 
-// Front decodes what a front on sockets needs beside the Balancer.
-func Front(text []byte) (names Names, links Links, err error) {
+// ForProxy decodes what a proxy on sockets needs beside the Balancer.
+func ForProxy(text []byte) (names Names, links Links, err error) {
 	var l struct {
 		Zones  *[]string `json:"azs"`
 		Zone   int       `json:"zone"`
@@ -275,13 +275,13 @@
 			effects[*v.Effect] == balance.Receipted, effects[*v.Effect] == balance.Pure})
 	}
 	for _, r := range l.Realms {
-		names.Customers = append(names.Customers, *r.Name)
+		names.Tenants = append(names.Tenants, *r.Name)
 	}
 	if l.Zone < 0 || l.Zone > 0 && l.Zone >= len(*l.Zones) {
 		return names, links, fmt.Errorf("settings: zone %d is not one of %d azs", l.Zone, len(*l.Zones))
 	}
 	names.Zones, names.Zone = *l.Zones, l.Zone
 	links = Links{Connect: *l.Limits.Connect / 1000, Idle: *l.Limits.Idle / 1000, Open: *l.Limits.Open,
-		Peers: l.Limits.Peers, Me: *l.Me, Siblings: *l.Siblings, Keys: l.Family.Keys}
+		PeerMessages: l.Limits.Peers, Me: *l.Me, PeerCount: *l.Siblings, Keys: l.Family.Keys}
 	return names, links, nil
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -22,7 +22,7 @@
 func (noHost) Terminate(uint64)                {}
 func (noHost) WakeAfter(float64, uint64)       {}
 func (noHost) Watch()                          {}
-func (noHost) Tell(int, []byte)                {}
+func (noHost) Send(int, []byte)                {}
 
 func TestFurtherRulesAreChecked(t *testing.T) {
 	for _, c := range []struct{ put, told string }{
@@ -37,7 +37,7 @@
 		{`"deadline_error_ms": -1,`, "safety.deadline_error_ms is below 0"},
 		{`"start_drift_ms": "1",`, "start_drift_ms"},
 	} {
-		_, _, err := Balancer(noHost{}, 1, 0, []byte(strings.Replace(text, `"safety": {`, `"safety": {`+c.put, 1)))
+		_, _, err := NewBalancer(noHost{}, 1, 0, []byte(strings.Replace(text, `"safety": {`, `"safety": {`+c.put, 1)))
 		if (err == nil) != (c.told == "") || err != nil && !strings.Contains(err.Error(), c.told) {
 			t.Errorf("%s: told %v, not %q", c.put, err, c.told)
 		}
@@ -46,7 +46,7 @@
 		}
 	}
 	room := strings.Replace(text, `"max_relays": 3`, `"max_relays": 3, "response_room": -2`, 1)
-	if _, _, err := Balancer(noHost{}, 1, 0, []byte(room)); err == nil || !strings.Contains(err.Error(), "limits.response_room") {
+	if _, _, err := NewBalancer(noHost{}, 1, 0, []byte(room)); err == nil || !strings.Contains(err.Error(), "limits.response_room") {
 		t.Errorf("told %v", err)
 	}
 }
--- a/internal/warm/warm.go
+++ b/internal/warm/warm.go
@@ -21,7 +21,7 @@
 	Fleet       string             `json:"fleet"`
 	Name        string             `json:"name"`
 	Saved       float64            `json:"saved"` // Unix time in seconds
-	Life        uint64             `json:"life"`  // of the process, by which siblings tell it from those before
+	Incarnation uint64             `json:"life"`  // of the process, by which peers tell it from those before
 	List        json.RawMessage    `json:"list,omitempty"`
 	Discovery   string             `json:"discovery,omitempty"` // whose list it is
 	Maintenance json.RawMessage    `json:"maintenance,omitempty"`
--- a/internal/warm/warm_test.go
+++ b/internal/warm/warm_test.go
@@ -12,7 +12,7 @@
 )
 
 func full() *State {
-	return &State{Fleet: "shop", Name: "n/1", Saved: 1.5e9, Life: 1 << 60, List: []byte(`{"index":3}`), Usual: 0.05, Rate: 20,
+	return &State{Fleet: "shop", Name: "n/1", Saved: 1.5e9, Incarnation: 1 << 60, List: []byte(`{"index":3}`), Usual: 0.05, Rate: 20,
 		Any: []byte{1, 2, 3}, Verbs: map[string][]byte{"look": {9}}, Weights: map[string]float64{"b-1": 0.4}, Drained: true}
 }
 
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -188,7 +188,8 @@
 		t.Error(got)
 	}
 	r.do(func() { r.Send([]byte(`{"report":1}`)); r.Send([]byte(`{"report":2}`)) })
-	if one, two := wait(t, w.objects), wait(t, w.objects); one != "{\"got\":{\"report\":1}\n}" || two != "{\"got\":{\"report\":2}\n}" {
+	if one, two := wait(t, w.objects), wait(t, w.objects); one != "{\"got\":{\"report\":1}\n}" ||
+		two != "{\"got\":{\"report\":2}\n}" {
 		t.Errorf("%q %q", one, two)
 	}
 	r.do(func() {
