A configuration whose saving failed counts as saved: it may lie on the disk

Found by the histories once they went deeper (: revision 2 written, the sync failed, then 1 taken and written over it). Now nothing below it is taken.

--- a/internal/configwatch/follower.go
+++ b/internal/configwatch/follower.go
@@ -28,7 +28,7 @@
 	identity  revision.Identity
 	keeps     bool // there is a disk to save to
 	inForce   Configuration
-	newest    revision.Number // in force or saved
+	newest    revision.Number // in force, or may be saved
 	step      Step
 	candidate Configuration
 	update    *revision.Update // that the candidate comes from, nil for none
@@ -90,10 +90,8 @@
 	switch number := update.Revision; {
 	case number == 0:
 		return Configuration{}, errors.New("an update without a revision")
-	case number < f.inForce.Revision:
-		return Configuration{}, fmt.Errorf("revision %d is below %d, which is in force", number, f.inForce.Revision)
 	case number < f.newest:
-		return Configuration{}, fmt.Errorf("revision %d is below %d, which is saved", number, f.newest)
+		return Configuration{}, fmt.Errorf("revision %d is below %d, which was taken or saved", number, f.newest)
 	case number == f.inForce.Revision && !update.Whole:
 		return Configuration{}, fmt.Errorf("revision %d, which is in force, without the whole", number)
 	}
@@ -131,12 +129,13 @@
 	return f.next()
 }
 
-// Saved answers Save. What could not be saved is not taken over: a restart would go back.
+// Saved answers Save. What could not be saved is not taken over: a restart would go back. It may lie on the disk all the same,
+// and counts as saved there.
 func (f *Follower) Saved(err error) Outcome {
+	f.newest = max(f.newest, f.candidate.Revision)
 	if err != nil {
 		return f.refused(fmt.Errorf("it can't be saved: %w", err))
 	}
-	f.newest = max(f.newest, f.candidate.Revision)
 	f.step = TakeOver
 	return f.next()
 }
--- a/internal/configwatch/follower_test.go
+++ b/internal/configwatch/follower_test.go
@@ -220,6 +220,54 @@
 	}
 }
 
+// What was saved counts for a restart, also where it did not come into force.
+func TestNothingBelowWhatIsSavedIsTaken(t *testing.T) {
+	later := good(t)
+	later.Revision, later.Scopes[0].Number = 6, 6
+	between := good(t)
+	between.Revision, between.Scopes[0].Number = 5, 5
+	for name, toSix := range map[string]func(f *Follower){
+		"saved, and not taken over": func(f *Follower) {
+			f.Received(encoded(later))
+			f.Checked(nil)
+			f.Saved(nil)
+			f.TakenOver(errRefused)
+		},
+		"written, though the disk failed": func(f *Follower) {
+			f.Received(encoded(later))
+			f.Checked(nil)
+			f.Saved(errRefused)
+		},
+		"another process's, and not good here": func(f *Follower) {
+			saved := holds(t)
+			saved.Revision = 6
+			f.Reread(saved)
+			f.Checked(errRefused)
+		},
+	} {
+		f := following(holds(t), true)
+		toSix(f)
+		if f.InForce().Revision != 3 {
+			t.Fatalf("%s: %d is in force", name, f.InForce().Revision)
+		}
+		if end := f.Received(encoded(between)); end.Step != Idle || !strings.Contains(end.Report.Reason, "5 is below 6") {
+			t.Errorf("%s: %+v", name, end.Report)
+		}
+		if step := f.Received(encoded(later)); step.Step != Check {
+			t.Errorf("%s: what is saved is not taken: %+v", name, step.Report)
+		}
+	}
+}
+
+func TestAnOlderFileIsPassedOver(t *testing.T) {
+	f := following(holds(t), true)
+	older := holds(t)
+	older.Revision = 2
+	if f.Reread(older).Step != Idle || f.Reread(holds(t)).Step != Idle {
+		t.Error("it is looked at")
+	}
+}
+
 func TestAMovedProxyHoldsNothingOfItsOldZone(t *testing.T) {
 	moved := identity
 	moved.Zone = "eu-2"
@@ -301,7 +349,10 @@
 
 // send puts an update on the way, for a proxy that holds one revision, to a later or the same one.
 func (w *world) send(t *rapid.T) {
-	from := w.truth[rapid.IntRange(0, len(w.truth)-1).Draw(t, "from")]
+	w.sendFrom(t, w.truth[rapid.IntRange(0, len(w.truth)-1).Draw(t, "from")])
+}
+
+func (w *world) sendFrom(t *rapid.T, from Configuration) {
 	to := w.truth[rapid.IntRange(int(from.Revision), len(w.truth)-1).Draw(t, "to")]
 	update := revision.Update{Revision: to.Revision, Checksum: to.Checksum,
 		Whole: from.Revision == 0 || from.Revision == to.Revision || rapid.Bool().Draw(t, "whole")}
@@ -335,7 +386,7 @@
 
 // deliver brings any update on the way, which may come again.
 func (w *world) deliver(t *rapid.T) {
-	if len(w.onWay) == 0 || w.pending.Step != Idle {
+	if w.finish(t); len(w.onWay) == 0 {
 		return
 	}
 	i := rapid.IntRange(0, len(w.onWay)-1).Draw(t, "which")
@@ -378,6 +429,21 @@
 	w.disk = c
 }
 
+// finish lets the process end what it is at.
+func (w *world) finish(t *rapid.T) {
+	for w.pending.Step != Idle {
+		w.step(t)
+	}
+}
+
+// next brings the update that follows from what is in force, as a replica that knows that sends it.
+func (w *world) next(t *rapid.T) {
+	w.sendFrom(t, w.truth[w.follow.InForce().Revision])
+	if w.pending.Step == Idle {
+		w.pending = w.follow.Received(w.onWay[len(w.onWay)-1])
+	}
+}
+
 // restart ends the process at whatever it was; a write may or may not have reached the disk.
 func (w *world) restart(t *rapid.T) {
 	if w.pending.Step == Save && rapid.Bool().Draw(t, "written") {
@@ -420,7 +486,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld()
 		t.Repeat(map[string]func(*rapid.T){
-			"change": w.change, "send": w.send, "send more": w.send, "deliver": w.deliver, "step": w.step, "step on": w.step,
+			"change": w.change, "send": w.send, "send more": w.send, "deliver": w.deliver, "step": w.step, "finish": w.finish, "next": w.next, "next again": w.next,
 			"restart": w.restart, "local changed": w.localChanged, "": w.check,
 		})
 	})
