--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -1,5 +1,5 @@
-// This file owns the watch on discovery: its connection, its place in the list's history and the list's own words. It
-// must never drop the last list it had, nor stop asking.
+// This file owns the endpoints that discovery lists: the form of an update and what follows from it. It must never drop the
+// last list it had.
 package proxy
 
 import (
@@ -11,21 +11,19 @@
 	"strconv"
 
 	"sandpass/balance"
-	"sandpass/internal/http1"
-	"sandpass/internal/jsonstream"
-	"sandpass/internal/liveness"
-	"sandpass/internal/loop"
+	"sandpass/internal/watch"
 )
 
-const lineMost = 8 << 20 // bytes of a message: tens of thousands of backends
+const endpointUpdateMost = 8 << 20 // bytes of an update: tens of thousands of backends
 
-// roster is a message of discovery's.
-type roster struct {
+// endpointUpdate is a message of discovery: the whole list, or what has changed.
+type endpointUpdate struct {
 	Index     int64      `json:"index"`
 	Snapshot  bool       `json:"snapshot"`
 	Endpoints []endpoint `json:"endpoints"`
 }
 
+// endpoint is one backend in it.
 type endpoint struct {
 	Name    string  `json:"name"`
 	Address string  `json:"address"`
@@ -36,172 +34,77 @@
 	SinceMs float64 `json:"since_ms"`
 }
 
-var states = map[string]balance.State{"ready": balance.Ready, "draining": balance.Draining, "gone": balance.Gone}
+var endpointStates = map[string]balance.State{"ready": balance.Ready, "draining": balance.Draining, "gone": balance.Gone}
 
-type watch struct {
-	at     netip.AddrPort
-	conn   *loop.Conn
-	msg    http1.Message
-	chunks http1.Chunks
-	index  int64
-	has    bool // a list was had
-	cutter jsonstream.Cutter
-	had    int         // bytes of the answer's body
-	again  *loop.Timer // opens it after a loss
-	liveness.Watch
+// endpointWatch is the watch on discovery.
+type endpointWatch struct {
+	*watch.Client
+	at      netip.AddrPort // discovery's address
+	index   int64
+	hasList bool           // a whole list was received
+	next    endpointUpdate // decoded, to be applied
 }
 
-// connect opens the watch.
-func (p *Proxy) connect() {
-	w := &p.watch
-	conn, err := p.loop.Dial(w.at, watcher{p}, lineMost)
-	w.conn, w.cutter, w.chunks, w.had = conn, jsonstream.Cutter{Most: lineMost}, http1.Chunks{}, 0
-	w.msg.Reset()
-	w.Opened(p.loop.Now())
-	if err != nil {
-		w.conn = nil
-		p.lostWatch(err)
+// watchDiscovery moves the watch to another address. Indexes need not mean the same there, so the whole list is requested;
+// the known one is used until it is received.
+func (p *Proxy) watchDiscovery(at netip.AddrPort) {
+	if w := &p.watch; at != w.at {
+		w.at, w.hasList = at, false
+		w.Turn(at)
 	}
 }
 
-// turnTo leaves discovery where it was for another address. Indexes need not mean the same there, so the whole list is
-// asked for; what was told so far holds until it comes.
-func (p *Proxy) turnTo(at netip.AddrPort) {
-	w := &p.watch
-	if at == w.at {
-		return
-	}
-	if w.conn != nil {
-		w.conn.Close()
-	}
-	w.again.Stop()
-	w.at, w.has = at, false
-	w.Anew()
-	p.connect()
-}
-
-// lostWatch opens it again after a while.
-func (p *Proxy) lostWatch(err error) {
-	w := &p.watch
-	if w.conn != nil {
-		w.conn.Close()
-		w.conn = nil
-	}
-	wait, news := w.Ended(p.loop.Now(), err.Error(), p.chance())
-	if news {
-		log.Printf("msg=watch_lost error=%q index=%d byte=%d", err, w.index, w.had)
-	}
-	w.again = p.loop.After(wait, p.connect)
-	p.balancer.ListFailed(p.loop.Now())
-}
+// endpointWatcher receives the endpoint updates of discovery's watch.
+type endpointWatcher struct{ p *Proxy }
 
-// watcher hears the watch's connection.
-type watcher struct{ p *Proxy }
-
-func (h watcher) Up(c *loop.Conn) {
+func (h endpointWatcher) Request(to netip.AddrPort) []byte {
 	query := "GET /api/targets?follow=1"
-	if h.p.watch.has {
+	if h.p.watch.hasList {
 		query += "&since=" + strconv.FormatInt(h.p.watch.index, 10)
 	}
-	c.Write([]byte(query + " HTTP/1.1\r\nHost: " + h.p.watch.at.String() + "\r\n\r\n"))
+	return []byte(query + " HTTP/1.1\r\nHost: " + to.String() + "\r\n\r\n")
 }
 
-func (h watcher) Flushed(*loop.Conn) {}
-
-func (h watcher) Down(_ *loop.Conn, err error) { h.p.lostWatch(err) }
+func (h endpointWatcher) First() []byte { return nil }
 
-func (h watcher) Data(c *loop.Conn) {
-	w := &h.p.watch
-	if !w.msg.HeadWhole() {
-		whole, err := w.msg.AnswerHead(c.In())
-		if err == nil && whole && w.msg.Status != 200 {
-			err = errors.New("status " + strconv.Itoa(w.msg.Status))
-		}
-		if err != nil {
-			h.p.lostWatch(err)
-			return
-		}
-		if !whole {
-			return
-		}
-		c.Consume(w.msg.HeadSize())
-		w.Head(h.p.loop.Now())
-	}
-	for len(c.In()) > 0 || w.msg.Length() == w.had {
-		data, used, done, err := h.piece(c.In())
-		if err == nil {
-			err = h.lines(data)
-		}
-		if err == nil && done {
-			err = errors.New("the answer ended")
-		}
-		if err != nil {
-			h.p.lostWatch(err)
-			return
-		}
-		if used == 0 {
-			return
-		}
-		c.Consume(used)
-	}
+func (h endpointWatcher) Decode(object []byte) error {
+	h.p.watch.next = endpointUpdate{}
+	return json.Unmarshal(object, &h.p.watch.next)
 }
 
-// piece is the next part of the answer's body, which may be as long as it likes where its length is not said.
-func (h watcher) piece(in []byte) (data []byte, used int, done bool, err error) {
-	w := &h.p.watch
-	data, used = in, len(in)
-	if w.msg.Chunked() {
-		data, used, done, err = w.chunks.Next(in)
-	} else if n := w.msg.Length(); n >= 0 {
-		data = in[:min(len(in), n-w.had)]
-		used, done = len(data), w.had+len(data) == n
+func (h endpointWatcher) Take() error {
+	next := h.p.watch.next
+	h.p.watch.next = endpointUpdate{}
+	if h.p.applyEndpoints(&next); !h.p.watch.hasList {
+		return errors.New("changes before any list")
 	}
-	w.had += len(data)
-	return data, used, done, err
+	return nil
 }
 
-// lines takes each whole object in the data, however it is laid out; what is left is kept for the next. An empty line says
-// that discovery lives.
-func (h watcher) lines(data []byte) error {
-	w := &h.p.watch
-	for {
-		object, rest, err := w.cutter.Next(data)
-		if err != nil || object == nil {
-			return err
-		}
-		data = rest
-		var l roster
-		if len(object) > 0 {
-			if err := json.Unmarshal(object, &l); err != nil {
-				return err
-			}
-		}
-		if w.Line(h.p.loop.Now()) {
-			log.Printf("msg=watch_back index=%d", w.index)
-		}
-		if len(object) > 0 {
-			if h.p.take(&l); !w.has {
-				return errors.New("changes before any list")
-			}
-		}
+func (h endpointWatcher) Returned() { log.Printf("msg=watch_back index=%d", h.p.watch.index) }
+
+func (h endpointWatcher) Lost(err error, news bool) {
+	if w := &h.p.watch; news {
+		log.Printf("msg=watch_lost error=%q index=%d byte=%d", err, w.index, w.BodyBytes())
 	}
+	h.p.balancer.ListFailed(h.p.loop.Now())
 }
 
-// take brings the backends up to date and tells the Balancer. Changes where no list was had are true of those they name,
-// drains above all, but never stand for the whole: that is still to be asked for.
-func (p *Proxy) take(l *roster) {
+// applyEndpoints updates the backends and the Balancer. Changes without a list before them hold for the backends that they
+// name, drains above all, but never stand for the whole list, which is still to be requested.
+func (p *Proxy) applyEndpoints(update *endpointUpdate) {
 	s := &p.backends
-	if !l.Snapshot && p.watch.has && l.Index < p.watch.index {
-		log.Printf("msg=old_news index=%d known=%d", l.Index, p.watch.index) // a later line may have said the contrary
+	if !update.Snapshot && p.watch.hasList && update.Index < p.watch.index {
+		log.Printf("msg=old_news index=%d known=%d", update.Index, p.watch.index) // a later update may have said the contrary
 		return
 	}
-	if l.Snapshot || p.watch.has {
-		p.watch.index, p.watch.has = l.Index, true
+	if update.Snapshot || p.watch.hasList {
+		p.watch.index, p.watch.hasList = update.Index, true
 	}
 	var entries []balance.Entry
 	named := map[string]bool{}
-	for _, e := range l.Endpoints {
-		state, known := states[e.Status]
+	for _, e := range update.Endpoints {
+		state, known := endpointStates[e.Status]
 		at, err := netip.ParseAddrPort(e.Address)
 		if !known || e.Name == "" || err != nil && state != balance.Gone {
 			log.Printf("msg=list_entry_unknown name=%q status=%q address=%q", e.Name, e.Status, e.Address)
@@ -213,57 +116,57 @@
 			s.byName[e.Name], s.byID[t.id] = t, t
 		}
 		if t.at != at || t.since != e.SinceMs {
-			t.dropIdle() // the process that they led to is no more, though its machine may not have said so
+			t.dropIdle() // they lead to a process that has ended, though its machine may not have closed them
 			t.since = e.SinceMs
 		}
 		if err == nil {
 			t.at = at
 		}
 		named[e.Name] = true
-		t.said = balance.Entry{ID: t.id, Zone: p.zone(e.Zone), Cell: e.Group, State: state, Size: e.Weight, Started: e.SinceMs / 1000}
-		entries = append(entries, p.settle(t))
+		t.listed = balance.Entry{ID: t.id, Zone: p.zone(e.Zone), Cell: e.Group, State: state, Size: e.Weight, Started: e.SinceMs / 1000}
+		entries = append(entries, p.applyMaintenance(t))
 	}
-	if l.Snapshot {
+	if update.Snapshot {
 		for name, t := range s.byName {
 			if !named[name] {
-				t.said.State = balance.Gone
-				p.settle(t)
+				t.listed.State = balance.Gone
+				p.applyMaintenance(t)
 			}
 		}
 		p.maintenance.forget(func(name string) bool { return named[name] })
 	}
-	p.balancer.Fleet(p.loop.Now(), l.Snapshot, entries)
+	p.balancer.Fleet(p.loop.Now(), update.Snapshot, entries)
 }
 
-// settle is where discovery's word and the operators' become the one that counts.
-func (p *Proxy) settle(t *target) balance.Entry {
-	e := p.maintenance.over(t.name, t.said)
-	p.turn(t, e.State)
+// applyMaintenance combines what discovery lists with what operators asked for into the backend's state.
+func (p *Proxy) applyMaintenance(t *target) balance.Entry {
+	e := p.maintenance.applyTo(t.name, t.listed)
+	p.setState(t, e.State)
 	return e
 }
 
-// knows tells whether a backend is listed or left out now; all other names are nobody's.
+// knows tells whether a backend of that name is listed or cordoned.
 func (p *Proxy) knows(name string) bool {
 	t := p.backends.byName[name]
-	return t != nil && t.said.State != balance.Gone || p.maintenance.Out[name]
+	return t != nil && t.listed.State != balance.Gone || p.maintenance.Out[name]
 }
 
-// leaveOut has nothing new go to a backend until it is called back.
-func (p *Proxy) leaveOut(name string) {
-	p.maintenance.leave(name)
-	p.retell(name)
+// cordon keeps new requests from a backend until uncordon.
+func (p *Proxy) cordon(name string) {
+	p.maintenance.cordon(name)
+	p.refreshBackend(name)
 }
 
-// callBack has a backend used again, as one that has just started.
-func (p *Proxy) callBack(name string) {
-	p.maintenance.call(name, p.loop.Now())
-	p.retell(name)
+// uncordon has a backend used again, as one that has just started.
+func (p *Proxy) uncordon(name string) {
+	p.maintenance.uncordon(name, p.loop.Now())
+	p.refreshBackend(name)
 }
 
-// retell has what counts of a backend brought up to date.
-func (p *Proxy) retell(name string) {
-	if t := p.backends.byName[name]; t != nil && t.said.State != balance.Gone {
-		p.balancer.Fleet(p.loop.Now(), false, []balance.Entry{p.settle(t)})
+// refreshBackend passes a backend's state to the Balancer again.
+func (p *Proxy) refreshBackend(name string) {
+	if t := p.backends.byName[name]; t != nil && t.listed.State != balance.Gone {
+		p.balancer.Fleet(p.loop.Now(), false, []balance.Entry{p.applyMaintenance(t)})
 	}
 }
 
@@ -277,15 +180,8 @@
 	return n
 }
 
-// sweepWatch opens the watch anew when it is silent past its heartbeats.
-func (p *Proxy) sweepWatch(now float64) {
-	if w := &p.watch; w.conn != nil && w.Dead(now) {
-		p.lostWatch(errors.New("silent"))
-	}
-}
-
-// turn notes a backend's state. Idle connections to one that wants nothing new are closed.
-func (p *Proxy) turn(t *target, state balance.State) {
+// setState notes a backend's state. Idle connections to one that takes nothing new are closed.
+func (p *Proxy) setState(t *target, state balance.State) {
 	if (t.state == balance.Ready) != (state == balance.Ready) {
 		if state == balance.Ready {
 			p.backends.usable++
