Comments of two renamed methods begin with their names

Cause: Heard and Tell became Received and Send, their comments kept the old words. Change: two comments.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -651,7 +651,7 @@
 	}
 }
 
-// Heard is told what a sibling had to say.
+// Received is told what a sibling had to say.
 func (b *Balancer) Received(now float64, from int, text []byte) {
 	b.now = now
 	n, ok := b.hear(from, text)
--- a/balance/host.go
+++ b/balance/host.go
@@ -20,7 +20,7 @@
 	WakeAfter(seconds float64, token uint64)
 	// Watch subscribes to changes of the list; Fleet or ListFailed follows.
 	Watch()
-	// Tell sends a few bytes to a sibling by its number; they may be lost.
+	// Send sends a few bytes to a sibling by its number; they may be lost.
 	Send(to int, text []byte)
 }
 
