--- a/balance/host.go
+++ b/balance/host.go
@@ -20,8 +20,8 @@
 	WakeAfter(seconds float64, token uint64)
 	// Watch subscribes to changes of the list; Fleet or ListFailed follows.
 	Watch()
-	// Tell sends a few bytes to a sibling by its number; they may be lost.
-	Tell(to int, text []byte)
+	// Send sends a few bytes to a sibling by its number; they may be lost.
+	Send(to int, text []byte)
 }
 
 // Effect says what a second run of a command would do.
