--- a/internal/proxy/control_test.go
+++ b/internal/proxy/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -399,6 +400,69 @@
 	one.await(t, "what the new one had saved", func() bool { return one.control.Status().Revision == 3 })
 }
 
+// What a replica sends that is no update changes nothing, and the next opening of the watch goes on as if nothing had been.
+func TestAReplicaThatSendsAnything(t *testing.T) {
+	t.Parallel()
+	b := newToy(t, ok)
+	r, h := newReplica(t), newHistory()
+	p := begin(t, underControl(listing(1, true, ready("s-1", b)), t.TempDir(), r))
+	awaited(t, r.hellos)
+	for _, junk := range []string{
+		"}\n", "noise\n", `{"revision":1,"scopes":[}` + "\n", `{"revision":1,` + "\n\n", `{"revision":"x"}` + "\n", "{}\n", "[]\n",
+		`{"revision":9,"scopes":[{"scope":"rack:1","number":9,"document":{}}]}` + "\n",
+		`{"revision":9,"whole":true,"scopes":[{"scope":"fleet","number":9,"document":{"a":1}}],"checksum":"x"}` + "\n",
+		`{"a":"` + strings.Repeat("x", 6<<20) + `"}` + "\n",
+	} {
+		r.updates <- junk
+		hello := awaited(t, r.hellos) // the watch is opened again
+		if hello.Revision != h.number {
+			t.Errorf("after %.40q: %+v", junk, hello)
+		}
+		if status, _, _ := p.caller(t).ask(text("look")); status != 200 {
+			t.Errorf("after %.40q: %d", junk, status)
+		}
+		for len(r.reports) > 0 {
+			if report := <-r.reports; report.Verdict != revision.Unknown || strings.Contains(report.Reason, "\n") {
+				t.Errorf("after %.40q: %+v", junk, report)
+			}
+		}
+		r.send(h.change(t, revision.Fleet, fmt.Sprintf(`{"settings": {"tick_ms": %d}}`, 5+h.number)))
+		for awaited(t, r.reports).Verdict != revision.InForce { // what was reported of the junk as its watch ended
+		}
+	}
+	if s := p.controlStatus(); s.Revision != h.number || s.Checksum != h.checksum(t) || s.Updates.Unknown == 0 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// Updates and new files of the proxy's own cross: in the end both are in force, and no update was lost.
+func TestUpdatesCrossReloads(t *testing.T) {
+	t.Parallel()
+	const many = 30
+	r, h := newReplica(t), newHistory()
+	l := underControl("", t.TempDir(), r)
+	p := begin(t, l)
+	awaited(t, r.hellos)
+	last := *l
+	go func() {
+		for i := range many {
+			changed := *l
+			changed.Discovery = fmt.Sprintf("127.0.0.1:%d", 1+i)
+			p.Reload(&changed)
+		}
+	}()
+	for i := range many {
+		r.send(h.change(t, revision.Fleet, fmt.Sprintf(`{"settings": {"limits": {"max_open": %d}}}`, 100+i)))
+	}
+	for i := range many {
+		wantsReport(t, r, revision.Number(1+i), revision.InForce)
+	}
+	last.Discovery = fmt.Sprintf("127.0.0.1:%d", many)
+	p.await(t, "both", func() bool {
+		return p.watch.at.String() == last.Discovery && p.links.Open == 100+many-1 && p.control.Status().Revision == many
+	})
+}
+
 func TestWithoutControlNothingIsThere(t *testing.T) {
 	t.Parallel()
 	p := run(t, launch(t, 200, "", nil))
