Scale: control replicas in the rig, its events, and the time that a proxy or a chain adds

Change: five sandpass control serve processes over three regions with ways between them, events (rest, changes, burst, leader, busiest and two of five lost, a region cut, all lost), and straight against proxied calls in turn, also through a chain.

--- a/cmd/sandlab/scale.go
+++ b/cmd/sandlab/scale.go
@@ -25,7 +25,7 @@
 }
 
 // scaleParts are the parts of a run, in their order.
-var scaleParts = []string{"likeness", "keepers", "slopes", "events", "added"}
+var scaleParts = []string{"likeness", "keepers", "slopes", "events", "control", "added"}
 
 // scaleOptions are the flags of a run.
 type scaleOptions struct {
--- /dev/null
+++ b/internal/scale/added.go
@@ -0,0 +1,126 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"sandpass/internal/scale/fleet"
+	"sandpass/internal/scale/meter"
+	"sandpass/internal/scale/standin"
+	"sandpass/internal/testbed"
+)
+
+// AddedOptions say how the time that a proxy adds is measured.
+type AddedOptions struct {
+	Rates       []float64 // calls a second, open loop
+	ChainRate   float64
+	Depth       int // of the chain
+	Connections int
+	Seconds     float64 // of each measure
+	Rounds      int     // in each of which straight and through are measured in turn
+}
+
+// addedRun measures straight and through alternately.
+type addedRun struct {
+	straight, through string // addresses
+	rate              float64
+	options           AddedOptions
+}
+
+// MeasureAdded measures what one proxy adds, at each rate, and what a chain adds.
+func MeasureAdded(ctx context.Context, o AddedOptions, programs Programs, progress func(string)) ([]Added, error) {
+	var all []Added
+	for _, rate := range o.Rates {
+		a, err := addedByChain(ctx, o, 1, rate, programs)
+		if err != nil {
+			return all, err
+		}
+		all = append(all, a)
+		progress(fmt.Sprintf("one proxy, %.0f calls/s", rate))
+	}
+	a, err := addedByChain(ctx, o, o.Depth, o.ChainRate, programs)
+	progress(fmt.Sprintf("a chain of %d, %.0f calls/s", o.Depth, o.ChainRate))
+	return append(all, a), err
+}
+
+// addedByChain has calls go through a chain: a proxy, its backend, the next proxy, and so on; and straight from backend to
+// backend. Each service of the chain has one backend, which is on the machine of the proxy that comes after it.
+func addedByChain(ctx context.Context, o AddedOptions, depth int, rate float64, programs Programs) (Added, error) {
+	sizes := fleet.Default()
+	sizes.Proxies, sizes.Services, sizes.Depth = depth, 1, 1
+	f := fleet.Generate(sizes)
+	chainOf(f)
+	r, ctx, err := Open(ctx, Plan{Fleet: f, Real: depth, Lists: ServiceList}, programs)
+	if err != nil {
+		return Added{}, err
+	}
+	defer r.Close()
+	straight, err := r.startChain(depth)
+	if err != nil {
+		return Added{}, err
+	}
+	run := addedRun{straight: straight, through: r.addresses.at(0, proxyPort), rate: rate, options: o}
+	name := "one proxy"
+	if depth > 1 {
+		name = fmt.Sprintf("a chain of %d", depth)
+	}
+	return run.measure(ctx, name)
+}
+
+// chainOf makes each proxy's list that of the one backend beside it.
+func chainOf(f *fleet.Fleet) {
+	f.Services = nil
+	for i := range f.Proxies {
+		f.Services = append(f.Services, fleet.Service{Name: fmt.Sprintf("service-%d", i+1), Backends: []int{i}})
+		f.Proxies[i].Service, f.Proxies[i].Target, f.Proxies[i].Cell = i, i, 0
+	}
+}
+
+// startChain starts two backends on each machine: one that calls the next machine's proxy, behind the proxy, and one that
+// calls the next machine's backend straight. It gives the address of the first one of the latter.
+func (r *Rig) startChain(depth int) (straight string, err error) {
+	const straightPort = 9004
+	for i := range depth {
+		for _, way := range []struct{ port, next int }{{backendPort, proxyPort}, {straightPort, straightPort}} {
+			var next func() (standin.Nested, error)
+			if i+1 < depth {
+				address := r.addresses.at(i+1, way.next)
+				next = func() (standin.Nested, error) { return testbed.NewCaller(address), nil }
+			}
+			b, err := standin.NewBackend(r.addresses.at(i, way.port), next)
+			if err != nil {
+				return "", err
+			}
+			r.backends = append(r.backends, b)
+		}
+	}
+	return r.addresses.at(0, straightPort), nil
+}
+
+// measure takes the rounds.
+func (a addedRun) measure(ctx context.Context, name string) (Added, error) {
+	var straight, through, differences [3][]float64
+	out := Added{Name: name, Rate: a.rate, Rounds: a.options.Rounds, Calls: int(a.rate * a.options.Seconds)}
+	for range a.options.Rounds {
+		direct, bad := testbed.OpenLoop(ctx, []string{a.straight}, a.options.Connections, a.rate, a.options.Seconds)
+		out.Failed += bad
+		proxied, bad := testbed.OpenLoop(ctx, []string{a.through}, a.options.Connections, a.rate, a.options.Seconds)
+		out.Failed += bad
+		for k := range direct {
+			straight[k], through[k] = append(straight[k], direct[k]), append(through[k], proxied[k])
+			differences[k] = append(differences[k], proxied[k]-direct[k])
+		}
+	}
+	for k := range straight {
+		out.Straight[k], out.Through[k] = middle(straight[k]), middle(through[k])
+		out.Least[k], out.Most[k] = slices.Min(differences[k]), slices.Max(differences[k])
+	}
+	out.Load = meter.LoadAverage()
+	return out, ctx.Err()
+}
+
+func middle(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
--- a/internal/scale/controlevents.go
+++ b/internal/scale/controlevents.go
@@ -12,6 +12,8 @@
 	"sandpass/internal/scale/helper"
 )
 
+const acceptedWithin = 20 * time.Second // for a change
+
 // ControlOptions say what happens to a fleet that has its configuration from control.
 type ControlOptions struct {
 	Sizes    fleet.Sizes
@@ -74,11 +76,14 @@
 // apply makes a revision over the newest one.
 func (o *operator) apply(ctx context.Context, atOnce bool) error {
 	o.step++
+	ctx, cancel := context.WithTimeout(ctx, acceptedWithin)
+	defer cancel()
 	number, err := o.rig.control.apply(ctx, o.base, o.document(), atOnce)
-	if err == nil {
-		o.base = number
+	if err != nil {
+		return errors.Join(err, o.rig.control.lastWords())
 	}
-	return err
+	o.base = number
+	return nil
 }
 
 // marks is how many configurations have come into force so far, by process.
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -28,7 +28,7 @@
 			m.Programs, m.Progress)
 	case "slopes":
 		series, err = Slopes(ctx, SlopeOptions{Sizes: m.Sizes, Counts: m.Counts, FitUpTo: m.Sizes.Proxies, Real: m.Real, Rest: 8 * time.Second,
-			Restarts: 20, PerSecond: 4, Lists: []Lists{ServiceList, WholeList}}, m.Programs, m.Progress)
+			Restarts: 60, PerSecond: 8, Lists: []Lists{ServiceList, WholeList}}, m.Programs, m.Progress)
 	case "events":
 		for _, lists := range []Lists{ServiceList, WholeList} {
 			var events []Event
@@ -41,6 +41,21 @@
 				break
 			}
 		}
+	case "control":
+		var events []Event
+		events, err = ControlEvents(ctx, ControlOptions{Sizes: m.Sizes, Real: m.Real, Replicas: m.Sizes.ControlMachines, Changes: 10, Burst: 30,
+			BurstIn: time.Minute, Cut: time.Minute}, m.Programs, m.Progress)
+		for _, e := range events {
+			data.replaceEvent(e)
+		}
+	case "added":
+		const ownRate = 157 // calls a second at each proxy of the operators' size
+		var added []Added
+		added, err = MeasureAdded(ctx, AddedOptions{Rates: []float64{ownRate, 2 * ownRate}, ChainRate: ownRate, Depth: m.Sizes.Depth,
+			Connections: 4, Seconds: 10, Rounds: 5}, m.Programs, m.Progress)
+		for _, a := range added {
+			data.replaceAdded(a)
+		}
 	default:
 		return fmt.Errorf("part %q is unknown", part)
 	}
--- a/internal/scale/small_test.go
+++ b/internal/scale/small_test.go
@@ -98,3 +98,17 @@
 		t.Error("its folder is still there")
 	}
 }
+
+func TestCallsGoThroughAChain(t *testing.T) {
+	o := AddedOptions{Rates: []float64{50}, ChainRate: 50, Depth: 4, Connections: 2, Seconds: 1, Rounds: 1}
+	all, err := MeasureAdded(context.Background(), o, programs(), func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, a := range all {
+		t.Logf("%+v", a)
+		if a.Failed > 0 || a.Through[0] <= a.Straight[0] {
+			t.Errorf("%s: %d failed, median %v straight and %v through", a.Name, a.Failed, a.Straight[0], a.Through[0])
+		}
+	}
+}
