--- /dev/null
+++ b/internal/scale/controlslopes.go
@@ -0,0 +1,166 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"sandpass/internal/scale/fleet"
+	"sandpass/internal/scale/meter"
+)
+
+// ControlSlopes measures how control's use grows with the number of proxies, for each number of replicas.
+func ControlSlopes(ctx context.Context, o SlopeOptions, replicas []int, changes int, programs Programs, progress func(string)) ([]Series, error) {
+	var all []Series
+	for _, count := range replicas {
+		c := collector{against: Proxies, setting: controlSetting(count)}
+		for _, n := range o.Counts {
+			plan := Plan{Fleet: fleet.Generate(o.Sizes.ScaledTo(n)), Real: min(n, o.Real), Lists: ServiceList, Peers: true, Replicas: count}
+			figures, err := controlFigures(ctx, o, plan, changes, programs)
+			if err != nil {
+				return nil, fmt.Errorf("%d proxies, %d replicas: %w", n, count, err)
+			}
+			c.add(float64(n), figures)
+			progress(fmt.Sprintf("%d proxies, %d replicas", n, count))
+		}
+		series, err := c.fit(float64(o.FitUpTo))
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, series...)
+	}
+	return all, nil
+}
+
+// controlSetting names the series of so many replicas.
+func controlSetting(replicas int) string { return fmt.Sprintf("%d control machines", replicas) }
+
+// controlSpan is what control and the counted proxies have used and said in a stretch of time.
+type controlSpan struct {
+	seconds float64
+	leader  int
+	usage   []meter.Usage // of each replica, processor time since the start of the stretch
+	traffic []meter.Traffic
+	proxies []meter.Traffic // of the counted ones with control
+	proxy   float64         // processor time of a real proxy, seconds
+}
+
+// duringControl measures what control does meanwhile.
+func (r *Rig) duringControl(do func() error) (*controlSpan, error) {
+	o := &observer{rig: r}
+	s := &controlSpan{leader: r.control.leader()}
+	if err := o.look(); err != nil {
+		return nil, err
+	}
+	if err := do(); err != nil {
+		return nil, err
+	}
+	if err := o.look(); err != nil {
+		return nil, err
+	}
+	was, is := o.samples[0], o.samples[1]
+	s.seconds = is.at.Sub(was.at).Seconds()
+	for k := range is.replicas {
+		s.usage = append(s.usage, meter.Usage{CPU: is.replicas[k].CPU - was.replicas[k].CPU, Resident: is.replicas[k].Resident})
+		s.traffic = append(s.traffic, is.replicaTraffic[k].Minus(was.replicaTraffic[k]))
+	}
+	for i := range is.control {
+		s.proxies = append(s.proxies, is.control[i].Minus(was.control[i]))
+	}
+	s.proxy = is.usage.cpuSince(was.usage, roleProxy, s.seconds) * s.seconds
+	return s, nil
+}
+
+// of gives a figure of the leader, or the mean over the followers.
+func (s *controlSpan) of(role string, value func(k int) float64) float64 {
+	if role == roleLeader {
+		return value(max(0, s.leader))
+	}
+	sum, count := 0.0, 0.0
+	for k := range s.usage {
+		if k != s.leader {
+			sum, count = sum+value(k), count+1
+		}
+	}
+	return sum / max(1, count)
+}
+
+// controlFigures measures one size: at rest, and with changes of configuration.
+func controlFigures(ctx context.Context, o SlopeOptions, plan Plan, changes int, programs Programs) ([]figure, error) {
+	r, ctx, err := Open(ctx, plan, programs)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	operator := operator{rig: r}
+	all := len(plan.Fleet.Proxies)
+	if _, err := operator.change(ctx, false, all); err != nil { // the first is a whole configuration
+		return nil, err
+	}
+	if err := pause(ctx, time.Second); err != nil {
+		return nil, err
+	}
+	rest, err := r.duringControl(func() error { return pause(ctx, o.Rest) })
+	if err != nil {
+		return nil, err
+	}
+	var took []float64
+	busy, err := r.duringControl(func() error {
+		for range changes {
+			one, err := operator.change(ctx, false, all)
+			if err != nil {
+				return err
+			}
+			took = append(took, one...)
+			if err := pause(ctx, time.Second); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return append(controlRestFigures(rest), controlChangeFigures(busy, rest, changes, took)...), nil
+}
+
+func controlRestFigures(s *controlSpan) []figure {
+	figures := []figure{
+		{roleProxy, "configuration watch at rest, in", "bytes/s", mean(s.proxies, bytesIn) / s.seconds},
+		{roleProxy, "configuration watch at rest, out", "bytes/s", mean(s.proxies, bytesOut) / s.seconds},
+		{roleProxy, "processor time at rest with a configuration watch", "part of a core", s.proxy / s.seconds},
+	}
+	for _, role := range []string{roleLeader, roleFollower} {
+		figures = append(figures,
+			figure{role, "processor time at rest", "part of a core", s.of(role, func(k int) float64 { return s.usage[k].CPU / s.seconds })},
+			figure{role, "memory", "bytes", s.of(role, func(k int) float64 { return s.usage[k].Resident })},
+			figure{role, "at rest, in", "bytes/s", s.of(role, func(k int) float64 { return float64(s.traffic[k].BytesIn) / s.seconds })},
+			figure{role, "at rest, out", "bytes/s", s.of(role, func(k int) float64 { return float64(s.traffic[k].BytesOut) / s.seconds })},
+		)
+	}
+	return figures
+}
+
+// controlChangeFigures are those of one change of configuration, what rest takes left out.
+func controlChangeFigures(s, rest *controlSpan, changes int, took []float64) []figure {
+	over := func(busy, idle float64) float64 { return max(0, busy-idle/rest.seconds*s.seconds) / float64(changes) }
+	q := quantiles(took)
+	figures := []figure{
+		{roleProxy, "a change of configuration, in", "bytes", over(mean(s.proxies, bytesIn), mean(rest.proxies, bytesIn))},
+		{roleProxy, "a change of configuration, out", "bytes", over(mean(s.proxies, bytesOut), mean(rest.proxies, bytesOut))},
+		{roleProxy, "a change of configuration, processor time", "s", over(s.proxy, rest.proxy)},
+		{roleProxy, "a change of configuration, in force, median", "s", q.Median},
+		{roleProxy, "a change of configuration, in force, last", "s", q.Last},
+	}
+	for _, role := range []string{roleLeader, roleFollower} {
+		each := func(value func(s *controlSpan, k int) float64) float64 {
+			return over(s.of(role, func(k int) float64 { return value(s, k) }), rest.of(role, func(k int) float64 { return value(rest, k) }))
+		}
+		figures = append(figures,
+			figure{role, "a change of configuration, processor time", "s", each(func(s *controlSpan, k int) float64 { return s.usage[k].CPU })},
+			figure{role, "a change of configuration, in", "bytes", each(func(s *controlSpan, k int) float64 { return float64(s.traffic[k].BytesIn) })},
+			figure{role, "a change of configuration, out", "bytes", each(func(s *controlSpan, k int) float64 { return float64(s.traffic[k].BytesOut) })},
+		)
+	}
+	return figures
+}
--- a/internal/scale/fit/fit.go
+++ b/internal/scale/fit/fit.go
@@ -28,7 +28,7 @@
 var Laws = []Law{None, Logarithm, Linear, Square}
 
 const (
-	flatPart    = 0.05 // of the mean: a figure that all sizes have within this part of one another does not grow
+	flatPart    = 0.02 // of the mean: a figure that all sizes have within this part of one another does not grow
 	confidence  = 0.95 // that a figure grows at all
 	leastPoints = 3
 	gain        = 0.8 // what a richer law must leave at most of a simpler one's residual
--- a/internal/scale/page.go
+++ b/internal/scale/page.go
@@ -1,12 +1,301 @@
 package scale
 
-import "errors"
+import (
+	"fmt"
+	"math"
+	"os"
+	"strings"
 
-// Charts draws.
-func (d *Data) Charts(string) ([]string, error) { return nil, errors.New("not yet") }
+	"sandpass/internal/scale/fit"
+	"sandpass/internal/scale/fleet"
+)
 
-// Tables are all.
-func (d *Data) Tables() string { return "" }
+// section is a part of the page that is generated.
+type section struct {
+	name string
+	text func(d *Data) string
+}
 
-// WritePage writes.
-func (d *Data) WritePage(string) error { return errors.New("not yet") }
+// sections are all of them.
+var sections = []section{
+	{"size", (*Data).sizeTable}, {"assumptions", (*Data).assumptionTable}, {"totals", (*Data).totalTable}, {"roles", (*Data).roleTables},
+	{"events", (*Data).eventTable}, {"added", (*Data).addedTable}, {"likeness", (*Data).likenessTable}, {"slopes", (*Data).slopeTable},
+}
+
+func (s section) begin() string {
+	return "<!-- begin " + s.name + ", written by sandlab scale report -->\n"
+}
+func (s section) end() string { return "<!-- end " + s.name + " -->\n" }
+
+// Tables are all generated parts.
+func (d *Data) Tables() string {
+	var out strings.Builder
+	for _, s := range sections {
+		fmt.Fprintf(&out, "## %s\n\n%s\n", s.name, s.text(d))
+	}
+	return out.String()
+}
+
+// Page gives a page with its generated parts written anew.
+func (d *Data) Page(page string) (string, error) {
+	for _, s := range sections {
+		before, rest, found := strings.Cut(page, s.begin())
+		if !found {
+			return "", fmt.Errorf("the page has no line %q", strings.TrimSpace(s.begin()))
+		}
+		_, after, found := strings.Cut(rest, s.end())
+		if !found {
+			return "", fmt.Errorf("the page has no line %q", strings.TrimSpace(s.end()))
+		}
+		page = before + s.begin() + "\n" + s.text(d) + "\n" + s.end() + after
+	}
+	return page, nil
+}
+
+// WritePage writes the generated parts of a page anew.
+func (d *Data) WritePage(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	page, err := d.Page(string(text))
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return os.WriteFile(path, []byte(page), 0o644)
+}
+
+// NotListed are the totals over their budget that a page does not list as open.
+func (d *Data) NotListed(page string) (missing []string) {
+	_, open, _ := strings.Cut(page, "\n## Open")
+	open, _, _ = strings.Cut(open, "\n## ")
+	for _, t := range d.Over() {
+		if !strings.Contains(open, t.Name()) {
+			missing = append(missing, t.Name())
+		}
+	}
+	return missing
+}
+
+// table writes rows of cells.
+type table struct{ out strings.Builder }
+
+func newTable(head ...string) *table {
+	t := &table{}
+	t.row(head...)
+	t.row(strings.Split(strings.Repeat("---,", len(head)-1)+"---", ",")...)
+	return t
+}
+
+func (t *table) row(cells ...string) {
+	fmt.Fprintf(&t.out, "| %s |\n", strings.Join(cells, " | "))
+}
+
+func (t *table) String() string { return t.out.String() }
+
+// amount writes a value with three digits, in a unit that a reader knows.
+func amount(v float64, unit string) string {
+	switch unit {
+	case "bytes", "bytes/s":
+		per := strings.TrimPrefix(unit, "bytes")
+		for _, scale := range []struct {
+			size float64
+			name string
+		}{{1e9, "GB"}, {1e6, "MB"}, {1e3, "KB"}} {
+			if math.Abs(v) >= scale.size {
+				return digits(v/scale.size) + " " + scale.name + per
+			}
+		}
+		return digits(v) + " B" + per
+	case "part of a core":
+		return digits(100*v) + "%"
+	case "s":
+		if math.Abs(v) < 1 {
+			return digits(1000*v) + " ms"
+		}
+		return digits(v) + " s"
+	case "connections", "":
+		return digits(v)
+	}
+	return digits(v) + " " + unit
+}
+
+func digits(v float64) string {
+	if v == 0 {
+		return "0"
+	}
+	if math.Abs(v) >= 100 {
+		return fmt.Sprintf("%.0f", v)
+	}
+	return fmt.Sprintf("%.3g", v)
+}
+
+func (d *Data) sizeTable() string {
+	s, b := d.Sizes, fleet.Operators
+	t := newTable("what", "size", "from")
+	t.row("proxies, each beside a backend", fmt.Sprint(s.Proxies), "operators")
+	t.row("services", fmt.Sprint(s.Services), "operators")
+	t.row("calls a second, all services together", digits(s.CallsPerSecond), "operators")
+	t.row("services that a call passes at most", fmt.Sprint(s.Depth), "operators")
+	t.row("regions, zones", fmt.Sprintf("%d, %d", s.Regions, s.Zones), "operators")
+	t.row("changes of configuration a day", digits(s.ChangesPerDay), "operators")
+	t.row("restarts a day", digits(s.RestartsPerDay), "operators")
+	t.row("control machines", fmt.Sprint(s.ControlMachines), "operators")
+	t.row("a proxy's budget for control", fmt.Sprintf("%s of a core, %.0f MB, %s", amount(b.ProxyCPU, "part of a core"), b.ProxyMemory/(1<<20),
+		amount(b.ProxyTraffic, "bytes/s")), "operators")
+	t.row("a change in force everywhere within", amount(b.InForceSeconds, "s"), "operators")
+	t.row("added to 99 of 100 calls", amount(b.AddedSeconds, "s"), "operators")
+	return t.String()
+}
+
+func (d *Data) assumptionTable() string {
+	f := fleet.Generate(d.Sizes)
+	mean, most := f.CalledServices()
+	service, backend := f.BusiestCalls()
+	fronts := 0
+	for _, p := range f.Proxies {
+		if f.Services[p.Service].Level == 0 {
+			fronts++
+		}
+	}
+	t := newTable("assumption", "value", "how")
+	t.row("services that a service calls", fmt.Sprintf("%d to %d; of a machine's backend %s in the mean, %d at most", d.Sizes.CalledLeast, d.Sizes.CalledMost,
+		digits(mean), most), "a, drawn from the seed")
+	t.row("services that get calls from outside", fmt.Sprintf("%s of them; %d proxies", amount(d.Sizes.FrontShare, "part of a core"), fronts), "a")
+	t.row("calls a second at the busiest service, at its backend", fmt.Sprintf("%s, %s", digits(service), digits(backend)), "a: backends are shared out by calls")
+	t.row("calls a second at a proxy, in the mean", digits(d.Sizes.CallsPerSecond/float64(d.Sizes.Proxies)), "w")
+	if s := d.find(roleProxy, listWhole, Proxies, string(WholeList)+" list"); s != nil {
+		t.row("bytes of an entry in a whole list", digits(s.Fit.Slope), "m, with the stand-in's names")
+	}
+	t.row("bytes of a change of configuration", fmt.Sprint(d.Sizes.ChangeBytes), "a")
+	t.row("between two regions, one way", amount(d.Sizes.LatencyMS/1000, "s"), "a")
+	t.row("larger fleets", "services, calls and restarts grow with the proxies; changes, zones, regions and depth stay", "a")
+	return t.String()
+}
+
+// factors are the sizes for which totals are given, against the operators'.
+var factors = []float64{1, 2, 4}
+
+func (d *Data) totalTable() string {
+	n := float64(d.Sizes.Proxies)
+	t := newTable("role, what", fmt.Sprintf("at %.0f", n), fmt.Sprintf("at %.0f", 2*n), fmt.Sprintf("at %.0f", 4*n), "budget", "room")
+	for _, total := range d.Totals() {
+		cells := []string{total.Name()}
+		for _, f := range factors {
+			cells = append(cells, amount(total.At(f*n), total.Unit)+" (w)")
+		}
+		if total.Budget == 0 {
+			t.row(append(cells, "none stated", "-")...)
+			continue
+		}
+		room := total.Budget / total.At(n)
+		text := fmt.Sprintf("%s times", digits(room))
+		if room < 1 {
+			text = fmt.Sprintf("**over, %s times**", digits(1/room))
+		}
+		t.row(append(cells, amount(total.Budget, total.Unit), text)...)
+	}
+	return t.String()
+}
+
+func (d *Data) roleTables() string {
+	var out strings.Builder
+	role := ""
+	var t *table
+	flush := func() {
+		if t != nil {
+			fmt.Fprintf(&out, "### %s\n\n%s\n", strings.ToUpper(role[:1])+role[1:], t)
+		}
+	}
+	n := float64(d.Sizes.Proxies)
+	for _, total := range d.Totals() {
+		if total.Role != role {
+			flush()
+			role = total.Role
+			t = newTable("what", "part", fmt.Sprintf("at %.0f", n), fmt.Sprintf("at %.0f", 4*n), "law, residual", "carried by")
+		}
+		for _, term := range total.Terms {
+			law := "-"
+			if term.Series != nil {
+				law = fmt.Sprintf("%s of %s, %s (%s)", term.Series.Fit.Law, term.Series.Against, amount(term.Series.Fit.Relative, "part of a core"), term.Series.Setting)
+			}
+			last := WorkedOut
+			if term.Origin == Measured {
+				last = Predicted
+			}
+			t.row(total.Of, term.Name, amount(term.At(n), total.Unit)+" ("+string(term.Origin)+")", amount(term.At(4*n), total.Unit)+" ("+string(last)+")", law, term.Mechanism)
+		}
+	}
+	flush()
+	return strings.TrimSuffix(out.String(), "\n")
+}
+
+func (d *Data) eventTable() string {
+	t := newTable("event", "lists", "in force: median, 99 in 100, last", "settled", "connections anew", "peaks in a second, and bytes in all", "load")
+	for _, e := range d.Events {
+		force := "-"
+		if e.InForce != nil {
+			force = fmt.Sprintf("%s, %s, %s", amount(e.InForce.Median, "s"), amount(e.InForce.Most99, "s"), amount(e.InForce.Last, "s"))
+		}
+		var peaks []string
+		for _, p := range e.Peaks {
+			text := fmt.Sprintf("%s: %s, in %s, out %s, in all %s", p.Role, amount(p.CPU, "part of a core"), amount(p.BytesIn, "bytes/s"), amount(p.BytesOut, "bytes/s"),
+				amount(p.Total, "bytes"))
+			if p.Memory > 0 {
+				text += ", " + amount(p.Memory, "bytes") + " of memory"
+			}
+			peaks = append(peaks, text)
+		}
+		name := fmt.Sprintf("%s (%d proxies)", e.Name, e.Proxies)
+		if e.Note != "" {
+			name += ". " + e.Note
+		}
+		t.row(name, e.Setting, force, amount(e.Settled, "s"), fmt.Sprint(e.Connections), strings.Join(peaks, "; "), digits(e.Load))
+	}
+	return t.String()
+}
+
+func (d *Data) addedTable() string {
+	t := newTable("through", "calls/s", "straight p50, p99, p99.9", "through", "added p50", "added p99", "added p99.9", "failed", "load")
+	three := func(v [3]float64) string {
+		return fmt.Sprintf("%s, %s, %s", amount(v[0], "s"), amount(v[1], "s"), amount(v[2], "s"))
+	}
+	for _, a := range d.Added {
+		added := func(k int) string {
+			return fmt.Sprintf("%s (%s to %s)", amount(a.Through[k]-a.Straight[k], "s"), amount(a.Least[k], "s"), amount(a.Most[k], "s"))
+		}
+		t.row(fmt.Sprintf("%s, %d rounds of %d calls", a.Name, a.Rounds, a.Calls), digits(a.Rate), three(a.Straight), three(a.Through), added(0), added(1), added(2),
+			fmt.Sprint(a.Failed), digits(a.Load))
+	}
+	return t.String()
+}
+
+func (d *Data) likenessTable() string {
+	t := newTable("kind", "real, of a proxy", "hollow", "off")
+	for _, l := range d.Likeness {
+		t.row(l.Kind, digits(l.Real), digits(l.Hollow), fmt.Sprintf("%+.1f%%", 100*l.Off()))
+	}
+	return t.String()
+}
+
+func (d *Data) slopeTable() string {
+	t := newTable("role", "figure", "against, setting", "measured", "law", "residual", "beyond: predicted, measured, off")
+	for _, s := range d.Series {
+		var points []string
+		for _, p := range s.Points {
+			points = append(points, digits(p.N)+": "+amount(p.Y, s.Unit))
+		}
+		law := string(s.Fit.Law)
+		if s.Fit.Law == fit.None {
+			law += ", " + amount(s.Fit.Intercept, s.Unit)
+		} else {
+			law += fmt.Sprintf(", %s + %s each", amount(s.Fit.Intercept, s.Unit), amount(s.Fit.Slope, s.Unit))
+		}
+		beyond := "-"
+		if p := s.Predicted; p != nil {
+			beyond = fmt.Sprintf("%s: %s, %s, %+.0f%%", digits(p.N), amount(p.Predicted, s.Unit), amount(p.Measured, s.Unit), 100*p.Error())
+		}
+		t.row(s.Role, s.Figure, string(s.Against)+", "+s.Setting, strings.Join(points, "; "), law, amount(s.Fit.Relative, "part of a core"), beyond)
+	}
+	return t.String()
+}
--- /dev/null
+++ b/internal/scale/totals.go
@@ -0,0 +1,278 @@
+package scale
+
+import (
+	"fmt"
+
+	"sandpass/internal/scale/fleet"
+)
+
+// Origin says how a figure of the page was found.
+type Origin string
+
+// How figures were found.
+const (
+	Measured  Origin = "m" // in the run, at this size
+	Predicted Origin = "p" // by the law that was fitted
+	WorkedOut Origin = "w" // by arithmetic from measured slopes
+	Assumed   Origin = "a"
+)
+
+// Missing stands where no package carries something.
+const Missing = "**missing**"
+
+const secondsOfDay = 86_400
+
+// Term is a part of what a role takes.
+type Term struct {
+	Name      string
+	Origin    Origin // at the operators' size
+	Mechanism string // the package that carries it
+	Series    *Series
+	At        func(proxies float64) float64
+}
+
+// Total is all that a role takes of one thing, with the budget.
+type Total struct {
+	Role, Of, Unit string
+	Budget         float64 // 0: none is stated
+	Terms          []Term
+}
+
+// Name is the one under which the page lists it as open.
+func (t Total) Name() string { return t.Role + ", " + t.Of }
+
+// At is the sum at a number of proxies.
+func (t Total) At(proxies float64) (sum float64) {
+	for _, term := range t.Terms {
+		sum += term.At(proxies)
+	}
+	return sum
+}
+
+// Over tells whether it is over its budget.
+func (t Total) Over(proxies float64) bool { return t.Budget > 0 && t.At(proxies) > t.Budget }
+
+// figures of series that totals are made of.
+const (
+	restCPU        = "processor time at rest, part of a core"
+	restCPUWatch   = "processor time at rest with a configuration watch, part of a core"
+	memoryBytes    = "memory, bytes"
+	listRest       = "list watch at rest, in, bytes/s"
+	listRestarts   = "each backend restarted once, list watch in, bytes"
+	listRestartCPU = "each backend restarted once, processor time, s"
+	listWhole      = "whole list, in, bytes"
+	siblingBytes   = "siblings' messages, in, with IP and UDP headers, bytes/s"
+	siblingCPU     = "processor time of siblings' messages, part of a core"
+	configRestIn   = "configuration watch at rest, in, bytes/s"
+	configRestOut  = "configuration watch at rest, out, bytes/s"
+	configIn       = "a change of configuration, in, bytes"
+	configOut      = "a change of configuration, out, bytes"
+	configCPU      = "a change of configuration, processor time, s"
+)
+
+// calculator makes totals of the data.
+type calculator struct {
+	data  *Data
+	fleet *fleet.Fleet
+}
+
+// value is a measured point where there is one, else what the law gives.
+func value(s *Series, n float64) float64 {
+	for _, p := range s.Points {
+		if p.N == n {
+			return p.Y
+		}
+	}
+	return max(0, s.Fit.At(n))
+}
+
+// proxies is the series of a figure against the number of proxies.
+func (c calculator) proxies(role, name, setting string) *Series {
+	return c.data.find(role, name, Proxies, setting)
+}
+
+func (c calculator) controlSetting() string {
+	return controlSetting(c.data.Sizes.ControlMachines)
+}
+
+// calls is the series of a figure against calls a second.
+func (c calculator) calls(name string) *Series {
+	for i, s := range c.data.Series {
+		if s.Role == roleProxy && s.Figure == name && s.Against == Calls {
+			return &c.data.Series[i]
+		}
+	}
+	return nil
+}
+
+// term is a part that goes by a series over proxies, times a factor that may go by them as well.
+func term(name, mechanism string, origin Origin, s *Series, factor func(n float64) float64) Term {
+	if s == nil {
+		return Term{Name: name, Mechanism: Missing, Origin: Measured, At: func(float64) float64 { return 0 }}
+	}
+	return Term{Name: name, Mechanism: mechanism, Origin: origin, Series: s, At: func(n float64) float64 { return factor(n) * value(s, n) }}
+}
+
+func once(float64) float64 { return 1 }
+
+// restartsASecond is how often each backend restarts.
+func (c calculator) restartsASecond(float64) float64 {
+	return c.data.Sizes.RestartsPerDay / float64(c.data.Sizes.Proxies) / secondsOfDay
+}
+
+func (c calculator) changesASecond(float64) float64 { return c.data.Sizes.ChangesPerDay / secondsOfDay }
+
+// ownCalls is the calls a second at a proxy, in the mean.
+func (c calculator) ownCalls() float64 {
+	return c.data.Sizes.CallsPerSecond / float64(c.data.Sizes.Proxies)
+}
+
+// frontCalls is the calls a second that a front proxy gets from outside, in the mean.
+func (c calculator) frontCalls() float64 {
+	calls, proxies := 0.0, 0.0
+	for _, s := range c.fleet.Services {
+		if s.Level == 0 {
+			calls, proxies = calls+s.CallsPerSecond, proxies+float64(len(s.Backends))
+		}
+	}
+	return calls / max(1, proxies)
+}
+
+// byCalls is a part that goes by the calls at a proxy, not by the number of proxies.
+func byCalls(name, mechanism string, s *Series, calls, times float64) Term {
+	if s == nil {
+		return Term{Name: name, Mechanism: Missing, At: func(float64) float64 { return 0 }}
+	}
+	origin := WorkedOut
+	for _, p := range s.Points {
+		if p.N == calls {
+			origin = Measured
+		}
+	}
+	return Term{Name: name, Mechanism: mechanism, Origin: origin, Series: s, At: func(float64) float64 { return times * value(s, calls) }}
+}
+
+const (
+	listMechanism    = "`internal/watch`, `internal/proxy`"
+	siblingMechanism = "`balance` (keepers)"
+	configMechanism  = "`internal/configwatch`"
+	processMechanism = "`internal/proxy`"
+)
+
+// ofProxy are the totals of a proxy with so many calls a second, whose list is a service's.
+func (c calculator) ofProxy(role string, calls float64) []Total {
+	budget := fleet.Operators
+	service := string(ServiceList) + " list"
+	whole := string(WholeList) + " list"
+	control := c.controlSetting()
+	traffic := Total{Role: role, Of: "bytes a second, both ways", Unit: "bytes/s", Budget: budget.ProxyTraffic, Terms: []Term{
+		term("list watch, heartbeats", listMechanism, Measured, c.proxies(roleProxy, listRest, service), once),
+		term("list watch, backends that restart, one whole list of the fleet", listMechanism, WorkedOut, c.proxies(roleProxy, listRestarts, whole), c.restartsASecond),
+		byCalls("siblings' messages, with IP and UDP headers", siblingMechanism, c.calls(siblingBytes), calls, 2),
+		term("configuration watch, heartbeats in", configMechanism, Measured, c.proxies(roleProxy, configRestIn, control), once),
+		term("configuration watch, out", configMechanism, Measured, c.proxies(roleProxy, configRestOut, control), once),
+		term("changes of configuration, in", configMechanism, WorkedOut, c.proxies(roleProxy, configIn, control), c.changesASecond),
+		term("changes of configuration, out", configMechanism, WorkedOut, c.proxies(roleProxy, configOut, control), c.changesASecond),
+	}}
+	rest := term("at rest, list and configuration watch", processMechanism, Measured, c.proxies(roleProxy, restCPUWatch, control), once)
+	if rest.Series == nil {
+		rest = term("at rest, list watch", processMechanism, Measured, c.proxies(roleProxy, restCPU, service), once)
+	}
+	processor := Total{Role: role, Of: "processor time for control", Unit: "part of a core", Budget: budget.ProxyCPU, Terms: []Term{
+		rest,
+		byCalls("siblings' messages", siblingMechanism, c.calls(siblingCPU), calls, 1),
+		term("backends that restart", listMechanism, WorkedOut, c.proxies(roleProxy, listRestartCPU, whole), c.restartsASecond),
+		term("changes of configuration", configMechanism, WorkedOut, c.proxies(roleProxy, configCPU, control), c.changesASecond),
+	}}
+	memory := Total{Role: role, Of: "memory", Unit: "bytes", Budget: budget.ProxyMemory, Terms: []Term{
+		term("a process with one whole list of the fleet", processMechanism, Measured, c.proxies(roleProxy, memoryBytes, whole), once),
+	}}
+	return []Total{traffic, processor, memory}
+}
+
+// ofMachine are the totals of a machine whose backend calls several services: a process for each. Its calls are shared among
+// them, so that siblings' messages are no more than one process has.
+func (c calculator) ofMachine(processes float64) (all []Total) {
+	const role = "machine whose backend calls most services"
+	for _, one := range c.ofProxy(role, c.ownCalls()) {
+		all = append(all, Total{Role: role, Of: one.Of, Unit: one.Unit, Budget: one.Budget, Terms: []Term{{
+			Name: fmt.Sprintf("%.0f processes, one for each service that is called", processes), Origin: WorkedOut,
+			Mechanism: Missing + ": one process for several lists", At: func(n float64) float64 { return perMachine(one, processes, n) }}}})
+	}
+	return all
+}
+
+// perMachine is a total of several processes that share a machine's calls.
+func perMachine(one Total, processes, n float64) (sum float64) {
+	for _, term := range one.Terms {
+		if term.Series != nil && term.Series.Against == Calls {
+			sum += term.At(n)
+		} else {
+			sum += processes * term.At(n)
+		}
+	}
+	return sum
+}
+
+// ofReplica are the totals of a control machine.
+func (c calculator) ofReplica(role string) []Total {
+	const mechanism = "`internal/control`, `internal/controlserver`"
+	setting := c.controlSetting()
+	at := func(name string) *Series { return c.proxies(role, name, setting) }
+	return []Total{
+		{Role: role, Of: "bytes a second, both ways", Unit: "bytes/s", Terms: []Term{
+			term("at rest, in", mechanism, Measured, at("at rest, in, bytes/s"), once),
+			term("at rest, out", mechanism, Measured, at("at rest, out, bytes/s"), once),
+			term("changes of configuration, in", mechanism, WorkedOut, at(configIn), c.changesASecond),
+			term("changes of configuration, out", mechanism, WorkedOut, at(configOut), c.changesASecond),
+		}},
+		{Role: role, Of: "processor time", Unit: "part of a core", Budget: 1, Terms: []Term{
+			term("at rest", mechanism, Measured, at(restCPU), once),
+			term("changes of configuration", mechanism, WorkedOut, at(configCPU), c.changesASecond),
+		}},
+		{Role: role, Of: "memory", Unit: "bytes", Terms: []Term{
+			term("the process: log, state, watches", mechanism, Measured, at(memoryBytes), once),
+		}},
+	}
+}
+
+// ofDiscovery are the totals of discovery's agent on one machine: the stand-in's for all, in equal parts.
+func (c calculator) ofDiscovery() []Total {
+	const role, mechanism = "discovery's agent, one machine (stand-in)", "stand-in `internal/scale/standin`"
+	setting := string(WholeList) + " list"
+	each := func(n float64) float64 { return 1 / n }
+	at := func(name string) *Series { return c.proxies(roleDiscovery, name, setting) }
+	return []Total{
+		{Role: role, Of: "bytes a second, out", Unit: "bytes/s", Terms: []Term{
+			term("heartbeats", mechanism, Measured, at("list watch at rest, all agents, out, bytes/s"), each),
+			term("backends that restart", mechanism, WorkedOut, at("each backend restarted once, all agents, out, bytes"),
+				func(n float64) float64 { return each(n) * c.restartsASecond(n) }),
+		}},
+		{Role: role, Of: "processor time", Unit: "part of a core", Terms: []Term{
+			term("at rest", mechanism, Measured, at("processor time at rest, all agents, part of a core"), each),
+		}},
+		{Role: role, Of: "memory", Unit: "bytes", Terms: []Term{term("all agents' process, in equal parts", mechanism, Measured, at("memory, all agents, bytes"), each)}},
+	}
+}
+
+// Totals are those of all roles.
+func (d *Data) Totals() []Total {
+	c := calculator{data: d, fleet: fleet.Generate(d.Sizes)}
+	_, most := c.fleet.CalledServices()
+	all := c.ofProxy("proxy beside a backend", float64(int(c.ownCalls())))
+	all = append(all, c.ofProxy("front proxy", c.frontCalls())...)
+	all = append(all, c.ofMachine(float64(most))...)
+	all = append(all, c.ofReplica(roleLeader)...)
+	all = append(all, c.ofReplica(roleFollower)...)
+	return append(all, c.ofDiscovery()...)
+}
+
+// Over are the totals over their budget at the size.
+func (d *Data) Over() (over []Total) {
+	for _, t := range d.Totals() {
+		if t.Over(float64(d.Sizes.Proxies)) {
+			over = append(over, t)
+		}
+	}
+	return over
+}
