--- a/cmd/sandpass/control.go
+++ b/cmd/sandpass/control.go
@@ -90,6 +90,7 @@
 func controlCommand() *cobra.Command {
 	options := &controlOptions{}
 	control := &cobra.Command{Use: "control", Short: "Change and watch the configuration of a fleet", Long: controlHelp,
+		Args: cobra.ArbitraryArgs,
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if len(args) > 0 {
 				return usageError("%q is no control command; see sandpass control --help", args[0])
--- a/internal/controlserver/apply.go
+++ b/internal/controlserver/apply.go
@@ -234,9 +234,8 @@
 	controlapi.KindUnknown:    http.StatusGatewayTimeout,
 }
 
-// readBody decodes a request's body, whose size and time are bounded.
+// readBody decodes a request's body, whose size is bounded.
 func readBody(w http.ResponseWriter, r *http.Request, into any) error {
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTime))
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, controlapi.BodyMost))
 	if err := decoder.Decode(into); err != nil {
 		return badRequest(fmt.Errorf("body: %w", err))
@@ -257,6 +256,5 @@
 
 func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
-	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(bodyTime))
 	json.NewEncoder(w).Encode(value)
 }
--- a/internal/controlserver/process_test.go
+++ b/internal/controlserver/process_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -69,6 +70,12 @@
 	if err != nil {
 		return err
 	}
+	ends := make(chan os.Signal, 1)
+	signal.Notify(ends, syscall.SIGTERM)
+	go func() {
+		<-ends
+		server.Stop()
+	}()
 	return server.Run()
 }
 
--- a/internal/controlserver/reads.go
+++ b/internal/controlserver/reads.go
@@ -16,8 +16,7 @@
 )
 
 const (
-	bodyTime      = 10 * time.Second // for a request's body to come, or an answer to be taken
-	readTime      = 3 * time.Second  // for a quorum to confirm a read
+	readTime      = 3 * time.Second // for a quorum to confirm a read
 	readRetry     = 500 * time.Millisecond
 	readsMost     = 1024 // that wait for a quorum at a time
 	contextBytes  = 16   // of a linearizable read, drawn by chance
--- a/internal/controlserver/server.go
+++ b/internal/controlserver/server.go
@@ -35,6 +35,8 @@
 	connectionsMost = WatchesMost + 512
 	headerMost      = 16 << 10         // bytes of a request's header
 	headerTime      = 5 * time.Second  // for a request's header to come
+	bodyTime        = 10 * time.Second // for a request's body to come
+	answerTime      = 20 * time.Second // for an answer to be made and taken
 	idleTime        = 60 * time.Second // of a connection between requests
 	peerDeadTime    = 10 * time.Second // for sent bytes to be acknowledged by the other machine
 	drainTime       = 2 * time.Second  // over which the watches are closed at the end
@@ -151,7 +153,31 @@
 	routes.HandleFunc("GET "+controlapi.HistoryPath, s.serveHistory)
 	routes.HandleFunc("GET "+controlapi.ShowPath, s.serveShow)
 	routes.HandleFunc("GET "+controlapi.StatusPath, s.serveStatus)
-	return routes
+	return boundTime(routes)
+}
+
+// boundTime bounds how long a request's body may take to come and its answer to be taken; the handlers whose requests
+// stay open set bounds of their own. A request that is refused before it was read is not read to its end.
+func boundTime(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer := http.NewResponseController(w)
+		if err := answer.EnableFullDuplex(); err != nil {
+			http.Error(w, err.Error(), http.StatusHTTPVersionNotSupported)
+			return
+		}
+		answer.SetReadDeadline(time.Now().Add(bodyTime))
+		answer.SetWriteDeadline(time.Now().Add(answerTime))
+		next.ServeHTTP(w, r)
+	})
+}
+
+// refuse answers a request whose body stays open, and reads no more of it.
+func refuse(w http.ResponseWriter, reason string, status int) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, reason, status)
+	answer := http.NewResponseController(w)
+	answer.Flush()
+	answer.SetReadDeadline(time.Now())
 }
 
 // Address is where the replica listens.
--- a/internal/controlserver/simproxy_test.go
+++ b/internal/controlserver/simproxy_test.go
@@ -74,6 +74,7 @@
 	defer silence.Stop()
 	body, out := io.Pipe()
 	defer body.Close()
+	defer context.AfterFunc(ctx, func() { body.Close() })() // net/http waits for the body's end, even on a broken connection
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+replica+revision.WatchPath, body)
 	if err != nil {
 		p.fault("%v", err)
@@ -209,7 +210,8 @@
 func (f *simFleet) start(i int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancels[i] = cancel
-	f.done.Go(func() { f.proxies[i].run(ctx) })
+	proxy := f.proxies[i]
+	f.done.Go(func() { proxy.run(ctx) })
 }
 
 // restart ends a proxy's watch and has it come back with what it holds.
--- a/internal/controlserver/transport.go
+++ b/internal/controlserver/transport.go
@@ -242,12 +242,12 @@
 func (s *Server) sender(w http.ResponseWriter, r *http.Request) *peerLink {
 	fleet, name := r.Header.Get(fleetHeader), r.Header.Get(senderHeader)
 	if fleet != s.config.Fleet {
-		http.Error(w, fmt.Sprintf("fleet %.128q is not %q", fleet, s.config.Fleet), http.StatusForbidden)
+		refuse(w, fmt.Sprintf("fleet %.128q is not %q", fleet, s.config.Fleet), http.StatusForbidden)
 		return nil
 	}
 	link := s.transport.peers[replicaID(fleet, name)]
 	if link == nil {
-		http.Error(w, fmt.Sprintf("%.128q is not one of the other replicas", name), http.StatusForbidden)
+		refuse(w, fmt.Sprintf("%.128q is not one of the other replicas", name), http.StatusForbidden)
 	}
 	return link
 }
@@ -259,10 +259,7 @@
 		return
 	}
 	answer := http.NewResponseController(w)
-	if err := answer.EnableFullDuplex(); err != nil {
-		http.Error(w, err.Error(), http.StatusHTTPVersionNotSupported)
-		return
-	}
+	answer.SetReadDeadline(time.Time{})
 	ended := make(chan struct{})
 	var answering sync.WaitGroup
 	defer answering.Wait()
--- a/internal/controlserver/watch.go
+++ b/internal/controlserver/watch.go
@@ -17,11 +17,10 @@
 )
 
 const (
-	lineMost       = 64 << 10         // bytes of a Hello or a Report
-	helloTime      = 2 * time.Second  // for the Hello to come
-	heartbeatTime  = 2 * time.Second  // between two lines, also where there is nothing to say
-	writeTime      = 5 * time.Second  // for a proxy to take a line
-	answerTime     = 30 * time.Second // for a proxy to report on an update
+	lineMost       = 64 << 10        // bytes of a Hello or a Report
+	helloTime      = 2 * time.Second // for the Hello to come
+	heartbeatTime  = 2 * time.Second // between two lines, also where there is nothing to say
+	writeTime      = 5 * time.Second // for a proxy to take a line
 	bodyReaderSize = 4 << 10
 )
 
@@ -38,22 +37,17 @@
 // serveWatch serves a proxy until it goes, stalls or breaks the protocol, or the replica ends.
 func (s *Server) serveWatch(w http.ResponseWriter, r *http.Request) {
 	if !s.enterWatch() {
-		http.Error(w, "the replica is full or ends: watch another one", http.StatusServiceUnavailable)
+		refuse(w, "the replica is full or ends: watch another one", http.StatusServiceUnavailable)
 		return
 	}
 	defer s.leaveWatch()
 	answer := http.NewResponseController(w)
-	if err := answer.EnableFullDuplex(); err != nil {
-		http.Error(w, err.Error(), http.StatusHTTPVersionNotSupported)
-		return
-	}
 	defer answer.SetReadDeadline(time.Now()) // net/http does not wait for the rest of the body then
 	answer.SetReadDeadline(time.Now().Add(helloTime))
 	input := bufio.NewReaderSize(r.Body, bodyReaderSize)
 	hello, session, err := s.readHello(input)
 	if err != nil {
-		answer.SetWriteDeadline(time.Now().Add(writeTime))
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		refuse(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	answer.SetReadDeadline(time.Time{})
