Scale: hollow and real proxies compared under control as well; tests run side by side

Change: the twins follow control replicas, each run claims its loopback addresses, control events can be chosen.

--- a/internal/scale/controlevents.go
+++ b/internal/scale/controlevents.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"sandpass/internal/revision"
@@ -23,8 +24,17 @@
 	Burst    int // changes within BurstIn
 	BurstIn  time.Duration
 	Cut      time.Duration // of a region
+	Only     []string      // names of events; nil: all of them
 }
 
+// Names of events.
+const (
+	eventChange      = "control: a change of configuration"
+	eventBurst       = "control: a burst of changes"
+	eventBusiestLost = "control: the machine that most proxies hang on is lost"
+	eventRegionCut   = "control: a region is cut off"
+)
+
 // operator is one who changes the fleet's configuration.
 type operator struct {
 	rig  *Rig
@@ -151,15 +161,18 @@
 		do   func(e *Event) error
 	}{
 		{"control: at rest", s.rest},
-		{"control: a change of configuration", s.change},
+		{eventChange, s.change},
 		{"control: a change at once, without the guard", s.atOnce},
-		{"control: a burst of changes", s.burst},
+		{eventBurst, s.burst},
 		{"control: the leader is lost", s.leaderLost},
-		{"control: the machine that most proxies hang on is lost", s.busiestLost},
-		{"control: a region is cut off", s.regionCut},
+		{eventBusiestLost, s.busiestLost},
+		{eventRegionCut, s.regionCut},
 		{"control: changes at three of five machines", s.threeLeft},
 		{"control: all machines are lost, a change when they are back", s.allLost},
 	} {
+		if o.Only != nil && !slices.Contains(o.Only, step.name) {
+			continue
+		}
 		e, err := r.observe(ctx, Event{Name: step.name}, step.do)
 		if err != nil {
 			return all, fmt.Errorf("%s: %w", step.name, err)
--- a/internal/scale/launch.go
+++ b/internal/scale/launch.go
@@ -14,6 +14,7 @@
 	siblingPort = 9001 // messages between siblings, UDP
 	agentPort   = 9002 // discovery's agent
 	backendPort = 9003 // the backend
+	claimPort   = 9009 // of the first machine: says that a run has these addresses
 )
 
 // Lists say which list of discovery's a proxy follows.
--- a/internal/scale/likeness.go
+++ b/internal/scale/likeness.go
@@ -21,6 +21,8 @@
 	CallsEach    float64 // a second to each proxy, while siblings' messages are counted
 	CallSeconds  float64
 	Rest         time.Duration
+	Replicas     int  // of control
+	Changes      int  // of configuration
 	SkipWork     bool // for tests: a hollow proxy that does nothing
 }
 
@@ -29,7 +31,8 @@
 func Compare(ctx context.Context, o LikenessOptions, programs Programs) ([]Likeness, error) {
 	sizes := fleet.Default()
 	sizes.Proxies, sizes.Services, sizes.Depth, sizes.FrontShare = 2*o.Each, 2, 1, 1
-	plan := Plan{Fleet: fleet.Generate(sizes), Real: o.Each, Lists: ServiceList, Peers: true, Counted: 2 * o.Each, Defect: o.SkipWork}
+	plan := Plan{Fleet: fleet.Generate(sizes), Real: o.Each, Lists: ServiceList, Peers: true, Counted: 2 * o.Each, Defect: o.SkipWork,
+		Replicas: o.Replicas}
 	r, ctx, err := Open(ctx, plan, programs)
 	if err != nil {
 		return nil, err
@@ -56,6 +59,13 @@
 		}
 		all = append(all, kinds("list watch, whole lists", back.traffic, o.Each)...)
 	}
+	if o.Replicas > 0 {
+		config, err := r.changeTwins(ctx, o)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, kinds("configuration watch, changes", config, o.Each)...)
+	}
 	before := r.relays.traffic()
 	if _, bad := r.call(ctx, everyProxy(plan.Fleet), o.CallsEach, o.CallSeconds); bad > 0 && !o.SkipWork {
 		return nil, fmt.Errorf("%d calls failed", bad)
@@ -67,6 +77,26 @@
 	return append(all, kinds("siblings' messages", notes, o.Each)...), nil
 }
 
+// changeTwins changes the configuration of all proxies, and gives what each has said to control and heard from it.
+func (r *Rig) changeTwins(ctx context.Context, o LikenessOptions) ([]meter.Traffic, error) {
+	wanted := 2 * o.Each
+	if o.SkipWork {
+		wanted = o.Each
+	}
+	before := r.control.proxyTraffic()
+	operator := operator{rig: r}
+	for range o.Changes {
+		if _, err := operator.change(ctx, false, wanted); err != nil {
+			return nil, err
+		}
+	}
+	after := r.control.proxyTraffic()
+	for i := range after {
+		after[i] = after[i].Minus(before[i])
+	}
+	return after, nil
+}
+
 // restartTwins restarts the same backend of both services at the same time.
 func (r *Rig) restartTwins(ctx context.Context, o LikenessOptions) error {
 	const states = 3
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -22,7 +22,8 @@
 	var series []Series
 	switch part {
 	case "likeness":
-		data.Likeness, err = Compare(ctx, LikenessOptions{Each: 20, Restarts: 40, RestartsEach: 5, CallsEach: 60, CallSeconds: 8, Rest: 4 * time.Second}, m.Programs)
+		data.Likeness, err = Compare(ctx, LikenessOptions{Each: 20, Restarts: 40, RestartsEach: 5, CallsEach: 60, CallSeconds: 8, Rest: 4 * time.Second,
+			Replicas: m.Sizes.ControlMachines, Changes: 10}, m.Programs)
 	case "keepers":
 		series, err = Keepers(ctx, KeeperOptions{Siblings: []int{2, 4, 8, 12, 16}, Rates: []float64{39, 79, 118, 157, 236}, Fixed: 6, Rate: 20, Seconds: 6},
 			m.Programs, m.Progress)
--- a/internal/scale/page.go
+++ b/internal/scale/page.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"os"
+	"slices"
 	"strings"
 
 	"sandpass/internal/scale/fit"
@@ -19,7 +20,7 @@
 // sections are all of them.
 var sections = []section{
 	{"size", (*Data).sizeTable}, {"assumptions", (*Data).assumptionTable}, {"totals", (*Data).totalTable}, {"roles", (*Data).roleTables},
-	{"events", (*Data).eventTable}, {"added", (*Data).addedTable}, {"likeness", (*Data).likenessTable}, {"slopes", (*Data).slopeTable},
+	{"events", (*Data).eventTable}, {"added", (*Data).addedTable}, {"likeness", (*Data).likenessTable}, {"predictions", (*Data).predictionTable},
 }
 
 func (s section) begin() string {
@@ -33,6 +34,7 @@
 	for _, s := range sections {
 		fmt.Fprintf(&out, "## %s\n\n%s\n", s.name, s.text(d))
 	}
+	fmt.Fprintf(&out, "## all series\n\n%s", d.slopeTable())
 	return out.String()
 }
 
@@ -278,6 +280,46 @@
 	return t.String()
 }
 
+// shown are the series that the page is made of: those of the totals, and whole lists.
+func (d *Data) shown() (series []*Series) {
+	add := func(s *Series) {
+		if s != nil && !slices.Contains(series, s) {
+			series = append(series, s)
+		}
+	}
+	for _, total := range d.Totals() {
+		for _, term := range total.Terms {
+			add(term.Series)
+		}
+	}
+	whole := string(WholeList) + " list"
+	add(d.find(roleProxy, listWhole, Proxies, whole))
+	add(d.find(roleDiscovery, "all ask for whole lists, out, bytes", Proxies, whole))
+	add(d.find(roleDiscovery, "all ask for whole lists, processor time, s", Proxies, whole))
+	for i, s := range d.Series {
+		if s.Role == roleHollow {
+			add(&d.Series[i])
+		}
+	}
+	add(d.find(roleProxy, "a change of configuration, in force, last, s", Proxies, controlSetting(d.Sizes.ControlMachines)))
+	return series
+}
+
+func (d *Data) predictionTable() string {
+	t := newTable("role, figure", "setting", "law", "residual", "at the largest size: predicted", "measured", "off")
+	for _, s := range d.shown() {
+		predicted, measured, off := "-", "-", "-"
+		if p := s.Predicted; p != nil {
+			predicted, measured = fmt.Sprintf("%s: %s", digits(p.N), amount(p.Predicted, s.Unit)), amount(p.Measured, s.Unit)
+			if p.Measured > 0 {
+				off = fmt.Sprintf("%+.0f%%", 100*p.Error())
+			}
+		}
+		t.row(s.Role+", "+s.Figure, s.Setting, fmt.Sprintf("%s of %s", s.Fit.Law, s.Against), amount(s.Fit.Relative, "part of a core"), predicted, measured, off)
+	}
+	return t.String()
+}
+
 func (d *Data) slopeTable() string {
 	t := newTable("role", "figure", "against, setting", "measured", "law", "residual", "beyond: predicted, measured, off")
 	for _, s := range d.Series {
--- /dev/null
+++ b/internal/scale/page_test.go
@@ -0,0 +1,81 @@
+package scale
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"sandpass/internal/scale/fit"
+	"sandpass/internal/scale/fleet"
+)
+
+const (
+	dataFile = "../../docs/capacity.json"
+	pageFile = "../../docs/CAPACITY.md"
+)
+
+// The page says what the data says, and lists all that is over its budget.
+func TestThePageIsOfTheData(t *testing.T) {
+	data, err := ReadData(dataFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(pageFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	page, err := data.Page(string(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if page != string(text) {
+		t.Error("docs/CAPACITY.md differs from docs/capacity.json: run sandlab scale report docs/capacity.json --page docs/CAPACITY.md")
+	}
+	for _, name := range data.NotListed(string(text)) {
+		t.Errorf("%s is over its budget and not listed as open", name)
+	}
+	for _, l := range Unlike(data.Likeness) {
+		t.Errorf("%s: hollow proxies are not like real ones, %+.1f%%", l.Kind, 100*l.Off())
+	}
+}
+
+// overBudget is data of a fleet whose siblings say more than they may.
+func overBudget() *Data {
+	return &Data{Sizes: fleet.Default(), Series: []Series{{Role: roleProxy, Figure: siblingBytes, Unit: "bytes/s", Against: Calls, Setting: "6 siblings",
+		Points: []fit.Point{{N: 157, Y: 23_000}}, Fit: fit.Fit{Law: fit.Linear, Slope: 147}}}}
+}
+
+func TestATotalOverItsBudgetHasToBeListed(t *testing.T) {
+	const name = "proxy beside a backend, bytes a second, both ways"
+	data := overBudget()
+	if missing := data.NotListed("# Page\n\n## Open\n\nNothing.\n\n## Next\n\n" + name); len(missing) == 0 || missing[0] != name {
+		t.Errorf("%q", missing)
+	}
+	listed := "\n## Open\n"
+	for _, total := range data.Over() {
+		listed += "- " + total.Name() + "\n"
+	}
+	if missing := data.NotListed(listed); len(missing) != 0 {
+		t.Errorf("%q", missing)
+	}
+}
+
+func TestAPageThatDiffersIsFound(t *testing.T) {
+	data, page := overBudget(), ""
+	for _, s := range sections {
+		page += s.begin() + s.end()
+	}
+	page, err := data.Page(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again, err := data.Page(page); err != nil || again != page {
+		t.Errorf("writing it again changes it: %v", err)
+	}
+	if spoilt, err := data.Page(strings.Replace(page, "46 KB/s", "4.6 KB/s", 1)); err != nil || spoilt != page || !strings.Contains(page, "46 KB/s") {
+		t.Errorf("a figure that was changed by hand stays: %v", err)
+	}
+	if _, err := data.Page("# Page"); err == nil {
+		t.Error("a page without its parts was taken")
+	}
+}
