--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,8 @@
 	ldd bin/sandpass | grep -q libc
 
 # The experiments' tests take all cores, which tests that go by the clock can't bear beside them: they come after.
-BUSY := sandpass/internal/emulator sandpass/internal/lab sandpass/internal/testbed
+SCALE := $(addprefix sandpass/internal/,scale scale/fit scale/fleet scale/helper scale/meter scale/standin)
+BUSY := sandpass/internal/emulator sandpass/internal/lab sandpass/internal/testbed $(SCALE)
 
 # What KNOWN-RED.txt names is passed over and printed.
 test:
--- /dev/null
+++ b/internal/scale/standin/standin_test.go
@@ -0,0 +1,149 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"sandpass/internal/scale/meter"
+)
+
+const answersWithin = 10 * time.Second
+
+// follow opens a watch and gives its lines as they come.
+func follow(t *testing.T, address string) (net.Conn, *bufio.Scanner) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(answersWithin))
+	fmt.Fprintf(c, "GET /api/targets?follow=1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	return c, bufio.NewScanner(c)
+}
+
+// next is the next message of a watch, heartbeats and chunks' frames left out.
+func next(t *testing.T, lines *bufio.Scanner) (m message) {
+	t.Helper()
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), "{") {
+			if err := json.Unmarshal(lines.Bytes(), &m); err != nil {
+				t.Fatal(err)
+			}
+			return m
+		}
+	}
+	t.Fatalf("the watch ended: %v", lines.Err())
+	return m
+}
+
+func started(t *testing.T, agents int) (*Discovery, []string) {
+	t.Helper()
+	d := NewDiscovery([][]Endpoint{{{Name: "a", Status: "ready"}, {Name: "b", Status: "ready"}}})
+	t.Cleanup(d.Close)
+	var addresses []string
+	for i := range agents {
+		if err := d.Listen("127.0.0.1:0", 0); err != nil {
+			t.Fatal(err)
+		}
+		addresses = append(addresses, d.agents[i].listener.Addr().String())
+	}
+	return d, addresses
+}
+
+func TestAWatchHasTheListAndWhatChanges(t *testing.T) {
+	d, addresses := started(t, 1)
+	_, lines := follow(t, addresses[0])
+	if m := next(t, lines); !m.Snapshot || len(m.Endpoints) != 2 {
+		t.Errorf("%+v", m)
+	}
+	if err := d.Change(0, []Endpoint{{Name: "a", Status: "gone"}}); err != nil {
+		t.Fatal(err)
+	}
+	if m := next(t, lines); m.Snapshot || len(m.Endpoints) != 1 || m.Index != 3 {
+		t.Errorf("%+v", m)
+	}
+	_, again := follow(t, addresses[0])
+	if m := next(t, again); !m.Snapshot || len(m.Endpoints) != 1 || m.Endpoints[0].Name != "b" {
+		t.Errorf("%+v", m)
+	}
+	traffic, _ := d.Traffic()
+	if got := traffic[0]; got.MessagesIn != 2 || got.MessagesOut < 3 || got.BytesIn == 0 || got.BytesOut == 0 {
+		t.Errorf("%+v", got)
+	}
+	if err := d.Change(1, nil); err == nil {
+		t.Error("a list that is not there was changed")
+	}
+}
+
+func TestASilentAgentAnswersWhenItSpeaksAgain(t *testing.T) {
+	d, addresses := started(t, 2)
+	d.Silence([]int{0}, true)
+	_, other := follow(t, addresses[1])
+	next(t, other) // the other one is not silent
+	_, lines := follow(t, addresses[0])
+	for traffic, _ := d.Traffic(); traffic[0].MessagesIn == 0; traffic, _ = d.Traffic() {
+		time.Sleep(time.Millisecond)
+	}
+	if traffic, watching := d.Traffic(); traffic[0].BytesOut != 0 || watching[0] != 0 {
+		t.Errorf("%+v, %v", traffic, watching)
+	}
+	d.Silence([]int{0}, false)
+	if m := next(t, lines); !m.Snapshot {
+		t.Errorf("%+v", m)
+	}
+}
+
+func TestBrokenConnectionsEnd(t *testing.T) {
+	d, addresses := started(t, 1)
+	_, lines := follow(t, addresses[0])
+	next(t, lines)
+	d.Break([]int{0})
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), "{") {
+			t.Errorf("%s came after the break", lines.Text())
+		}
+	}
+}
+
+// chained counts the calls that go on.
+type chained struct{ calls int }
+
+func (c *chained) Once() error { c.calls++; return nil }
+func (c *chained) Close()      {}
+
+func TestABackendGoesOnBeforeItAnswers(t *testing.T) {
+	var next chained
+	b, err := NewBackend("127.0.0.1:0", func() (Nested, error) { return &next, nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Close()
+	c, err := net.Dial("tcp", b.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	counted := &meter.Conn{Conn: c, Counter: &meter.Counter{}}
+	c.SetDeadline(time.Now().Add(answersWithin))
+	fmt.Fprintf(counted, "POST /pay HTTP/1.1\r\nContent-length: 3\r\n\r\nabcPOST /pay HTTP/1.1\r\n\r\n")
+	in := bufio.NewReader(counted)
+	for range 2 {
+		if line, err := in.ReadString('\n'); err != nil || !strings.HasPrefix(line, "HTTP/1.1 200") {
+			t.Fatalf("%q, %v", line, err)
+		}
+		for line := ""; line != "\r\n"; {
+			if line, err = in.ReadString('\n'); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if next.calls != 2 {
+		t.Errorf("%d calls went on", next.calls)
+	}
+}
