--- a/cmd/sandpass/main.go
+++ b/cmd/sandpass/main.go
@@ -111,7 +111,7 @@
 	)
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "sandpass:", err)
-		os.Exit(exitCode(err))
+		os.Exit(1)
 	}
 }
 
