A control replica without its log joins before it votes

With an empty folder it could have elected a leader that lacks an accepted revision. It now takes the log first; a leader that takes entries for saved there yields once. Both by real processes: it is back with all five revisions, and elects nobody who lacks one.

--- a/example/control/run.sh
+++ b/example/control/run.sh
@@ -50,7 +50,7 @@
 connected() { "$work/sandpass" control status | grep -q "of $1 connected"; }
 
 say "building"
-go build -o "$work/sandpass" ./cmd/sandpass
+go build -o "$work/" ./cmd/sandpass ./cmd/sandpass-control
 
 # Five replicas in three regions. Each has the same list; on five machines the addresses would be theirs.
 for n in 1 2 3 4 5; do
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -147,18 +147,21 @@
 }
 
 // unansweredError is a request that was sent to a replica which gave no answer.
-type unansweredError struct{ cause error }
+type unansweredError struct {
+	change bool // the request was one for a change
+	cause  error
+}
 
 func (e *unansweredError) Error() string { return e.cause.Error() }
 func (e *unansweredError) Unwrap() error { return e.cause }
 
 // unanswered marks the error of a request that may have reached the replica.
-func unanswered(err error) error {
+func unanswered(method string, err error) error {
 	var network *net.OpError
 	if errors.As(err, &network) && network.Op == "dial" {
 		return err
 	}
-	return &unansweredError{err}
+	return &unansweredError{method == http.MethodPost, err}
 }
 
 func oneLine(text string) string { return strings.Join(strings.Fields(text), " ") }
@@ -170,26 +173,29 @@
 	return !errors.As(err, &answered) || answered.Kind == controlapi.KindNoQuorum || answered.Kind == controlapi.KindUnknown
 }
 
-// better chooses which of two errors the operator is told: that a change may have been made says most.
+// better chooses which of two errors the operator is told, the later one where both say as much.
 func better(before, now error) error {
-	var sent *unansweredError
-	if errors.As(before, &sent) {
+	if before != nil && weight(before) > weight(now) {
 		return before
 	}
-	if errors.As(now, &sent) {
-		return now
-	}
-	for _, kind := range []controlapi.Kind{controlapi.KindUnknown, controlapi.KindNoQuorum} {
-		for _, err := range []error{now, before} {
-			var answered *controlapi.Error
-			if errors.As(err, &answered) && answered.Kind == kind {
-				return err
-			}
-		}
-	}
 	return now
 }
 
+// weight orders errors by how much they say: that a change may have been made says most.
+func weight(err error) int {
+	var answered *controlapi.Error
+	var sent *unansweredError
+	switch {
+	case errors.As(err, &answered) && answered.Kind == controlapi.KindUnknown:
+		return 3
+	case errors.As(err, &sent) && sent.change:
+		return 2
+	case errors.As(err, &answered):
+		return 1
+	}
+	return 0
+}
+
 // attempt asks one replica.
 func (c *Client) attempt(ctx context.Context, method, target string, body []byte, response any) error {
 	ctx, cancel := context.WithTimeout(ctx, attemptTime)
@@ -201,12 +207,12 @@
 	request.Header.Set("Content-Type", "application/json")
 	answer, err := c.http.Do(request)
 	if err != nil {
-		return unanswered(err)
+		return unanswered(method, err)
 	}
 	defer answer.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(answer.Body, controlapi.BodyMost))
 	if err != nil {
-		return unanswered(err)
+		return unanswered(method, err)
 	}
 	if answer.StatusCode != http.StatusOK {
 		refusal := &controlapi.Error{}
--- a/internal/controlserver/boltstorage.go
+++ b/internal/controlserver/boltstorage.go
@@ -44,6 +44,9 @@
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, err
 	}
+	if err := markJoining(folder); err != nil {
+		return nil, err
+	}
 	path := filepath.Join(folder, storageFile)
 	defer nameDamage(path, &err)
 	db, err := bbolt.Open(path, fileMode, &bbolt.Options{Timeout: storageLockWait})
--- a/internal/controlserver/driver.go
+++ b/internal/controlserver/driver.go
@@ -32,7 +32,9 @@
 	silent := s.transport.silentReplicas()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.node.Tick()
+	if !s.joining && !s.silent() {
+		s.node.Tick()
+	}
 	now := time.Now()
 	if s.node.Leader() != 0 {
 		s.led = now
@@ -77,13 +79,24 @@
 		if err := s.storage.Save(work); err != nil {
 			return fmt.Errorf("nothing can be saved, the replica takes part no more: %w", err)
 		}
-		s.transport.send(work.Messages)
+		s.sendUnlessSilent(work)
 		if err := s.advance(work); err != nil {
 			return err
 		}
 	}
 }
 
+// sendUnlessSilent sends a work's messages, which are saved.
+func (s *Server) sendUnlessSilent(work control.Work) {
+	s.mu.Lock()
+	silent := s.silent()
+	s.logged = s.logged || len(work.Entries) > 0 || work.Snapshot != nil
+	s.mu.Unlock()
+	if !silent {
+		s.transport.send(work.Messages)
+	}
+}
+
 func (s *Server) ready() (control.Work, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/controlserver/join_test.go
@@ -0,0 +1,103 @@
+package controlserver
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"sandpass/internal/revision"
+)
+
+// awaitJoined waits until a replica says that it has joined.
+func (c *cluster) awaitJoined(i int) {
+	c.t.Helper()
+	await(c.t, 2*electTime, c.replicas[i].name+" joins", func() (string, bool) {
+		return "it has not", !mustJoin(c.replicas[i].folder)
+	})
+}
+
+func TestAReplicaThatLostItsFolderComesBackAndLosesNothing(t *testing.T) {
+	c := startCluster(t, 8, "")
+	client := operatorOf(t, c.addresses()...)
+	leader := c.awaitLeader(client)
+	for n := range 3 {
+		apply(t, client, revision.Fleet, utility(n))
+	}
+	lost := (leader + 1) % len(c.replicas)
+	c.kill(lost)
+	if err := os.RemoveAll(c.replicas[lost].folder); err != nil {
+		t.Fatal(err)
+	}
+	c.start(lost)
+	for n := range 2 {
+		apply(t, client, revision.Fleet, utility(10+n))
+	}
+	c.awaitJoined(lost)
+	own := operatorOf(t, c.replicas[lost].address)
+	own.Stale = true
+	await(t, electTime, "it knows all", func() (string, bool) {
+		mine, err := historyOf(own)
+		return fmt.Sprint(len(mine), err), len(mine) == 5
+	})
+}
+
+// One disk is lost where only two others have the newest revision: the replica must not elect those that lack it.
+func TestAReplicaWithoutItsLogElectsNobody(t *testing.T) {
+	c := startCluster(t, 9, "")
+	client := operatorOf(t, c.addresses()...)
+	leader := c.awaitLeader(client)
+	for i := range c.replicas {
+		c.awaitJoined(i)
+	}
+	apply(t, client, revision.Fleet, utility(0))
+	behind := []int{(leader + 1) % len(c.replicas), (leader + 2) % len(c.replicas)}
+	for _, i := range behind {
+		c.kill(i)
+	}
+	newest := apply(t, client, revision.Fleet, utility(1))
+	lost, other := (leader+3)%len(c.replicas), (leader+4)%len(c.replicas)
+	for _, i := range []int{leader, lost, other} {
+		c.kill(i)
+	}
+	if err := os.RemoveAll(c.replicas[lost].folder); err != nil {
+		t.Fatal(err)
+	}
+	for _, i := range append(behind, lost) {
+		c.start(i)
+	}
+	time.Sleep(electTime / 2) // several elections would fit
+	for _, i := range append(behind, lost) {
+		if strings.Contains(c.replicas[i].output.String(), "msg=control_leading leads=true") && i != leader {
+			t.Errorf("%s leads, without revision %d", c.replicas[i].name, newest)
+		}
+	}
+	c.start(leader)
+	c.awaitLeader(client)
+	if history, err := historyOf(client); err != nil || len(history) != 2 {
+		t.Errorf("%v, %v", history, err)
+	}
+	c.awaitJoined(lost)
+}
+
+func TestAnEmptyStorageFileMeansJoining(t *testing.T) {
+	folder := t.TempDir()
+	openStorage(t, folder).Close()
+	if err := os.Remove(filepath.Join(folder, joinMark)); err != nil {
+		t.Fatal(err)
+	}
+	openStorage(t, folder).Close()
+	if mustJoin(folder) {
+		t.Error("a replica with a log joins again")
+	}
+	if err := syscall.Truncate(filepath.Join(folder, storageFile), 0); err != nil {
+		t.Fatal(err)
+	}
+	openStorage(t, folder).Close()
+	if !mustJoin(folder) {
+		t.Error("a replica without a log votes")
+	}
+}
--- a/internal/controlserver/server.go
+++ b/internal/controlserver/server.go
@@ -67,6 +67,9 @@
 	watches  int
 	leading  bool      // as of the last look
 	led      time.Time // when a leader was last known
+	joining  bool      // it does not vote yet
+	logged   bool      // there was ever an entry in its log
+	yielded  time.Time // when it last left the lead to another
 	told     uint64    // the leader that has all statuses of this replica's proxies, 0 for none
 
 	wake     chan struct{} // the core has work, or a report came
@@ -109,6 +112,8 @@
 	if err != nil {
 		return nil, err
 	}
+	s.joining = mustJoin(config.Folder)
+	s.logged = len(persisted.Entries) > 0 || persisted.Snapshot != nil
 	if s.node, err = startNode(control.NodeConfig{ID: s.id, Peers: ids, Fleet: config.Fleet, Persisted: persisted}); err != nil {
 		return nil, err
 	}
@@ -148,6 +153,7 @@
 	routes.HandleFunc("POST "+raftPath, s.serveRaft)
 	routes.HandleFunc("POST "+reportsPath, s.serveReports)
 	routes.HandleFunc("POST "+forwardPath, s.serveForward)
+	routes.HandleFunc("POST "+joinPath, s.serveJoin)
 	routes.HandleFunc("POST "+controlapi.ApplyPath, s.serveApply)
 	routes.HandleFunc("POST "+controlapi.DiffPath, s.serveDiff)
 	routes.HandleFunc("GET "+controlapi.HistoryPath, s.serveHistory)
@@ -194,6 +200,9 @@
 	go func() { driven <- s.drive(ended) }()
 	go func() { served <- s.http.Serve(s.listener) }()
 	go s.sendReports(ended)
+	if s.joining {
+		go s.join(ended)
+	}
 	s.transport.start()
 	var err error
 	driving := true
--- a/internal/controlserver/transport.go
+++ b/internal/controlserver/transport.go
@@ -349,6 +349,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer catchPanic(&err)
+	if !s.passes(message) {
+		return nil
+	}
 	if refusal := s.node.Step(message); refusal != nil {
 		log.Printf("msg=control_bad_message from=%x error=%q", message.GetFrom(), refusal)
 	}
