example/control: five replicas, two proxies, a change, a cut and a rollback by one script

A replica that knows no leader says so at once instead of holding a read; bad messages of a replica are logged once in 10 s.

--- a/example/control/run.sh
+++ b/example/control/run.sh
@@ -4,7 +4,7 @@
 #     example/control/run.sh            plays all, and ends
 #     example/control/run.sh --stay     goes on serving until Ctrl-C, for commands from another shell
 #
-# It needs the ports 7301 to 7305 and 9201 to 9204 on loopback, and writes into a temporary folder only.
+# It needs the ports 7301 to 7305, 8500, 9101, 9102 and 9201 to 9204 on loopback, and writes into a temporary folder only.
 set -eu
 cd "$(dirname "$0")/../.."
 work=$(mktemp -d)
@@ -47,10 +47,15 @@
 	done
 }
 
+# call N M sends request M through proxy nN.
+call() {
+	curl -sS -H "Req-Id: $2" -H 'Req-Owner: acme' -H 'Req-Deadline: 2' -w "proxy n$1 answers %{http_code}\n" "http://127.0.0.1:920$1/look/7"
+}
+
 connected() { "$work/sandpass" control status | grep -q "of $1 connected"; }
 
 say "building"
-go build -o "$work/" ./cmd/sandpass ./cmd/sandpass-control
+go build -o "$work/" ./cmd/sandpass ./cmd/sandpass-control ./example/toy
 
 # Five replicas in three regions. Each has the same list; on five machines the addresses would be theirs.
 for n in 1 2 3 4 5; do
@@ -67,6 +72,10 @@
 export SANDPASS_CONTROL=127.0.0.1:7301,127.0.0.1:7302,127.0.0.1:7303,127.0.0.1:7304,127.0.0.1:7305
 until_ready "$work/sandpass" control status --timeout 2s
 
+# Two backends and their discovery, to have something to call.
+"$work/toy" 2>"$work/toy.log" &
+started="$started $!"
+
 # Two proxies in different zones. Each has its own file, and an operators' file that names the replicas.
 for n in 1 2; do
 	sed -e "s/\"n0\"/\"n$n\"/" -e "s/127.0.0.1:9000/127.0.0.1:920$n/" -e "s/127.0.0.1:9100/127.0.0.1:920$((n + 2))/" \
@@ -87,6 +96,8 @@
 	started="$started $!"
 done
 until_ready connected 2
+until_ready curl -sf http://127.0.0.1:9201/-/ready
+until_ready curl -sf http://127.0.0.1:9202/-/ready
 
 say "a change for all, checked first; it is in force at both proxies when the command ends"
 echo '{"settings": {"overage_utility": 0.2}}' >"$work/more.json"
@@ -115,7 +126,8 @@
 wait "$replica3" || true
 show control apply "$work/more.json" --scope fleet --reason "too few" --author you --timeout 3s || echo "exit code $?"
 show control history --stale
-curl -s -o "$work/ready" -w 'proxy n1 answers %{http_code}\n' http://127.0.0.1:9201/-/ready
+call 1 31
+call 2 32
 
 say "they come back, and a rollback is a new revision"
 replica 1
--- a/internal/controlserver/process_test.go
+++ b/internal/controlserver/process_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -153,15 +154,20 @@
 
 var replicaRegions = []string{"eu", "eu", "us", "us", "ap"}
 
-// freeAddress is an address that nobody listens at just now.
+// freeAddress is an address that nobody listens at just now. Its port is below those that the system gives to others, so
+// that it stays free while its replica is down.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	const first, count, attempts = 12000, 18000, 100
+	for range attempts {
+		address := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))
+		if listener, err := net.Listen("tcp4", address); err == nil {
+			listener.Close()
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 // startCluster starts five replicas and ends them with the test.
--- a/internal/controlserver/reads.go
+++ b/internal/controlserver/reads.go
@@ -16,10 +16,10 @@
 )
 
 const (
-	readTime      = 3 * time.Second // for a quorum to confirm a read
-	readRetry     = 500 * time.Millisecond
-	readsMost     = 1024 // that wait for a quorum at a time
-	contextBytes  = 16   // of a linearizable read, drawn by chance
+	readTime      = 3 * time.Second        // for a quorum to confirm a read
+	readRetry     = 300 * time.Millisecond // until the core is asked again
+	readsMost     = 1024                   // that wait for a quorum at a time
+	contextBytes  = 16                     // of a linearizable read, drawn by chance
 	historyMost   = 10000
 	relayedHeader = "Sandpass-Relayed" // on a status request that a follower passes on
 )
@@ -38,6 +38,9 @@
 			return nil
 		case <-time.After(readRetry):
 			forget() // the core may have dropped it
+			if leader, _ := s.leader(); leader.Name == "" {
+				return noQuorum("no leader is known to %s: it is cut off, or too few replicas run; --stale shows what it knows", s.config.Name)
+			}
 		case <-ctx.Done():
 			forget()
 			return noQuorum("%s can't confirm with a quorum that what it knows is the newest; --stale shows it all the same", s.config.Name)
--- a/internal/controlserver/transport.go
+++ b/internal/controlserver/transport.go
@@ -31,6 +31,7 @@
 	aliveInterval   = 500 * time.Millisecond // between two bytes of an answer
 	silenceMost     = 2 * time.Second        // of the other side, before one connects anew
 	reconnectPause  = 100 * time.Millisecond // between two attempts
+	complainPause   = 10 * time.Second       // between two lines on one replica's bad messages
 	replicaGoneTime = 5 * time.Second        // of silence, after which a replica's watches count as closed
 )
 
@@ -50,8 +51,10 @@
 	peer  Peer
 	queue chan *raftpb.Message
 
-	mu    sync.Mutex
-	heard time.Time // when anything last came from it
+	mu         sync.Mutex
+	heard      time.Time // when anything last came from it
+	refused    int       // messages from it, since the last line in the log
+	complained time.Time // when that line was
 }
 
 func newTransport(server *Server) *transport {
@@ -270,21 +273,33 @@
 		message, err := readMessage(input)
 		if err != nil {
 			if errors.Is(err, errBadMessage) {
-				log.Printf("msg=control_bad_message replica=%s error=%q", link.peer.Name, err)
+				link.complain(err)
 			}
 			answer.SetReadDeadline(time.Now()) // so that net/http does not wait for the rest of the body
 			return
 		}
 		link.touch()
 		if message.GetFrom() != link.id {
-			log.Printf("msg=control_bad_message replica=%s error=%q", link.peer.Name, "it is in another's name")
+			link.complain(errors.New("it is in another's name"))
 			answer.SetReadDeadline(time.Now())
 			return
 		}
-		s.step(message)
+		s.step(link, message)
 	}
 }
 
+// complain logs that a message was refused, and how many were since the last such line.
+func (l *peerLink) complain(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refused++
+	if time.Since(l.complained) < complainPause {
+		return
+	}
+	log.Printf("msg=control_bad_message replica=%s count=%d error=%q", l.peer.Name, l.refused, err)
+	l.complained, l.refused = time.Now(), 0
+}
+
 // stayAlive writes a byte to the answer now and then. When the replica stops, the connection is cut.
 func stayAlive(w http.ResponseWriter, answer *http.ResponseController, ended, stop <-chan struct{}) {
 	ticker := time.NewTicker(aliveInterval)
@@ -337,15 +352,15 @@
 }
 
 // step passes a message to the core.
-func (s *Server) step(message *raftpb.Message) {
-	if err := s.stepNode(message); err != nil {
+func (s *Server) step(link *peerLink, message *raftpb.Message) {
+	if err := s.stepNode(link, message); err != nil {
 		s.fail(err)
 	}
 	s.rouse()
 }
 
 // stepNode gives an error that the replica can't go on with; a message that is refused changes nothing.
-func (s *Server) stepNode(message *raftpb.Message) (err error) {
+func (s *Server) stepNode(link *peerLink, message *raftpb.Message) (err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer catchPanic(&err)
@@ -353,7 +368,7 @@
 		return nil
 	}
 	if refusal := s.node.Step(message); refusal != nil {
-		log.Printf("msg=control_bad_message from=%x error=%q", message.GetFrom(), refusal)
+		link.complain(refusal)
 	}
 	return nil
 }
