Control watch: jitter by the proxy's name, waiting updates bounded by number, no bytes kept

A flood of tiny updates could hold 200 MB by its bookkeeping: at most 1,024 wait, and those of a connection that was given up are forgotten. With -race: configwatch, watch and internal/proxy's tests of control pass.

--- a/internal/configwatch/client.go
+++ b/internal/configwatch/client.go
@@ -8,8 +8,12 @@
 import (
 	"encoding/json"
 	"errors"
+	"hash/fnv"
 	"log"
+	"math"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 
 	"sandpass/internal/loop"
@@ -21,6 +25,7 @@
 const (
 	scopesMost  = 5                                        // kinds of scopes
 	messageMost = scopesMost*revision.DocumentMost + 1<<16 // bytes of an update
+	tasksMost   = 1024                                     // and how many of them
 	waitingMost = 2 * messageMost                          // bytes of updates that wait to be looked at
 	spread      = 0.5                                      // seconds over which the proxies of a lost replica come back
 )
@@ -122,25 +127,31 @@
 
 // Run begins the work, on the loop's goroutine or before it runs. takeOver is called on the loop with a configuration that
 // Check found good; Turn must be called in each turn from now on. The watch is opened by Open.
-func (c *Client) Run(l *loop.Loop, chance func() float64, takeOver func(Reloadable) error) {
+func (c *Client) Run(l *loop.Loop, takeOver func(Reloadable) error) {
 	if c == nil {
 		return
 	}
 	c.loop, c.takeOver = l, takeOver
 	c.started = l.Now()
 	c.since = c.started
-	c.watch = watch.New(l, owner{c}, watch.Config{Servers: spreadOut(c.config.Replicas, chance), Most: messageMost, Body: true,
-		Spread: spread, Chance: chance})
+	jitter := c.jitter()
+	c.watch = watch.New(l, owner{c}, watch.Config{Servers: spreadOut(c.config.Replicas, jitter), Most: messageMost, Body: true,
+		Spread: spread, Chance: jitter.Float64})
 	c.worker.done.Go(c.work)
 }
 
+// jitter draws numbers that differ between the proxies of a fleet, whose configurations may name the same seed.
+func (c *Client) jitter() *rand.Rand {
+	h := fnv.New64a()
+	h.Write([]byte(c.config.Identity.Fleet + "/" + c.config.Identity.Proxy))
+	return rand.New(rand.NewPCG(h.Sum64(), math.Float64bits(c.started)))
+}
+
 // spreadOut draws the order of all but the preferred replica, so that the proxies of one that is lost don't all go to the same.
-func spreadOut(replicas []netip.AddrPort, chance func() float64) []netip.AddrPort {
-	order := append([]netip.AddrPort(nil), replicas...)
-	for i := len(order) - 1; i > 1; i-- {
-		j := 1 + int(chance()*float64(i))
-		order[i], order[j] = order[j], order[i]
-	}
+func spreadOut(replicas []netip.AddrPort, jitter *rand.Rand) []netip.AddrPort {
+	order := slices.Clone(replicas)
+	others := order[1:]
+	jitter.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	return order
 }
 
--- a/internal/configwatch/follower.go
+++ b/internal/configwatch/follower.go
@@ -145,13 +145,13 @@
 	if err != nil {
 		return f.refused(err)
 	}
-	before := f.inForce.Revision
+	before, update := f.inForce.Revision, f.update
 	f.inForce, f.newest = f.candidate, max(f.newest, f.candidate.Revision)
 	f.end()
-	if f.inForce.Revision == before && f.update == nil {
+	if f.inForce.Revision == before && update == nil {
 		return Outcome{} // the proxy's own file alone has changed
 	}
-	if f.update != nil {
+	if update != nil {
 		f.counts.InForce++
 	}
 	return f.report(f.inForce.Revision, revision.InForce, nil)
@@ -178,7 +178,7 @@
 	return outcome
 }
 
-func (f *Follower) end() { f.step, f.candidate = Idle, Configuration{} }
+func (f *Follower) end() { f.step, f.candidate, f.update = Idle, Configuration{}, nil }
 
 // report tells what is in force now beside the verdict.
 func (f *Follower) report(number revision.Number, verdict revision.Verdict, err error) Outcome {
--- a/internal/configwatch/worker.go
+++ b/internal/configwatch/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"log"
+	"slices"
 	"sync"
 
 	"sandpass/internal/revision"
@@ -38,11 +39,11 @@
 	w.closing = make(chan struct{})
 }
 
-// put adds a task and tells whether there was room.
+// put adds a task and tells whether there was room; for one that is no update there always is.
 func (w *worker) put(t task) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.bytes+len(t.text) > waitingMost {
+	if t.kind == update && (w.bytes+len(t.text) > waitingMost || len(w.tasks) >= tasksMost) {
 		return false
 	}
 	w.tasks = append(w.tasks, t)
@@ -62,12 +63,22 @@
 	if w.closed {
 		return task{}, false
 	}
-	t, w.tasks = w.tasks[0], w.tasks[1:]
+	t = w.tasks[0]
+	w.tasks[0] = task{} // what waits behind it must not keep its bytes
+	w.tasks = w.tasks[1:]
 	w.bytes -= len(t.text)
 	w.busy = true
 	return t, true
 }
 
+// dropUpdates forgets the updates that wait.
+func (w *worker) dropUpdates() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.tasks = slices.DeleteFunc(w.tasks, func(t task) bool { return t.kind == update })
+	w.bytes = 0
+}
+
 func (w *worker) idle() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -190,6 +201,7 @@
 		c.watch.Send(encode(report))
 		if outcome.GiveUp != nil && c.watch.Connected() {
 			c.watch.Lose(outcome.GiveUp)
+			c.worker.dropUpdates()
 		}
 	})
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -334,7 +334,7 @@
 func (p *Proxy) Run(signal func() bool) error {
 	p.signal = signal
 	p.freshBy = p.loop.Now() + freshFor
-	p.control.Run(p.loop, p.chance, p.takeOverHeld)
+	p.control.Run(p.loop, p.takeOverHeld)
 	p.meetPredecessor()
 	p.watch.Open()
 	p.every(sweepEvery, p.sweep)
