--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -282,6 +282,7 @@
 			}
 		})
 	case "state":
+		p.control.Reread() // the predecessor may have saved a newer configuration since this process started
 		p.takeOver(w)
 		log.Printf("msg=handed_over backends=%d left_out=%d drained=%t", p.backends.usable, len(p.maintenance.Out), w.Drained)
 	case "serving":
@@ -333,7 +334,6 @@
 	if w.Drained {
 		p.quiesce()
 	}
-	p.control.Reread() // the process before may have saved a newer one since this one started
 	p.handed()
 }
 
