Scale: events that were measured are kept when a later one fails

Cause: a run of control's events at 560 proxies ended in the region cut: a minute after the healing control told 538 of 560 proxies as connected, though all had the change.

--- a/cmd/sandlab/scale.go
+++ b/cmd/sandlab/scale.go
@@ -112,12 +112,12 @@
 			Progress: func(what string) { b.Describe(part + ": " + what); b.Add(1) }}
 		err := measure.Part(ctx, part, data)
 		b.Finish()
+		if e := data.Write(o.data); err == nil { // what was measured before a failure is kept
+			err = e
+		}
 		if err != nil {
 			return fmt.Errorf("%s: %w", part, err)
 		}
-		if err := data.Write(o.data); err != nil {
-			return err
-		}
 	}
 	return nil
 }
