--- a/cmd/sandlab/scale.go
+++ b/cmd/sandlab/scale.go
@@ -25,7 +25,7 @@
 }
 
 // scaleParts are the parts of a run, in their order.
-var scaleParts = []string{"likeness", "keepers", "slopes", "events", "control", "controlslopes", "added"}
+var scaleParts = []string{"likeness", "keepers", "slopes", "otherslopes", "events", "control", "controlslopes", "added"}
 
 // scaleOptions are the flags of a run.
 type scaleOptions struct {
--- /dev/null
+++ b/internal/scale/otherslopes.go
@@ -0,0 +1,67 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"sandpass/internal/scale/fleet"
+)
+
+// ServiceSlopes measures how the figures go by the number of services where the number of proxies stays.
+func ServiceSlopes(ctx context.Context, o SlopeOptions, proxies int, services []int, programs Programs, progress func(string)) ([]Series, error) {
+	c := collector{against: Services, setting: fmt.Sprintf("%d proxies, service list", proxies)}
+	for _, count := range services {
+		sizes := o.Sizes.ScaledTo(proxies)
+		sizes.Services = count
+		plan := Plan{Fleet: fleet.Generate(sizes), Real: min(proxies, o.Real), Lists: ServiceList, Peers: true}
+		figures, err := sizeFigures(ctx, o, plan, programs)
+		if err != nil {
+			return nil, fmt.Errorf("%d services: %w", count, err)
+		}
+		c.add(float64(count), figures)
+		progress(fmt.Sprintf("%d proxies, %d services", proxies, count))
+	}
+	return c.fit(float64(services[len(services)-1]))
+}
+
+// ChangeSlopes measures how the figures go by the changes of the list a second, in one fleet.
+func ChangeSlopes(ctx context.Context, o SlopeOptions, proxies int, rates []float64, programs Programs, progress func(string)) ([]Series, error) {
+	const entries = 3 // of a restart
+	plan := Plan{Fleet: fleet.Generate(o.Sizes.ScaledTo(proxies)), Real: min(proxies, o.Real), Lists: WholeList, Peers: true}
+	r, ctx, err := Open(ctx, plan, programs)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	c := collector{against: Changes, setting: fmt.Sprintf("%d proxies, whole list", proxies)}
+	for _, rate := range rates {
+		restarts := max(1, int(rate/entries*o.Rest.Seconds()))
+		s, err := r.during(func() error { return r.restart(ctx, restarts, rate/entries) })
+		if err != nil {
+			return nil, fmt.Errorf("%.0f changes a second: %w", rate, err)
+		}
+		c.add(float64(restarts)*entries/s.seconds, []figure{
+			{roleProxy, "list watch with changes, in", "bytes/s", mean(s.traffic, bytesIn) / s.seconds},
+			{roleProxy, "list watch with changes, in", "messages/s", mean(s.traffic, messagesIn) / s.seconds},
+			{roleProxy, "processor time with changes", "part of a core", s.cpu(roleProxy)},
+			{roleDiscovery, "processor time with changes, all agents", "part of a core", s.cpu(roleDiscovery)},
+		})
+		progress(fmt.Sprintf("%.0f changes a second", rate))
+	}
+	return c.fit(2 * rates[len(rates)-1])
+}
+
+const otherRest = 8 * time.Second // of a step of these slopes
+
+// OtherSlopes are those against services and against changes.
+func OtherSlopes(ctx context.Context, m *Measure) ([]Series, error) {
+	const proxies = 140
+	o := SlopeOptions{Sizes: m.Sizes, Real: m.Real, Rest: otherRest, Restarts: 30, PerSecond: 8}
+	series, err := ServiceSlopes(ctx, o, proxies, []int{4, 7, 13, 26, 52}, m.Programs, m.Progress)
+	if err != nil {
+		return nil, err
+	}
+	more, err := ChangeSlopes(ctx, o, proxies, []float64{3, 6, 12, 24, 48}, m.Programs, m.Progress)
+	return append(series, more...), err
+}
