--- a/cmd/sandlab/scale.go
+++ b/cmd/sandlab/scale.go
@@ -30,7 +30,7 @@
 // scaleOptions are the flags of a run.
 type scaleOptions struct {
 	sizes, data, program string
-	parts                []string
+	parts, only          []string
 	counts               []int
 	real                 int
 }
@@ -45,6 +45,7 @@
 	c.Flags().StringVar(&o.data, "data", "capacity.json", "the data file")
 	c.Flags().StringVar(&o.program, "program", "", "the proxy's program, called as PROGRAM serve (sandpass beside this one, or else this one)")
 	c.Flags().StringSliceVar(&o.parts, "parts", scaleParts, "which")
+	c.Flags().StringArrayVar(&o.only, "event", nil, "of the part control: this event alone, may be given again")
 	c.Flags().IntSliceVar(&o.counts, "counts", []int{35, 70, 140, 280, 560, 1120}, "numbers of proxies of the slopes; beyond the size they are predicted first")
 	c.Flags().IntVar(&o.real, "real", 10, "proxies that are real processes, in slopes and events")
 	return c
@@ -108,7 +109,7 @@
 			continue
 		}
 		b := bar(os.Stderr, -1, part)
-		measure := scale.Measure{Sizes: sizes, Counts: o.counts, Real: o.real, Programs: programs,
+		measure := scale.Measure{Sizes: sizes, Counts: o.counts, Real: o.real, Programs: programs, Only: o.only,
 			Progress: func(what string) { b.Describe(part + ": " + what); b.Add(1) }}
 		err := measure.Part(ctx, part, data)
 		b.Finish()
--- a/internal/scale/cluster.go
+++ b/internal/scale/cluster.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -257,16 +258,20 @@
 	return counts, nil
 }
 
-// awaitConnected waits until so many proxies are connected.
-func (c *cluster) awaitConnected(ctx context.Context, wanted int) error {
+// awaitConnected waits until so many proxies are connected, none of them to a replica that was lost.
+func (c *cluster) awaitConnected(ctx context.Context, wanted int, lost ...int) error {
 	deadline := time.Now().Add(settledWithin)
 	for {
 		counts, err := c.connected()
 		sum := 0
-		for _, n := range counts {
+		gone := 0 // proxies that are told as connected to what was lost
+		for k, n := range counts {
 			sum += n
+			if slices.Contains(lost, k) {
+				gone += n
+			}
 		}
-		if err == nil && sum >= wanted {
+		if err == nil && sum >= wanted && gone == 0 {
 			return nil
 		}
 		if time.Now().After(deadline) {
--- a/internal/scale/controlevents.go
+++ b/internal/scale/controlevents.go
@@ -239,7 +239,7 @@
 		hung += connected[k]
 	}
 	begun := time.Now()
-	if err := c.awaitConnected(s.ctx, s.all()); err != nil {
+	if err := c.awaitConnected(s.ctx, s.all(), lost...); err != nil {
 		return err
 	}
 	e.Settled = time.Since(begun).Seconds()
--- a/internal/scale/fleet/sizes.go
+++ b/internal/scale/fleet/sizes.go
@@ -41,7 +41,7 @@
 }
 
 // Operators is the operators' budget.
-var Operators = Budget{ProxyCPU: 0.013, ProxyMemory: 64 << 20, ProxyTraffic: 7000, InForceSeconds: 3, AddedSeconds: 0.0006}
+var Operators = Budget{ProxyCPU: 0.013, ProxyMemory: 64e6, ProxyTraffic: 7000, InForceSeconds: 3, AddedSeconds: 0.0006}
 
 // Default is the size that the operators design for.
 func Default() Sizes {
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -15,6 +15,7 @@
 	Real     int   // proxies that are real processes, in slopes and events
 	Programs Programs
 	Progress func(string)
+	Only     []string // names of control's events; nil: all of them
 }
 
 // Part measures one part and puts its figures into the data.
@@ -47,7 +48,7 @@
 	case "control":
 		var events []Event
 		events, err = ControlEvents(ctx, ControlOptions{Sizes: m.Sizes, Real: m.Real, Replicas: m.Sizes.ControlMachines, Changes: 10, Burst: 30,
-			BurstIn: time.Minute, Cut: time.Minute}, m.Programs, m.Progress)
+			BurstIn: time.Minute, Cut: time.Minute, Only: m.Only}, m.Programs, m.Progress)
 		for _, e := range events {
 			data.replaceEvent(e)
 		}
--- a/internal/scale/page.go
+++ b/internal/scale/page.go
@@ -143,7 +143,7 @@
 	t.row("changes of configuration a day", digits(s.ChangesPerDay), "operators")
 	t.row("restarts a day", digits(s.RestartsPerDay), "operators")
 	t.row("control machines", fmt.Sprint(s.ControlMachines), "operators")
-	t.row("a proxy's budget for control", fmt.Sprintf("%s of a core, %.0f MB, %s", amount(b.ProxyCPU, "part of a core"), b.ProxyMemory/(1<<20),
+	t.row("a proxy's budget for control", fmt.Sprintf("%s of a core, %s, %s", amount(b.ProxyCPU, "part of a core"), amount(b.ProxyMemory, "bytes"),
 		amount(b.ProxyTraffic, "bytes/s")), "operators")
 	t.row("a change in force everywhere within", amount(b.InForceSeconds, "s"), "operators")
 	t.row("added to 99 of 100 calls", amount(b.AddedSeconds, "s"), "operators")
@@ -190,6 +190,10 @@
 			t.row(append(cells, "none stated", "-")...)
 			continue
 		}
+		if total.At(n) == 0 {
+			t.row(append(cells, amount(total.Budget, total.Unit), "not measured")...)
+			continue
+		}
 		room := total.Budget / total.At(n)
 		text := fmt.Sprintf("%s times", digits(room))
 		if room < 1 {
