A read that one replica answers with no quorum says so, whatever another is silent about

Cause: tried as a new user with three of five replicas down, apply ended with 'no replica answers: context deadline exceeded' though one had said that no leader is known. Test: fails before ('context deadline exceeded'), passes now.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -133,7 +133,7 @@
 			if err == nil || !worthRepeating(err) {
 				return err
 			}
-			last = better(last, err)
+			last = better(last, err, path == controlapi.ApplyPath)
 			if ctx.Err() != nil {
 				return last
 			}
@@ -170,14 +170,14 @@
 	return !errors.As(err, &answered) || answered.Kind == controlapi.KindNoQuorum || answered.Kind == controlapi.KindUnknown
 }
 
-// better chooses which of two errors the operator is told: that a change may have been made says most.
-func better(before, now error) error {
-	var sent *unansweredError
-	if errors.As(before, &sent) {
-		return before
-	}
-	if errors.As(now, &sent) {
-		return now
+// better chooses which of two errors the operator is told: that a change may have been made says most, where it is one; an
+// answer says more than none.
+func better(before, now error, change bool) error {
+	for _, err := range []error{before, now} {
+		var sent *unansweredError
+		if change && errors.As(err, &sent) {
+			return err
+		}
 	}
 	for _, kind := range []controlapi.Kind{controlapi.KindUnknown, controlapi.KindNoQuorum} {
 		for _, err := range []error{now, before} {
--- a/internal/revision/revision.go
+++ b/internal/revision/revision.go
@@ -13,7 +13,7 @@
 	Author     string    `json:"author"`
 	Reason     string    `json:"reason"`
 	Time       time.Time `json:"time"` // when it was asked for, by the clock of the replica that was asked
-	Document   Document  `json:"document"`
+	Document   Document  `json:"document,omitempty"`
 	Checksum   string    `json:"checksum"`              // of Document
 	RollbackOf Number    `json:"rollback_of,omitempty"` // the revision whose document it brings back
 	AtOnce     bool      `json:"at_once,omitempty"`     // it goes to all proxies without a trial on few
