Test of the control client: its silent stand-in ends with the client

Cause: the stand-in did not read the request's body, so it never saw that its client had gone, and the test hung for ten minutes. Change: it reads the body first.

--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,7 +14,10 @@
 )
 
 // silent never answers a request; noQuorum says that there is no leader.
-func silent(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+func silent(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // the server sees that a client has gone only past the body
+	<-r.Context().Done()
+}
 
 func noQuorum(w http.ResponseWriter, _ *http.Request) {
 	w.WriteHeader(http.StatusServiceUnavailable)
