--- a/internal/controlserver/process_test.go
+++ b/internal/controlserver/process_test.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"log"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -69,6 +71,12 @@
 	if err != nil {
 		return err
 	}
+	ends := make(chan os.Signal, 1)
+	signal.Notify(ends, syscall.SIGTERM)
+	go func() {
+		<-ends
+		server.Stop()
+	}()
 	return server.Run()
 }
 
@@ -146,15 +154,20 @@
 
 var replicaRegions = []string{"eu", "eu", "us", "us", "ap"}
 
-// freeAddress is an address that nobody listens at just now.
+// freeAddress is an address that nobody listens at just now. Its port is below those that the system gives to others, so
+// that it stays free while its replica is down.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	const first, count, attempts = 12000, 18000, 100
+	for range attempts {
+		address := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))
+		if listener, err := net.Listen("tcp4", address); err == nil {
+			listener.Close()
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 // startCluster starts five replicas and ends them with the test.
