--- a/internal/control/fleetview.go
+++ b/internal/control/fleetview.go
@@ -98,6 +98,17 @@
 	v.proxies[proxy] = status
 }
 
+// Confirm notes that the open watches at a replica are open now. What others took for their end meanwhile, as they did not
+// hear of the replica, is then older.
+func (v *FleetView) Confirm(now time.Time, replica string) {
+	for name, status := range v.proxies {
+		if status.Replica == replica && status.Connected {
+			status.At = after(status.At, now)
+			v.proxies[name] = status
+		}
+	}
+}
+
 // Merge takes over what another replica knows: of each proxy the newest counts. It says which were news.
 func (v *FleetView) Merge(statuses []ProxyStatus) []ProxyStatus {
 	var news []ProxyStatus
--- a/internal/control/fleetview_test.go
+++ b/internal/control/fleetview_test.go
@@ -170,3 +170,21 @@
 		t.Errorf("%+v", status)
 	}
 }
+
+func TestAReplicaThatWasTakenForGoneTellsItsWatchesAnew(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	hello := revision.Hello{Identity: revision.Identity{Fleet: "shop", Proxy: "p1"}, Revision: 3}
+	follower, leader := NewFleetView(), NewFleetView()
+	follower.Opened(start, "c2", hello)
+	leader.Merge(follower.All())
+	leader.ReplicaGone(start.Add(time.Minute), "c2")
+	leader.Merge(follower.All())
+	if status, _ := leader.Proxy("p1"); status.Connected {
+		t.Error("an old word counts for more than the end that was noted after it")
+	}
+	follower.Confirm(start.Add(2*time.Minute), "c2")
+	leader.Merge(follower.All())
+	if status, _ := leader.Proxy("p1"); !status.Connected || status.InForce != 3 {
+		t.Errorf("after the replica is back: %+v", status)
+	}
+}
--- a/internal/controlserver/reports.go
+++ b/internal/controlserver/reports.go
@@ -99,7 +99,7 @@
 		return Peer{}, nil
 	}
 	if leader != s.told {
-		s.told = leader
+		s.told = leader // it may have taken this replica for gone
 		s.markAllDirty()
 	}
 	if len(s.dirty) == 0 && !idle {
@@ -120,6 +120,7 @@
 
 // markAllDirty has all statuses of this replica's proxies told anew.
 func (s *Server) markAllDirty() {
+	s.view.Confirm(time.Now(), s.config.Name)
 	for _, status := range s.view.All() {
 		if status.Replica == s.config.Name {
 			s.dirty[status.Identity.Proxy] = true
