--- a/internal/controlserver/defects_test.go
+++ b/internal/controlserver/defects_test.go
@@ -45,12 +45,14 @@
 }
 
 func TestAPowerCutLosesNothing(t *testing.T) {
+	t.Parallel()
 	if faults := lostAfterPowerCut(t, ""); len(faults) > 0 {
 		t.Error(faults)
 	}
 }
 
 func TestAnAcknowledgementBeforeTheSyncIsCaught(t *testing.T) {
+	t.Parallel()
 	if faults := lostAfterPowerCut(t, ackBeforeSync); len(faults) == 0 {
 		t.Error("nothing was lost")
 	}
@@ -128,6 +130,7 @@
 const canariesMost = 2
 
 func TestARefusedRevisionStopsAtItsCanaries(t *testing.T) {
+	t.Parallel()
 	count, entry := refusedBy(t, false)
 	if count == 0 || count > canariesMost || entry.Stage != control.Held || entry.HeldReason == "" {
 		t.Errorf("refused by %d, %+v", count, entry)
@@ -135,12 +138,14 @@
 }
 
 func TestAGuardThatIsOffIsCaught(t *testing.T) {
+	t.Parallel()
 	if count, _ := refusedBy(t, true); count <= canariesMost {
 		t.Errorf("refused by %d only", count)
 	}
 }
 
 func TestACheckThatIsLeftOutIsCaught(t *testing.T) {
+	t.Parallel()
 	for _, defect := range []string{"", noCheck} {
 		c := startCluster(t, 7, defect)
 		client := operatorOf(t, c.addresses()...)
--- a/internal/controlserver/join.go
+++ b/internal/controlserver/join.go
@@ -72,10 +72,10 @@
 		if s.newFleet() || s.caughtUp() {
 			break
 		}
-		if leader, self := s.leader(); leader.Name != "" && !self && time.Since(asked) > joinPatience {
+		if time.Since(asked) > joinPatience && !s.hasLog() {
 			asked = time.Now()
-			log.Printf("msg=control_asks_leader_to_yield leader=%s", leader.Name)
-			s.askJoin(leader, joinRequest{Yield: true})
+			log.Printf("msg=control_asks_leader_to_yield replica=%s", s.config.Name)
+			s.askAll(joinRequest{Yield: true}) // the leader does; which one it is, is not known here
 		}
 	}
 	if err := os.Remove(filepath.Join(s.config.Folder, joinMark)); err != nil {
@@ -88,30 +88,35 @@
 	s.joining = false
 }
 
+// hasLog tells whether there was ever an entry in the log here.
+func (s *Server) hasLog() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.logged
+}
+
 // newFleet tells whether a majority of the replicas, this one among them, never had a log.
 func (s *Server) newFleet() bool {
-	s.mu.Lock()
-	logged := s.logged
-	s.mu.Unlock()
-	if logged {
-		return false
-	}
+	return !s.hasLog() && 1+s.askAll(joinRequest{}) > len(s.peers)/2
+}
+
+// askAll asks all other replicas, and counts those that say that they never had a log.
+func (s *Server) askAll(request joinRequest) (without int) {
 	answers := make(chan bool, len(s.peers))
 	for id, peer := range s.peers {
 		if id != s.id {
 			go func() {
-				answer, err := s.askJoin(peer, joinRequest{})
+				answer, err := s.askJoin(peer, request)
 				answers <- err == nil && !answer.Logged
 			}()
 		}
 	}
-	without := 1
 	for range len(s.peers) - 1 {
 		if <-answers {
 			without++
 		}
 	}
-	return without > len(s.peers)/2
+	return without
 }
 
 func (s *Server) askJoin(peer Peer, request joinRequest) (answer joinAnswer, err error) {
--- a/internal/controlserver/join_test.go
+++ b/internal/controlserver/join_test.go
@@ -21,6 +21,7 @@
 }
 
 func TestAReplicaThatLostItsFolderComesBackAndLosesNothing(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, 8, "")
 	client := operatorOf(t, c.addresses()...)
 	leader := c.awaitLeader(client)
@@ -47,6 +48,7 @@
 
 // One disk is lost where only two others have the newest revision: the replica must not elect those that lack it.
 func TestAReplicaWithoutItsLogElectsNobody(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, 9, "")
 	client := operatorOf(t, c.addresses()...)
 	leader := c.awaitLeader(client)
@@ -84,6 +86,7 @@
 }
 
 func TestAnEmptyStorageFileMeansJoining(t *testing.T) {
+	t.Parallel()
 	folder := t.TempDir()
 	openStorage(t, folder).Close()
 	if err := os.Remove(filepath.Join(folder, joinMark)); err != nil {
--- a/internal/controlserver/reports.go
+++ b/internal/controlserver/reports.go
@@ -51,12 +51,14 @@
 }
 
 // reported notes a proxy's report. One that answers no update of this watch changes nothing.
-func (s *Server) reported(session *control.Session, report revision.Report) {
+func (s *Server) reported(watch *watch, report revision.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	session := watch.session
 	if !session.Reported(report) {
 		return
 	}
+	watch.answers++
 	proxy := session.Identity().Proxy
 	s.view.Reported(time.Now(), s.config.Name, session.Hello(), report)
 	s.dirty[proxy] = true
--- a/internal/controlserver/server.go
+++ b/internal/controlserver/server.go
@@ -117,6 +117,11 @@
 	if s.node, err = startNode(control.NodeConfig{ID: s.id, Peers: ids, Fleet: config.Fleet, Persisted: persisted}); err != nil {
 		return nil, err
 	}
+	if len(ids) == 1 { // nobody else's vote is to be awaited
+		if err := s.node.Campaign(); err != nil {
+			return nil, err
+		}
+	}
 	listen := net.ListenConfig{Control: dropDeadPeers}
 	listener, err := listen.Listen(context.Background(), "tcp", config.Listen)
 	if err != nil {
--- a/internal/controlserver/watch.go
+++ b/internal/controlserver/watch.go
@@ -21,13 +21,16 @@
 	helloTime      = 2 * time.Second // for the Hello to come
 	heartbeatTime  = 2 * time.Second // between two lines, also where there is nothing to say
 	writeTime      = 5 * time.Second // for a proxy to take a line
+	reportTime     = 10 * time.Second // for a proxy to report on an update
 	bodyReaderSize = 4 << 10
 )
 
-// watch is a proxy's open request. Its session is guarded by the server's lock.
+// watch is a proxy's open request. Its session and counts are guarded by the server's lock.
 type watch struct {
 	server   *Server
 	session  *control.Session
+	sent     int // updates
+	answers  int // reports on them
 	out      http.ResponseWriter
 	answer   *http.ResponseController
 	reported chan struct{} // has room for one
@@ -101,7 +104,10 @@
 	return hello, session, err
 }
 
-var errLineTooLong = errors.New("the line is too long")
+var (
+	errLineTooLong = errors.New("the line is too long")
+	errNoReport    = errors.New("it does not report on an update")
+)
 
 // readLine reads a line that is not empty, without its end.
 func readLine(input *bufio.Reader) ([]byte, error) {
@@ -136,7 +142,7 @@
 			log.Printf("msg=control_bad_report proxy=%s error=%q", w.session.Identity().Proxy, err)
 			return
 		}
-		w.server.reported(w.session, report)
+		w.server.reported(w, report)
 		select {
 		case w.reported <- struct{}{}:
 		default:
@@ -152,7 +158,7 @@
 	heartbeat := time.NewTicker(heartbeatTime)
 	defer heartbeat.Stop()
 	stop := w.server.stop
-	var drained <-chan time.Time
+	var drained, overdue <-chan time.Time
 	for {
 		update, changed, err := w.next()
 		if err != nil {
@@ -162,11 +168,17 @@
 			if err := w.sendUpdate(update, heartbeat); err != nil {
 				return err
 			}
+			overdue = time.After(reportTime)
 			continue
 		}
 		select {
 		case <-changed:
 		case <-w.reported:
+			if w.answered() {
+				overdue = nil
+			}
+		case <-overdue:
+			return errNoReport
 		case <-w.gone:
 			return nil
 		case <-heartbeat.C:
@@ -181,11 +193,21 @@
 	}
 }
 
+// answered tells whether the proxy has reported on all that it was sent.
+func (w *watch) answered() bool {
+	w.server.mu.Lock()
+	defer w.server.mu.Unlock()
+	return w.answers == w.sent
+}
+
 // next gives the update to send now, if any, and a channel that is closed when there may be another.
 func (w *watch) next() (*revision.Update, <-chan struct{}, error) {
 	w.server.mu.Lock()
 	defer w.server.mu.Unlock()
 	update, err := w.session.Next(w.server.node.State())
+	if update != nil {
+		w.sent++
+	}
 	var ahead *control.AheadError
 	if errors.As(err, &ahead) {
 		err = nil // this replica learns of it in a moment, or is cut off
