--- a/cmd/sandpass-control/client.go
+++ b/cmd/sandpass-control/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"sandpass/internal/control"
 	"sandpass/internal/controlapi"
 	"sandpass/internal/controlclient"
 	"sandpass/internal/revision"
@@ -199,7 +200,7 @@
 			last = status
 			line.show("revision %d in force at %d of %d proxies", number, status.Summary.InForce, status.Summary.Concerned)
 			if asked := status.Asked; asked != nil && asked.HeldBy != "" {
-				return &codedError{exitRefused, fmt.Errorf("revision %d is held: proxy %s refuses it: %s", number, asked.HeldBy, asked.HeldReason)}
+				return &codedError{exitRefused, heldError(number, asked)}
 			}
 			if status.Asked != nil && len(status.Summary.Behind) == 0 {
 				return nil
@@ -213,6 +214,11 @@
 	}
 }
 
+// heldError says who refused a revision.
+func heldError(number revision.Number, held *control.Entry) error {
+	return fmt.Errorf("revision %d is held: proxy %s refuses it: %s", number, held.HeldBy, held.HeldReason)
+}
+
 // waitedInVain says who is missing.
 func waitedInVain(number revision.Number, status controlapi.StatusResponse) error {
 	const named = 5
--- a/cmd/sandpass-control/main.go
+++ b/cmd/sandpass-control/main.go
@@ -101,7 +101,8 @@
 func controlCommand() *cobra.Command {
 	options := &controlOptions{}
 	control := &cobra.Command{Use: "sandpass-control", Args: cobra.ArbitraryArgs,
-		Annotations: map[string]string{cobra.CommandDisplayNameAnnotation: "sandpass control"}, Short: "Change and watch the configuration of a fleet", Long: controlHelp,
+		Annotations: map[string]string{cobra.CommandDisplayNameAnnotation: "sandpass control"},
+		Short: "Change and watch the configuration of a fleet", Long: controlHelp,
 		SilenceUsage: true, SilenceErrors: true,
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if len(args) > 0 {
--- a/cmd/sandpass-control/main_test.go
+++ b/cmd/sandpass-control/main_test.go
@@ -32,7 +32,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	text := fmt.Sprintf("fleet = \"shop\"\nname = \"c1\"\nfolder = \"log\"\nlisten = %q\ncheck_base = %q\n[[replica]]\nname = \"c1\"\naddress = %q\n",
+	text := fmt.Sprintf("fleet = \"shop\"\nname = \"c1\"\nfolder = \"log\"\nlisten = %q\ncheck_base = %q\n"+
+		"[[replica]]\nname = \"c1\"\naddress = %q\n",
 		address, base, address)
 	config, err := controlserver.ReadConfig(writeFile(t, "control.toml", text))
 	if err != nil {
@@ -94,13 +95,15 @@
 	wrong := writeFile(t, "wrong.json", `{"settings":{"tick_ms":"soon"}}`)
 	malformed := writeFile(t, "malformed.json", "{\n \"settings\": }")
 	at := "--replicas=" + address
-	mustControl(t, exitDone, "revision 1 accepted for fleet, made from revision 0", "apply", more, at, "--scope=fleet", "--reason=more", "--author=anna")
+	mustControl(t, exitDone, "revision 1 accepted for fleet, made from revision 0", "apply", more, at, "--scope=fleet",
+		"--reason=more", "--author=anna")
 	mustControl(t, exitDone, "0.05", "diff", less, at, "--scope=fleet")
 	mustControl(t, exitDone, "would be refused", "diff", wrong, at, "--scope=fleet")
 	mustControl(t, exitConflict, "anna", "apply", less, at, "--scope=fleet", "--reason=less", "--author=bert", "--base=0")
 	mustControl(t, exitRefused, "fleet", "apply", wrong, at, "--scope=fleet", "--reason=wrong", "--author=bert")
 	mustControl(t, exitUsage, "line 2, column", "apply", malformed, at, "--scope=fleet", "--reason=wrong", "--author=bert")
-	mustControl(t, exitDone, "revision 2 accepted for zone:eu-1", "apply", less, at, "--scope=zone:eu-1", "--reason=less", "--author=bert", "--wait")
+	mustControl(t, exitDone, "revision 2 accepted for zone:eu-1", "apply", less, at, "--scope=zone:eu-1",
+		"--reason=less", "--author=bert", "--wait")
 	mustControl(t, exitDone, "settings.overage_utility", "show", at, "--proxy=p1", "--zone=eu-1", "--origins")
 	mustControl(t, exitDone, "revision 1", "show", at, "--scope=fleet")
 	mustControl(t, exitDone, "revision 3 accepted for zone:eu-1", "rollback", "2", at, "--reason=back", "--author=bert")
@@ -108,7 +111,8 @@
 	mustControl(t, exitUsage, "not in the history", "rollback", "77", at, "--reason=back", "--author=bert")
 	mustControl(t, exitDone, "newest revision 3", "status", at)
 	var status controlapi.StatusResponse
-	if err := json.Unmarshal([]byte(mustControl(t, exitDone, "{", "status", at, "--json")), &status); err != nil || status.Leader != "c1" {
+	text := mustControl(t, exitDone, "{", "status", at, "--json")
+	if err := json.Unmarshal([]byte(text), &status); err != nil || status.Leader != "c1" {
 		t.Errorf("%+v, %v", status, err)
 	}
 }
@@ -150,7 +154,8 @@
 	defer answer.Body.Close()
 	file := writeFile(t, "some.json", `{"settings":{"overage_utility":0.2}}`)
 	begin := time.Now()
-	mustControl(t, exitWaiting, "mute (at 0)", "apply", file, at, "--scope=fleet", "--reason=r", "--author=a", "--wait", "--timeout=2s")
+	mustControl(t, exitWaiting, "mute (at 0)", "apply", file, at, "--scope=fleet", "--reason=r",
+		"--author=a", "--wait", "--timeout=2s")
 	if took := time.Since(begin); took > 4*time.Second {
 		t.Errorf("it took %v", took)
 	}
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -101,7 +101,8 @@
 }
 
 // Status tells how the fleet stands. With a number it has the proxies that lack this revision; proxies asks for all.
-func (c *Client) Status(ctx context.Context, number revision.Number, proxies bool) (response controlapi.StatusResponse, err error) {
+func (c *Client) Status(ctx context.Context, number revision.Number, proxies bool) (
+	response controlapi.StatusResponse, err error) {
 	query := url.Values{}
 	if number != 0 {
 		query.Set("number", strconv.FormatUint(uint64(number), 10))
--- a/internal/controlserver/cluster_test.go
+++ b/internal/controlserver/cluster_test.go
@@ -80,7 +80,8 @@
 	return number
 }
 
-func tryApply(client *controlclient.Client, scope revision.Scope, document revision.Document, within time.Duration) (revision.Number, error) {
+func tryApply(client *controlclient.Client, scope revision.Scope, document revision.Document, within time.Duration) (
+	revision.Number, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	newest, err := client.ShowScope(ctx, scope)
@@ -154,7 +155,8 @@
 			}
 			return "", true
 		})
-		t.Logf("revision %d accepted after %v, in force after %v", number, accepted.Round(time.Millisecond), time.Since(begin).Round(time.Millisecond))
+		t.Logf("revision %d accepted after %v, in force after %v", number, accepted.Round(time.Millisecond),
+			time.Since(begin).Round(time.Millisecond))
 	}
 	zone := apply(t, client, revision.Scope{Kind: revision.ZoneKind, Name: "us-1"}, revision.Document(`{"settings":{"tick_ms":7}}`))
 	await(t, spreadTime, "the zone's configuration", allAt(client, fleet.proxies))
--- a/internal/controlserver/faults_test.go
+++ b/internal/controlserver/faults_test.go
@@ -305,7 +305,8 @@
 	}
 	text := strings.TrimSpace(replica.output.String()[before:])
 	last := text[strings.LastIndexByte(text, '\n')+1:]
-	if code := replica.command.ProcessState.ExitCode(); code != 1 || !strings.HasPrefix(last, "sandpass: ") || !strings.Contains(last, words) {
+	code := replica.command.ProcessState.ExitCode()
+	if code != 1 || !strings.HasPrefix(last, "sandpass: ") || !strings.Contains(last, words) {
 		s.journal.fault("%s ended with %d and %q, wanted %q", replica.name, code, last, words)
 	}
 }
--- a/internal/controlserver/reads.go
+++ b/internal/controlserver/reads.go
@@ -39,15 +39,20 @@
 		case <-time.After(readRetry):
 			forget() // the core may have dropped it
 			if leader, _ := s.leader(); leader.Name == "" {
-				return noQuorum("no leader is known to %s: it is cut off, or too few replicas run; --stale shows what it knows", s.config.Name)
+				return s.noLeader()
 			}
 		case <-ctx.Done():
 			forget()
-			return noQuorum("%s can't confirm with a quorum that what it knows is the newest; --stale shows it all the same", s.config.Name)
+			return noQuorum("%s can't confirm with a quorum that what it knows is the newest; --stale shows it all the same",
+				s.config.Name)
 		}
 	}
 }
 
+func (s *Server) noLeader() error {
+	return noQuorum("no leader is known to %s: it is cut off, or too few replicas run; --stale shows what it knows", s.config.Name)
+}
+
 // beginRead asks the core for a linearizable read.
 func (s *Server) beginRead() (done chan struct{}, forget func(), err error) {
 	context := make([]byte, contextBytes)
@@ -172,7 +177,8 @@
 }
 
 // showProxy merges what a proxy has. Where it is connected it said itself where it stands.
-func (s *Server) showProxy(identity revision.Identity, freshness controlapi.Freshness) (response controlapi.ShowResponse, err error) {
+func (s *Server) showProxy(identity revision.Identity, freshness controlapi.Freshness) (response controlapi.ShowResponse,
+	err error) {
 	if status, known := s.view.Proxy(identity.Proxy); known && identity.Region+identity.Zone+identity.Service == "" {
 		identity = status.Identity
 	}
@@ -257,7 +263,7 @@
 // relayStatus passes a status request to the leader.
 func (s *Server) relayStatus(w http.ResponseWriter, r *http.Request, leader Peer) {
 	if leader.Name == "" || r.Header.Get(relayedHeader) != "" {
-		writeError(w, noQuorum("no leader is known to %s: it is cut off, or too few replicas run; --stale shows what it knows", s.config.Name))
+		writeError(w, s.noLeader())
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), forwardTime)
--- a/internal/controlserver/server.go
+++ b/internal/controlserver/server.go
@@ -199,7 +199,8 @@
 
 // Run serves until Stop, which gives nil, or until an error that the replica can't go on with.
 func (s *Server) Run() error {
-	log.Printf("msg=control_serves fleet=%s replica=%s address=%s replicas=%d", s.config.Fleet, s.config.Name, s.Address(), len(s.peers))
+	log.Printf("msg=control_serves fleet=%s replica=%s address=%s replicas=%d", s.config.Fleet, s.config.Name,
+		s.Address(), len(s.peers))
 	driven, served := make(chan error, 1), make(chan error, 1)
 	ended := make(chan struct{})
 	go func() { driven <- s.drive(ended) }()
--- a/internal/controlserver/server_test.go
+++ b/internal/controlserver/server_test.go
@@ -301,7 +301,8 @@
 	request.ID, request.Author, request.Document = "second", "bert", utility(2)
 	_, err := client.Apply(context.Background(), request)
 	var conflict *controlapi.Error
-	if !errors.As(err, &conflict) || conflict.Kind != controlapi.KindConflict || len(conflict.Changed) != 1 || conflict.Changed[0].Author != "anna" {
+	if !errors.As(err, &conflict) || conflict.Kind != controlapi.KindConflict || len(conflict.Changed) != 1 ||
+		conflict.Changed[0].Author != "anna" {
 		t.Errorf("%+v", err)
 	}
 }
@@ -350,7 +351,8 @@
 func checkFailingDisk(t *testing.T, after int) {
 	folder := t.TempDir()
 	storage := &failingStorage{openStorage(t, folder), syscall.ENOSPC, after}
-	config := &Config{Fleet: "shop", Name: "c1", Folder: folder, Listen: "127.0.0.1:0", Replicas: []Peer{{Name: "c1", Address: "127.0.0.1:1"}}}
+	config := &Config{Fleet: "shop", Name: "c1", Folder: folder, Listen: "127.0.0.1:0",
+		Replicas: []Peer{{Name: "c1", Address: "127.0.0.1:1"}}}
 	server, err := newServer(config, storage, func(revision.Document) error { return nil })
 	if err != nil {
 		t.Fatal(err)
@@ -401,7 +403,8 @@
 
 func TestMistakesInAReplicasFile(t *testing.T) {
 	t.Parallel()
-	good := "fleet = \"shop\"\nname = \"c1\"\nfolder = \"log\"\nlisten = \"127.0.0.1:0\"\n[[replica]]\nname = \"c1\"\naddress = \"127.0.0.1:1\"\n"
+	good := "fleet = \"shop\"\nname = \"c1\"\nfolder = \"log\"\nlisten = \"127.0.0.1:0\"\n" +
+		"[[replica]]\nname = \"c1\"\naddress = \"127.0.0.1:1\"\n"
 	for text, want := range map[string]string{
 		good + "colour = 1\n":                                    "line 8, column 1: key replica.colour is unknown",
 		"fleet = ":                                               "line 1",
--- a/internal/controlserver/watch.go
+++ b/internal/controlserver/watch.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	lineMost       = 64 << 10        // bytes of a Hello or a Report
-	helloTime      = 2 * time.Second // for the Hello to come
-	heartbeatTime  = 2 * time.Second // between two lines, also where there is nothing to say
-	writeTime      = 5 * time.Second // for a proxy to take a line
+	lineMost       = 64 << 10         // bytes of a Hello or a Report
+	helloTime      = 2 * time.Second  // for the Hello to come
+	heartbeatTime  = 2 * time.Second  // between two lines, also where there is nothing to say
+	writeTime      = 5 * time.Second  // for a proxy to take a line
 	reportTime     = 10 * time.Second // for a proxy to report on an update
 	bodyReaderSize = 4 << 10
 )
