--- a/internal/controlserver/reports.go
+++ b/internal/controlserver/reports.go
@@ -51,12 +51,14 @@
 }
 
 // reported notes a proxy's report. One that answers no update of this watch changes nothing.
-func (s *Server) reported(session *control.Session, report revision.Report) {
+func (s *Server) reported(watch *watch, report revision.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	session := watch.session
 	if !session.Reported(report) {
 		return
 	}
+	watch.answers++
 	proxy := session.Identity().Proxy
 	s.view.Reported(time.Now(), s.config.Name, session.Hello(), report)
 	s.dirty[proxy] = true
@@ -99,7 +101,7 @@
 		return Peer{}, nil
 	}
 	if leader != s.told {
-		s.told = leader
+		s.told = leader // it may have taken this replica for gone
 		s.markAllDirty()
 	}
 	if len(s.dirty) == 0 && !idle {
@@ -120,6 +122,7 @@
 
 // markAllDirty has all statuses of this replica's proxies told anew.
 func (s *Server) markAllDirty() {
+	s.view.Confirm(time.Now(), s.config.Name)
 	for _, status := range s.view.All() {
 		if status.Replica == s.config.Name {
 			s.dirty[status.Identity.Proxy] = true
--- a/internal/controlserver/server.go
+++ b/internal/controlserver/server.go
@@ -117,6 +117,11 @@
 	if s.node, err = startNode(control.NodeConfig{ID: s.id, Peers: ids, Fleet: config.Fleet, Persisted: persisted}); err != nil {
 		return nil, err
 	}
+	if len(ids) == 1 { // nobody else's vote is to be awaited
+		if err := s.node.Campaign(); err != nil {
+			return nil, err
+		}
+	}
 	listen := net.ListenConfig{Control: dropDeadPeers}
 	listener, err := listen.Listen(context.Background(), "tcp", config.Listen)
 	if err != nil {
@@ -194,7 +199,8 @@
 
 // Run serves until Stop, which gives nil, or until an error that the replica can't go on with.
 func (s *Server) Run() error {
-	log.Printf("msg=control_serves fleet=%s replica=%s address=%s replicas=%d", s.config.Fleet, s.config.Name, s.Address(), len(s.peers))
+	log.Printf("msg=control_serves fleet=%s replica=%s address=%s replicas=%d", s.config.Fleet, s.config.Name,
+		s.Address(), len(s.peers))
 	driven, served := make(chan error, 1), make(chan error, 1)
 	ended := make(chan struct{})
 	go func() { driven <- s.drive(ended) }()
