--- a/internal/controlserver/faults_test.go
+++ b/internal/controlserver/faults_test.go
@@ -371,12 +371,19 @@
 	heal()
 	healed := time.Now()
 	cancel()
-	took := await(s.t, 2*electTime, kind.name+": all are equal", allAt(s.operator, s.fleet.proxies))
+	last := ""
+	took := await(s.t, 2*electTime, kind.name+": all are equal", func() (string, bool) {
+		why, equal := allAt(s.operator, s.fleet.proxies)()
+		if !equal {
+			last = fmt.Sprintf("%v: %s", time.Since(healed).Round(time.Millisecond), why)
+		}
+		return why, equal
+	})
 	busy.Wait()
 	s.t.Logf("%s: %d revisions accepted meanwhile, all equal %v after the healing", kind.name, s.journal.count()-accepted,
 		took.Round(time.Millisecond))
 	if took > healTime {
-		s.t.Errorf("%s: all are equal only %v after the healing", kind.name, time.Since(healed).Round(time.Millisecond))
+		s.t.Errorf("%s: all are equal only %v after the healing; last %s", kind.name, took.Round(time.Millisecond), last)
 	}
 }
 
--- a/internal/controlserver/simproxy_test.go
+++ b/internal/controlserver/simproxy_test.go
@@ -5,9 +5,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/http/httputil"
 	"strings"
 	"sync"
 	"time"
@@ -66,25 +67,24 @@
 	return hello
 }
 
-// watch serves one watch until it breaks or is silent.
+// watch serves one watch until it breaks or is silent. It speaks HTTP on a bare connection: net/http's client holds a
+// request whose connection was reset until the request's body ends.
 func (p *simProxy) watch(ctx context.Context, replica string) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silence := time.AfterFunc(simSilence, cancel)
-	defer silence.Stop()
-	body, out := io.Pipe()
-	defer body.Close()
-	defer context.AfterFunc(ctx, func() { body.Close() })() // net/http waits for the body's end, even on a broken connection
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+replica+revision.WatchPath, body)
+	dialer := net.Dialer{Timeout: dialTime}
+	connection, err := dialer.DialContext(ctx, "tcp", replica)
 	if err != nil {
-		p.fault("%v", err)
 		return
 	}
-	encoder := json.NewEncoder(out)
-	go encoder.Encode(p.hello())
-	client := http.Client{Transport: &http.Transport{}}
-	defer client.CloseIdleConnections()
-	answer, err := client.Do(request)
+	defer connection.Close()
+	defer context.AfterFunc(ctx, func() { connection.Close() })()
+	silence := time.AfterFunc(simSilence, func() { connection.Close() })
+	defer silence.Stop()
+	fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: %s\r\nTransfer-Encoding: chunked\r\n\r\n", revision.WatchPath, replica)
+	encoder := json.NewEncoder(httputil.NewChunkedWriter(connection))
+	if encoder.Encode(p.hello()) != nil {
+		return
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(connection), nil)
 	if err != nil {
 		return
 	}
