--- a/internal/configwatch/client_test.go
+++ b/internal/configwatch/client_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"net/netip"
+	"runtime"
+	"strings"
 	"testing"
 
+	"sandpass/internal/loop"
 	"sandpass/internal/revision"
 )
 
@@ -65,3 +68,90 @@
 		t.Error("a task after the end")
 	}
 }
+
+// looped is a client on a loop of its own, without a replica; what it takes over and what it checks is the test's.
+type looped struct {
+	*Client
+	todo    chan func()
+	checks  chan chan error // each check waits for what the test sends
+	taken   chan Reloadable
+	running chan bool
+}
+
+func newLooped(t *testing.T, folder string) *looped {
+	t.Helper()
+	r := &looped{todo: make(chan func(), 1), checks: make(chan chan error), taken: make(chan Reloadable, 10), running: make(chan bool)}
+	var err error
+	r.Client, err = New(Config{Identity: identity, Replicas: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}, Folder: folder,
+		Local: func() Reloadable { return Reloadable{Settings: []byte(`{"settings":0}`)} },
+		Check: func(Reloadable) error {
+			answer := make(chan error)
+			r.checks <- answer
+			return <-answer
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := loop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Run(l, func(laid Reloadable) error { r.taken <- laid; return nil })
+	go func() {
+		defer close(r.running)
+		l.Run(func() {
+			select {
+			case f := <-r.todo:
+				f()
+			default:
+			}
+			r.Turn()
+		})
+	}()
+	t.Cleanup(func() {
+		r.do(l.Stop)
+		<-r.running
+		r.Close()
+		l.Close()
+	})
+	return r
+}
+
+func (r *looped) do(f func()) {
+	done := make(chan bool)
+	r.todo <- func() { f(); close(done) }
+	r.loop.Ring()
+	<-done
+}
+
+// An update that is being checked or saved when another process takes this one's place is not taken over; it counts once that
+// process is lost.
+func TestNothingNewerIsTakenOverWhilePaused(t *testing.T) {
+	r := newLooped(t, t.TempDir())
+	first := revision.Update{Revision: 1, Checksum: sum(t, `{"settings":{"a":1}}`), Scopes: []revision.Change{
+		{Scope: revision.Fleet, Number: 1, Document: revision.Document(`{"settings":{"a":1}}`)}}}
+	r.do(r.Open)
+	r.worker.put(task{kind: update, text: encoded(first)})
+	check := <-r.checks
+	if r.Settled() {
+		t.Error("nothing waits, it says, with a check under way")
+	}
+	r.do(r.Pause)
+	check <- nil
+	r.do(func() {}) // and the turn in which it would be taken over
+	for !r.Settled() {
+		runtime.Gosched()
+	}
+	if len(r.taken) > 0 || r.public.Load().hello.Revision != 0 {
+		t.Fatalf("taken over: %d, in force %+v", len(r.taken), r.public.Load().hello)
+	}
+	if saved, err := r.file().load(); err != nil || saved.Revision != 1 {
+		t.Errorf("revision %d is saved, %v", saved.Revision, err)
+	}
+	r.do(r.Resume)
+	check = <-r.checks
+	check <- nil
+	if laid := <-r.taken; !strings.Contains(string(laid.Settings), `"a":1`) {
+		t.Errorf("%s", laid.Settings)
+	}
+}
