--- a/example/control/run.sh
+++ b/example/control/run.sh
@@ -49,7 +49,8 @@
 
 # call N M sends request M through proxy nN.
 call() {
-	curl -sS -H "Req-Id: $2" -H 'Req-Owner: acme' -H 'Req-Deadline: 2' -w "proxy n$1 answers %{http_code}\n" "http://127.0.0.1:920$1/look/7"
+	curl -sS -H "Req-Id: $2" -H 'Req-Owner: acme' -H 'Req-Deadline: 2' -w "proxy n$1 answers %{http_code}\n" \
+		"http://127.0.0.1:920$1/look/7"
 }
 
 connected() { "$work/sandpass" control status | grep -q "of $1 connected"; }
