Scale: memory of a proxy that follows control; three machines at three sizes only

Cause: the budget's memory left out what a configuration watch takes. Change: a series of it, and a part of the total.

--- a/internal/scale/controlslopes.go
+++ b/internal/scale/controlslopes.go
@@ -14,7 +14,11 @@
 	var all []Series
 	for _, count := range replicas {
 		c := collector{against: Proxies, setting: controlSetting(count)}
-		for _, n := range o.Counts {
+		counts := o.Counts
+		if count != o.Sizes.ControlMachines { // as few as a law needs
+			counts = []int{counts[0], counts[len(counts)/2], counts[len(counts)-1]}
+		}
+		for _, n := range counts {
 			plan := Plan{Fleet: fleet.Generate(o.Sizes.ScaledTo(n)), Real: min(n, o.Real), Lists: ServiceList, Peers: true, Replicas: count}
 			figures, err := controlFigures(ctx, o, plan, changes, programs)
 			if err != nil {
@@ -43,6 +47,7 @@
 	traffic []meter.Traffic
 	proxies []meter.Traffic // of the counted ones with control
 	proxy   float64         // processor time of a real proxy, seconds
+	memory  float64         // of a real proxy
 }
 
 // duringControl measures what control does meanwhile.
@@ -68,6 +73,7 @@
 		s.proxies = append(s.proxies, is.control[i].Minus(was.control[i]))
 	}
 	s.proxy = is.usage.cpuSince(was.usage, roleProxy, s.seconds) * s.seconds
+	s.memory = is.usage.resident(roleProxy)
 	return s, nil
 }
 
@@ -129,6 +135,7 @@
 		{roleProxy, "configuration watch at rest, in", "bytes/s", mean(s.proxies, bytesIn) / s.seconds},
 		{roleProxy, "configuration watch at rest, out", "bytes/s", mean(s.proxies, bytesOut) / s.seconds},
 		{roleProxy, "processor time at rest with a configuration watch", "part of a core", s.proxy / s.seconds},
+		{roleProxy, "memory with a configuration watch", "bytes", s.memory},
 	}
 	for _, role := range []string{roleLeader, roleFollower} {
 		figures = append(figures,
--- a/internal/scale/totals.go
+++ b/internal/scale/totals.go
@@ -57,6 +57,7 @@
 	restCPU        = "processor time at rest, part of a core"
 	restCPUWatch   = "processor time at rest with a configuration watch, part of a core"
 	memoryBytes    = "memory, bytes"
+	memoryWatch    = "memory with a configuration watch, bytes"
 	listRest       = "list watch at rest, in, bytes/s"
 	listRestarts   = "each backend restarted once, list watch in, bytes"
 	listRestartCPU = "each backend restarted once, processor time, s"
@@ -184,8 +185,14 @@
 		term("backends that restart", listMechanism, WorkedOut, c.proxies(roleProxy, listRestartCPU, whole), c.restartsASecond),
 		term("changes of configuration", configMechanism, WorkedOut, c.proxies(roleProxy, configCPU, control), c.changesASecond),
 	}}
+	watchMemory := Term{Name: "configuration watch, and what it holds", Mechanism: Missing, At: func(float64) float64 { return 0 }}
+	if with, without := c.proxies(roleProxy, memoryWatch, control), c.proxies(roleProxy, memoryBytes, service); with != nil && without != nil {
+		watchMemory = Term{Name: watchMemory.Name, Origin: WorkedOut, Mechanism: configMechanism, Series: with,
+			At: func(n float64) float64 { return max(0, value(with, n)-value(without, n)) }}
+	}
 	memory := Total{Role: role, Of: "memory", Unit: "bytes", Budget: budget.ProxyMemory, Terms: []Term{
 		term("a process with one whole list of the fleet", processMechanism, Measured, c.proxies(roleProxy, memoryBytes, whole), once),
+		watchMemory,
 	}}
 	return []Total{traffic, processor, memory}
 }
