--- a/cmd/sandpass-control/main.go
+++ b/cmd/sandpass-control/main.go
@@ -102,7 +102,7 @@
 	options := &controlOptions{}
 	control := &cobra.Command{Use: "sandpass-control", Args: cobra.ArbitraryArgs,
 		Annotations: map[string]string{cobra.CommandDisplayNameAnnotation: "sandpass control"},
-		Short: "Change and watch the configuration of a fleet", Long: controlHelp,
+		Short:       "Change and watch the configuration of a fleet", Long: controlHelp,
 		SilenceUsage: true, SilenceErrors: true,
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if len(args) > 0 {
