Control: one piece of code reads a change from an operator and from a follower

Cause: the two handlers were the same but for one call (duplicates). Change: serveChange. Before and after: the tests of changes, conflicts and quorum pass.

--- a/internal/controlserver/apply.go
+++ b/internal/controlserver/apply.go
@@ -30,6 +30,19 @@
 
 // serveApply takes a change from an operator and passes it to the leader.
 func (s *Server) serveApply(w http.ResponseWriter, r *http.Request) {
+	serveChange(w, r, s.route)
+}
+
+// serveForward takes a change that a follower passes on. It is not passed on again.
+func (s *Server) serveForward(w http.ResponseWriter, r *http.Request) {
+	if s.sender(w, r) != nil {
+		serveChange(w, r, s.apply)
+	}
+}
+
+// serveChange reads and checks a change and answers with what carryOut makes of it.
+func serveChange(w http.ResponseWriter, r *http.Request,
+	carryOut func(context.Context, controlapi.ApplyRequest) (controlapi.ApplyResponse, error)) {
 	var request controlapi.ApplyRequest
 	err := readBody(w, r, &request)
 	if err == nil {
@@ -37,7 +50,7 @@
 	}
 	var response controlapi.ApplyResponse
 	if err == nil {
-		response, err = s.route(r.Context(), request)
+		response, err = carryOut(r.Context(), request)
 	}
 	if err != nil {
 		writeError(w, err)
@@ -69,27 +82,6 @@
 	return response, &controlapi.Error{Kind: controlapi.KindUnknown, ID: request.ID, Message: errLate.Error()}
 }
 
-// serveForward takes a change that a follower passes on. It is not passed on again.
-func (s *Server) serveForward(w http.ResponseWriter, r *http.Request) {
-	if s.sender(w, r) == nil {
-		return
-	}
-	var request controlapi.ApplyRequest
-	err := readBody(w, r, &request)
-	if err == nil {
-		err = checkRequest(&request)
-	}
-	var response controlapi.ApplyResponse
-	if err == nil {
-		response, err = s.apply(r.Context(), request)
-	}
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	writeJSON(w, response)
-}
-
 // checkRequest finds what is wrong with a change by itself; its document becomes canonical.
 func checkRequest(request *controlapi.ApplyRequest) error {
 	if request.ID == "" || len(request.ID) > control.IDMost {
