The policy that sees the true state is the oracle in baseline, lab and sandlab

Cause: it was called the top, a word of the withdrawn house style. Change: names, comments and printed words; its key in experiments stays.

--- a/cmd/sandlab/main.go
+++ b/cmd/sandlab/main.go
@@ -194,7 +194,7 @@
 	var dir, policy string
 	var cores, budget, keep int
 	var seed uint64
-	c := &cobra.Command{Use: "search EXPERIMENT.toml", Short: "look for the days on which a policy does worst against the top",
+	c := &cobra.Command{Use: "search EXPERIMENT.toml", Short: "look for the days on which a policy does worst against the oracle",
 		Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
 			s, err := lab.Read(args[0], nil)
 			if err != nil {
@@ -233,7 +233,7 @@
 
 func described(f lab.Found) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "  %s G %.3f, top %.3f, seed %d, %d instances, %.0f s\n", f.Policy, f.G, f.Top, f.Seed, f.World.Instances, f.World.Length)
+	fmt.Fprintf(&b, "  %s G %.3f, oracle %.3f, seed %d, %d instances, %.0f s\n", f.Policy, f.G, f.Oracle, f.Seed, f.World.Instances, f.World.Length)
 	if f.Broken != "" {
 		fmt.Fprintf(&b, "  BROKEN %s\n", f.Broken)
 	}
--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -15,11 +15,14 @@
 	"sandpass/internal/emulator"
 )
 
+// Oracle is the name of the policy that sees the true state, in experiments and results.
+const Oracle = "top"
+
 const (
 	late     = 2.0  // ticks before its limit at which a command is ended
 	comeBack = 0.5  // of the response goal, after which a declined client is to come back
-	looks    = 0.02 // seconds between the looks that the top takes at what it has out
-	spare    = 0.6  // part of what a backend bears at its best that the top gives to commands of no utility
+	looks    = 0.02 // seconds between the looks that the oracle takes at what it has out
+	spare    = 0.6  // part of what a backend bears at its best that the oracle gives to commands of no utility
 )
 
 // makers by name, in the order in which they are told.
@@ -41,7 +44,7 @@
 	{"robin", "one after another", plainly(robin)},
 	{"least", "the least own commands out", plainly(leastOut)},
 	{"two", "the better of two drawn, by own commands out", plainly(two)},
-	{"top", "sees the true state of all backends", plainly(top)},
+	{Oracle, "sees the true state of all backends", plainly(oracle)},
 }
 
 // Names of all policies.
@@ -166,8 +169,8 @@
 	return a
 }
 
-// top goes where the command would be through first, and nowhere where all are crowded.
-func top(p *plain, r *request, from []*server) *server {
+// oracle goes where the command would be through first, and nowhere where all are crowded.
+func oracle(p *plain, r *request, from []*server) *server {
 	var best *server
 	least := math.Inf(1)
 	for _, s := range from {
@@ -191,7 +194,7 @@
 	return best
 }
 
-// watch is the top's look at what it has out: where its backend is lost, it is called back and goes elsewhere.
+// watch is the oracle's look at what it has out: where its backend is lost, it is called back and goes elsewhere.
 func (p *plain) watch(r *request) {
 	for i, x := range r.sent {
 		if !x.out || r.done {
--- a/internal/emulator/backends.go
+++ b/internal/emulator/backends.go
@@ -551,7 +551,7 @@
 	}
 }
 
-// Look is Sight: it shows the true state to the policy that is to be the top.
+// Look is Sight: it shows the true state to the policy that is to be the oracle.
 func (x *instance) Look(to balance.BackendID) (open bool, wait, speed, crowd float64) {
 	d := x.d
 	b := d.named(to)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -286,7 +286,7 @@
 	}
 	worst := first[0]
 	if worst.Loss <= 0.05 {
-		t.Fatalf("random choice loses %v against the top: nothing was found", worst.Loss)
+		t.Fatalf("random choice loses %v against the oracle: nothing was found", worst.Loss)
 	}
 	small, err := Shrink(context.Background(), worst, 0.7, 4, func(Found) {})
 	if err != nil || small.Loss < 0.7*worst.Loss {
@@ -306,11 +306,11 @@
 	}
 }
 
-// Days that a search found and shrink cut down, each with what the module now reaches of the top's figure.
+// Days that a search found and shrink cut down, each with what the module now reaches of the oracle's figure.
 func TestFoundDays(t *testing.T) {
 	for _, c := range []struct {
 		file  string
-		least float64 // of the top's G
+		least float64 // of the oracle's G
 	}{
 		// Two of four backends lose a tenth of their answers: they were shunned as if dead, and the other two choked (0.82).
 		{"lost-answers.toml", 0.97},
--- a/internal/lab/search.go
+++ b/internal/lab/search.go
@@ -26,15 +26,15 @@
 	mutate = 0.35 // part of a fault's figure that a step changes it by, at most
 )
 
-// Found is a day on which the policy loses much against the top, or breaks a rule.
+// Found is a day on which the policy loses much against the oracle, or breaks a rule.
 type Found struct {
-	World  emulator.World
-	Plan   faults.Plan
-	Seed   uint64
-	Policy string
-	Loss   float64 // the top's G less the policy's
-	Broken string  // the first broken rule, if one broke
-	G, Top float64
+	World     emulator.World
+	Plan      faults.Plan
+	Seed      uint64
+	Policy    string
+	Loss      float64 // the oracle's G less the policy's
+	Broken    string  // the first broken rule, if one broke
+	G, Oracle float64
 }
 
 // worse orders found days, the worst first: broken rules, then by loss.
@@ -53,19 +53,19 @@
 	return 0
 }
 
-// weigh plays a day for the policy and for the top.
+// weigh plays a day for the policy and for the oracle.
 func (f Found) weigh() (Found, error) {
 	f.Broken = ""
 	var accounts [2]*checker.Account
-	for i, name := range []string{f.Policy, "top"} {
+	for i, name := range []string{f.Policy, baseline.Oracle} {
 		m, err := baseline.Maker(name)
 		if err != nil {
 			return f, err
 		}
 		accounts[i], _ = emulator.Run(f.World, f.Plan, m, f.Seed)
 	}
-	f.G, f.Top = accounts[0].G(false), accounts[1].G(false)
-	f.Loss = f.Top - f.G
+	f.G, f.Oracle = accounts[0].G(false), accounts[1].G(false)
+	f.Loss = f.Oracle - f.G
 	if accounts[0].Count() > 0 {
 		f.Broken = accounts[0].Broken[0].String()
 	}
@@ -178,7 +178,7 @@
 	}
 	rule, loss := f.Broken != "", f.Loss
 	if !rule && loss <= 0 {
-		return f, fmt.Errorf("nothing to shrink: no rule breaks, and the top is not ahead (G %.3f and %.3f)", f.G, f.Top)
+		return f, fmt.Errorf("nothing to shrink: no rule breaks, and the oracle is not ahead (G %.3f and %.3f)", f.G, f.Oracle)
 	}
 	for {
 		var tries []Found
@@ -247,5 +247,5 @@
 
 // Sheet gives a found day as an experiment's text, to be read again.
 func (f Found) Sheet(name string) ([]byte, error) {
-	return toml.Marshal(Experiment{Name: name, Policies: []string{f.Policy, "top"}, Seeds: []uint64{f.Seed}, World: f.World, Plan: f.Plan})
+	return toml.Marshal(Experiment{Name: name, Policies: []string{f.Policy, baseline.Oracle}, Seeds: []uint64{f.Seed}, World: f.World, Plan: f.Plan})
 }
