--- a/internal/scale/controlevents.go
+++ b/internal/scale/controlevents.go
@@ -40,6 +40,8 @@
 	rig  *Rig
 	base revision.Number
 	step int
+
+	accepted float64 // seconds that the last change took to be accepted
 }
 
 // document is a configuration of about the size of a change: what each customer may have.
@@ -86,13 +88,14 @@
 // apply makes a revision over the newest one.
 func (o *operator) apply(ctx context.Context, atOnce bool) error {
 	o.step++
+	begun := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, acceptedWithin)
 	defer cancel()
 	number, err := o.rig.control.apply(ctx, o.base, o.document(), atOnce)
 	if err != nil {
 		return errors.Join(err, o.rig.control.lastWords())
 	}
-	o.base = number
+	o.base, o.accepted = number, time.Since(begun).Seconds()
 	return nil
 }
 
@@ -250,6 +253,7 @@
 		return err
 	}
 	e.InForce = quantiles(took)
+	e.Note += fmt.Sprintf(", accepted after %.2f s", s.operator.accepted)
 	return s.restart(lost)
 }
 
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -37,7 +37,7 @@
 	}
 	defer os.RemoveAll(directory)
 	sandpassProgram = filepath.Join(directory, "sandpass")
-	if out, err := exec.Command("go", "build", "-o", sandpassProgram, "sandpass/cmd/sandpass").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", directory+"/", "sandpass/cmd/sandpass", "sandpass/cmd/sandpass-control").CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%v: %s", err, out)
 		return 1
 	}
--- a/internal/testbed/load.go
+++ b/internal/testbed/load.go
@@ -198,12 +198,20 @@
 	}
 }
 
+// awakeBefore is for how long before a command is due its client no longer sleeps: a quarter of the time between two
+// commands, so that waiting takes a quarter of a core at most.
+func awakeBefore(rate float64) time.Duration {
+	const least, most = 100 * time.Microsecond, 1500 * time.Microsecond
+	return min(most, max(least, time.Duration(float64(time.Second)/rate/4)))
+}
+
 // open has commands come at a rate, whatever became of those before; a free connection takes the next, and latency
 // counts from when it was due.
 func open(ctx context.Context, at []string, conns int, body string, rate, seconds float64) (late [3]float64, bad int) {
 	from := time.Now().Add(50 * time.Millisecond)
 	first := int64(settle * seconds * rate)
 	total := int64((1 + settle) * seconds * rate)
+	awake := awakeBefore(rate)
 	var next atomic.Int64
 	var failed atomic.Int64
 	sketches := make([]*ddsketch.DDSketch, conns)
@@ -225,10 +233,10 @@
 					return
 				}
 				due := from.Add(time.Duration(float64(n) / rate * float64(time.Second)))
-				if wait := time.Until(due); wait > 200*time.Microsecond {
-					time.Sleep(wait - 100*time.Microsecond)
+				if wait := time.Until(due); wait > 2*awake {
+					time.Sleep(wait - awake)
 				}
-				for time.Until(due) > 0 { // the last of it without sleep, which is late by a tenth of a millisecond
+				for time.Until(due) > 0 { // the last of it without sleep, which may be late by a millisecond
 				}
 				err := c.once()
 				if n >= first {
