--- a/cmd/sandlab/scale.go
+++ b/cmd/sandlab/scale.go
@@ -43,10 +43,12 @@
 		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error { return runScale(c.Context(), o) }}
 	c.Flags().StringVar(&o.sizes, "sizes", "", "file of sizes, TOML; see example/scale.toml (the operators' size)")
 	c.Flags().StringVar(&o.data, "data", "capacity.json", "the data file")
-	c.Flags().StringVar(&o.program, "program", "", "the proxy's program, called as PROGRAM serve (sandpass beside this one, or else this one)")
+	c.Flags().StringVar(&o.program, "program", "",
+		"the proxy's program, called as PROGRAM serve (sandpass beside this one)")
 	c.Flags().StringSliceVar(&o.parts, "parts", scaleParts, "which")
 	c.Flags().StringArrayVar(&o.only, "event", nil, "of the part control: this event alone, may be given again")
-	c.Flags().IntSliceVar(&o.counts, "counts", []int{35, 70, 140, 280, 560, 1120}, "numbers of proxies of the slopes; beyond the size they are predicted first")
+	c.Flags().IntSliceVar(&o.counts, "counts", []int{35, 70, 140, 280, 560, 1120},
+		"numbers of proxies of the slopes; beyond the size they are predicted first")
 	c.Flags().IntVar(&o.real, "real", 10, "proxies that are real processes, in slopes and events")
 	return c
 }
--- a/internal/scale/cluster.go
+++ b/internal/scale/cluster.go
@@ -60,7 +60,8 @@
 	for k := range plan.Replicas {
 		name := fmt.Sprintf("control-%d", k+1)
 		c.replicas = append(c.replicas, &replica{name: name, region: fmt.Sprintf("region-%d", k%plan.Fleet.Sizes.Regions+1),
-			address: a.at(firstReplica+k, controlPort), config: filepath.Join(directory, name+".toml"), log: filepath.Join(directory, name+".log")})
+			address: a.at(firstReplica+k, controlPort), config: filepath.Join(directory, name+".toml"),
+			log: filepath.Join(directory, name+".log")})
 	}
 	if err := c.open(plan); err != nil {
 		c.close()
@@ -142,7 +143,8 @@
 
 func (c *cluster) writeConfig(i int) error {
 	r := c.replicas[i]
-	text := fmt.Sprintf("fleet = %q\nname = %q\nfolder = %q\nlisten = %q\n", controlFleet, r.name, filepath.Join(c.directory, r.name), r.address)
+	text := fmt.Sprintf("fleet = %q\nname = %q\nfolder = %q\nlisten = %q\n", controlFleet, r.name,
+		filepath.Join(c.directory, r.name), r.address)
 	for j, other := range c.replicas {
 		address := other.address
 		if way := c.ways[[2]int{i, j}]; way != nil {
@@ -284,7 +286,8 @@
 }
 
 // apply makes a revision of a scope and gives its number.
-func (c *cluster) apply(ctx context.Context, base revision.Number, document revision.Document, atOnce bool) (revision.Number, error) {
+func (c *cluster) apply(ctx context.Context, base revision.Number, document revision.Document,
+	atOnce bool) (revision.Number, error) {
 	response, err := c.client.Apply(ctx, controlapi.ApplyRequest{Scope: revision.Fleet, Base: base, Document: document,
 		Author: "sandlab", Reason: "scale run", AtOnce: atOnce})
 	return response.Number, err
@@ -311,8 +314,10 @@
 		k := (i / plan.Fleet.Sizes.Regions) % len(near)
 		near[0], near[k] = near[k], near[0]
 	}
-	text := fmt.Sprintf("[state]\nfolder = %q\nfleet = %q\nevery = 3600.0\n\n[control]\nreplicas = [%s]\nfleet = %q\nregion = %q\nzone = %q\nservice = %q\n",
-		c.state, controlFleet, strings.Join(append(near, far...), ", "), controlFleet, p.Region, plan.Fleet.Zones[p.Zone], plan.Fleet.Services[p.Service].Name)
+	text := fmt.Sprintf("[state]\nfolder = %q\nfleet = %q\nevery = 3600.0\n\n"+
+		"[control]\nreplicas = [%s]\nfleet = %q\nregion = %q\nzone = %q\nservice = %q\n",
+		c.state, controlFleet, strings.Join(append(near, far...), ", "),
+		controlFleet, p.Region, plan.Fleet.Zones[p.Zone], plan.Fleet.Services[p.Service].Name)
 	path := filepath.Join(c.directory, p.Name+".toml")
 	return path, os.WriteFile(path, []byte(text), 0o600)
 }
--- a/internal/scale/controlevents.go
+++ b/internal/scale/controlevents.go
@@ -344,7 +344,8 @@
 		}
 	}
 	e.InForce = quantiles(took)
-	e.Note = fmt.Sprintf("%d proxies in %s are cut off; in force: at the others, during the cut; settled: at all, after it has healed", inside, region)
+	e.Note = fmt.Sprintf("%d proxies in %s are cut off; in force: at the others, during the cut; settled: at all, after it has healed",
+		inside, region)
 	if err := s.rig.control.awaitConnected(s.ctx, s.all()); err != nil {
 		e.Note += "; **" + err.Error() + "**" // they have the change: what control tells of them is wrong
 	}
--- a/internal/scale/controlslopes.go
+++ b/internal/scale/controlslopes.go
@@ -10,7 +10,8 @@
 )
 
 // ControlSlopes measures how control's use grows with the number of proxies, for each number of replicas.
-func ControlSlopes(ctx context.Context, o SlopeOptions, replicas []int, changes int, programs Programs, progress func(string)) ([]Series, error) {
+func ControlSlopes(ctx context.Context, o SlopeOptions, replicas []int, changes int, programs Programs,
+	progress func(string)) ([]Series, error) {
 	var all []Series
 	for _, count := range replicas {
 		c := collector{against: Proxies, setting: controlSetting(count)}
@@ -19,7 +20,8 @@
 			counts = []int{counts[0], counts[len(counts)/2], counts[len(counts)-1]}
 		}
 		for _, n := range counts {
-			plan := Plan{Fleet: fleet.Generate(o.Sizes.ScaledTo(n)), Real: min(n, o.Real), Lists: ServiceList, Peers: true, Replicas: count}
+			plan := Plan{Fleet: fleet.Generate(o.Sizes.ScaledTo(n)), Real: min(n, o.Real), Lists: ServiceList, Peers: true,
+				Replicas: count}
 			figures, err := controlFigures(ctx, o, plan, changes, programs)
 			if err != nil {
 				return nil, fmt.Errorf("%d proxies, %d replicas: %w", n, count, err)
@@ -139,7 +141,8 @@
 	}
 	for _, role := range []string{roleLeader, roleFollower} {
 		figures = append(figures,
-			figure{role, "processor time at rest", "part of a core", s.of(role, func(k int) float64 { return s.usage[k].CPU / s.seconds })},
+			figure{role, "processor time at rest", "part of a core",
+				s.of(role, func(k int) float64 { return s.usage[k].CPU / s.seconds })},
 			figure{role, "memory", "bytes", s.of(role, func(k int) float64 { return s.usage[k].Resident })},
 			figure{role, "at rest, in", "bytes/s", s.of(role, func(k int) float64 { return float64(s.traffic[k].BytesIn) / s.seconds })},
 			figure{role, "at rest, out", "bytes/s", s.of(role, func(k int) float64 { return float64(s.traffic[k].BytesOut) / s.seconds })},
@@ -161,12 +164,16 @@
 	}
 	for _, role := range []string{roleLeader, roleFollower} {
 		each := func(value func(s *controlSpan, k int) float64) float64 {
-			return over(s.of(role, func(k int) float64 { return value(s, k) }), rest.of(role, func(k int) float64 { return value(rest, k) }))
+			return over(s.of(role, func(k int) float64 { return value(s, k) }),
+				rest.of(role, func(k int) float64 { return value(rest, k) }))
 		}
 		figures = append(figures,
-			figure{role, "a change of configuration, processor time", "s", each(func(s *controlSpan, k int) float64 { return s.usage[k].CPU })},
-			figure{role, "a change of configuration, in", "bytes", each(func(s *controlSpan, k int) float64 { return float64(s.traffic[k].BytesIn) })},
-			figure{role, "a change of configuration, out", "bytes", each(func(s *controlSpan, k int) float64 { return float64(s.traffic[k].BytesOut) })},
+			figure{role, "a change of configuration, processor time", "s",
+				each(func(s *controlSpan, k int) float64 { return s.usage[k].CPU })},
+			figure{role, "a change of configuration, in", "bytes",
+				each(func(s *controlSpan, k int) float64 { return float64(s.traffic[k].BytesIn) })},
+			figure{role, "a change of configuration, out", "bytes",
+				each(func(s *controlSpan, k int) float64 { return float64(s.traffic[k].BytesOut) })},
 		)
 	}
 	return figures
--- a/internal/scale/helper/hollow.go
+++ b/internal/scale/helper/hollow.go
@@ -142,7 +142,8 @@
 			return &Answer{InForce: at}, nil
 		}
 		if time.Now().After(deadline) {
-			return nil, fmt.Errorf("%d of %d hollow proxies have turned to their configurations after %v", len(at), len(r.Proxies), stopWithin)
+			return nil, fmt.Errorf("%d of %d hollow proxies have turned to their configurations after %v", len(at), len(r.Proxies),
+				stopWithin)
 		}
 	}
 }
--- a/internal/scale/keepers.go
+++ b/internal/scale/keepers.go
@@ -82,7 +82,8 @@
 }
 
 // siblingRun gives what was said between siblings, and the part of a core that a proxy took.
-func siblingRun(ctx context.Context, n int, rate, seconds float64, peers bool, programs Programs) ([]meter.Traffic, float64, error) {
+func siblingRun(ctx context.Context, n int, rate, seconds float64, peers bool,
+	programs Programs) ([]meter.Traffic, float64, error) {
 	sizes := fleet.Default()
 	sizes.Proxies, sizes.Services, sizes.Depth, sizes.FrontShare = n, 1, 1, 1
 	plan := Plan{Fleet: fleet.Generate(sizes), Real: n, Lists: ServiceList, Peers: peers, Counted: n}
--- a/internal/scale/launch.go
+++ b/internal/scale/launch.go
@@ -102,7 +102,8 @@
 	call := verb{Name: "pay", Effect: "at_most_once", KeyScope: "all", WindowMS: 5000, ResponseGoalMS: 5000, TimeLimitMS: 10000,
 		Utility: 1, OverdueUtility: 0.5}
 	return launch{
-		Name: f.Proxies[i].Name, Listen: a.at(i, proxyPort), Discovery: a.at(i, agentPort), Seed: fmt.Sprintf("%016x", f.Sizes.Seed<<32+uint64(i)),
+		Name: f.Proxies[i].Name, Listen: a.at(i, proxyPort), Discovery: a.at(i, agentPort),
+		Seed:   fmt.Sprintf("%016x", f.Sizes.Seed<<32+uint64(i)),
 		Limits: map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 		Peers:  peers,
 		Settings: settings{
--- a/internal/scale/likeness.go
+++ b/internal/scale/likeness.go
@@ -31,7 +31,8 @@
 func Compare(ctx context.Context, o LikenessOptions, programs Programs) ([]Likeness, error) {
 	sizes := fleet.Default()
 	sizes.Proxies, sizes.Services, sizes.Depth, sizes.FrontShare = 2*o.Each, 2, 1, 1
-	plan := Plan{Fleet: fleet.Generate(sizes), Real: o.Each, Lists: ServiceList, Peers: true, Counted: 2 * o.Each, Defect: o.SkipWork,
+	plan := Plan{Fleet: fleet.Generate(sizes), Real: o.Each, Lists: ServiceList, Peers: true, Counted: 2 * o.Each,
+		Defect:   o.SkipWork,
 		Replicas: o.Replicas}
 	r, ctx, err := Open(ctx, plan, programs)
 	if err != nil {
@@ -124,7 +125,8 @@
 		name  string
 		value func(meter.Traffic) int64
 	}{{"bytes in", bytesIn}, {"bytes out", bytesOut}, {"messages in", messagesIn}, {"messages out", messagesOut}} {
-		all = append(all, Likeness{Kind: name + ", " + k.name, Real: mean(traffic[:real], k.value), Hollow: mean(traffic[real:], k.value)})
+		all = append(all, Likeness{Kind: name + ", " + k.name, Real: mean(traffic[:real], k.value),
+			Hollow: mean(traffic[real:], k.value)})
 	}
 	return all
 }
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -23,13 +23,16 @@
 	var series []Series
 	switch part {
 	case "likeness":
-		data.Likeness, err = Compare(ctx, LikenessOptions{Each: 20, Restarts: 40, RestartsEach: 5, CallsEach: 60, CallSeconds: 8, Rest: 4 * time.Second,
+		data.Likeness, err = Compare(ctx, LikenessOptions{Each: 20, Restarts: 40, RestartsEach: 5, CallsEach: 60, CallSeconds: 8,
+			Rest:     4 * time.Second,
 			Replicas: m.Sizes.ControlMachines, Changes: 10}, m.Programs)
 	case "keepers":
-		series, err = Keepers(ctx, KeeperOptions{Siblings: []int{2, 4, 8, 12, 16}, Rates: []float64{39, 79, 118, 157, 236}, Fixed: 6, Rate: 20, Seconds: 6},
+		series, err = Keepers(ctx, KeeperOptions{Siblings: []int{2, 4, 8, 12, 16}, Rates: []float64{39, 79, 118, 157, 236},
+			Fixed: 6, Rate: 20, Seconds: 6},
 			m.Programs, m.Progress)
 	case "slopes":
-		series, err = Slopes(ctx, SlopeOptions{Sizes: m.Sizes, Counts: m.Counts, FitUpTo: m.Sizes.Proxies, Real: m.Real, Rest: 8 * time.Second,
+		series, err = Slopes(ctx, SlopeOptions{Sizes: m.Sizes, Counts: m.Counts, FitUpTo: m.Sizes.Proxies, Real: m.Real,
+			Rest:     8 * time.Second,
 			Restarts: 60, PerSecond: 8, Lists: []Lists{ServiceList, WholeList}}, m.Programs, m.Progress)
 	case "otherslopes":
 		series, err = OtherSlopes(ctx, m)
@@ -47,13 +50,15 @@
 		}
 	case "control":
 		var events []Event
-		events, err = ControlEvents(ctx, ControlOptions{Sizes: m.Sizes, Real: m.Real, Replicas: m.Sizes.ControlMachines, Changes: 10, Burst: 30,
+		events, err = ControlEvents(ctx, ControlOptions{Sizes: m.Sizes, Real: m.Real, Replicas: m.Sizes.ControlMachines,
+			Changes: 10, Burst: 30,
 			BurstIn: time.Minute, Cut: time.Minute, Only: m.Only}, m.Programs, m.Progress)
 		for _, e := range events {
 			data.replaceEvent(e)
 		}
 	case "controlslopes":
-		series, err = ControlSlopes(ctx, SlopeOptions{Sizes: m.Sizes, Counts: m.Counts, FitUpTo: m.Sizes.Proxies, Real: m.Real, Rest: 8 * time.Second},
+		series, err = ControlSlopes(ctx, SlopeOptions{Sizes: m.Sizes, Counts: m.Counts, FitUpTo: m.Sizes.Proxies, Real: m.Real,
+			Rest: 8 * time.Second},
 			[]int{m.Sizes.ControlMachines, 3}, 5, m.Programs, m.Progress)
 	case "added":
 		const ownRate = 157 // calls a second at each proxy of the operators' size
--- a/internal/scale/meter/traffic.go
+++ b/internal/scale/meter/traffic.go
@@ -16,12 +16,14 @@
 
 // Minus is the traffic since an earlier look.
 func (t Traffic) Minus(before Traffic) Traffic {
-	return Traffic{t.BytesIn - before.BytesIn, t.BytesOut - before.BytesOut, t.MessagesIn - before.MessagesIn, t.MessagesOut - before.MessagesOut}
+	return Traffic{t.BytesIn - before.BytesIn, t.BytesOut - before.BytesOut, t.MessagesIn - before.MessagesIn,
+		t.MessagesOut - before.MessagesOut}
 }
 
 // Plus is the traffic of both.
 func (t Traffic) Plus(other Traffic) Traffic {
-	return Traffic{t.BytesIn + other.BytesIn, t.BytesOut + other.BytesOut, t.MessagesIn + other.MessagesIn, t.MessagesOut + other.MessagesOut}
+	return Traffic{t.BytesIn + other.BytesIn, t.BytesOut + other.BytesOut, t.MessagesIn + other.MessagesIn,
+		t.MessagesOut + other.MessagesOut}
 }
 
 // Flipped is the same as the other end sees it.
--- a/internal/scale/otherslopes.go
+++ b/internal/scale/otherslopes.go
@@ -9,7 +9,8 @@
 )
 
 // ServiceSlopes measures how the figures go by the number of services where the number of proxies stays.
-func ServiceSlopes(ctx context.Context, o SlopeOptions, proxies int, services []int, programs Programs, progress func(string)) ([]Series, error) {
+func ServiceSlopes(ctx context.Context, o SlopeOptions, proxies int, services []int, programs Programs,
+	progress func(string)) ([]Series, error) {
 	c := collector{against: Services, setting: fmt.Sprintf("%d proxies, service list", proxies)}
 	for _, count := range services {
 		sizes := o.Sizes.ScaledTo(proxies)
@@ -26,7 +27,8 @@
 }
 
 // ChangeSlopes measures how the figures go by the changes of the list a second, in one fleet.
-func ChangeSlopes(ctx context.Context, o SlopeOptions, proxies int, rates []float64, programs Programs, progress func(string)) ([]Series, error) {
+func ChangeSlopes(ctx context.Context, o SlopeOptions, proxies int, rates []float64, programs Programs,
+	progress func(string)) ([]Series, error) {
 	const entries = 3 // of a restart
 	plan := Plan{Fleet: fleet.Generate(o.Sizes.ScaledTo(proxies)), Real: min(proxies, o.Real), Lists: WholeList, Peers: true}
 	r, ctx, err := Open(ctx, plan, programs)
--- a/internal/scale/page.go
+++ b/internal/scale/page.go
@@ -19,8 +19,10 @@
 
 // sections are all of them.
 var sections = []section{
-	{"size", (*Data).sizeTable}, {"assumptions", (*Data).assumptionTable}, {"totals", (*Data).totalTable}, {"roles", (*Data).roleTables},
-	{"events", (*Data).eventTable}, {"added", (*Data).addedTable}, {"likeness", (*Data).likenessTable}, {"predictions", (*Data).predictionTable},
+	{"size", (*Data).sizeTable}, {"assumptions", (*Data).assumptionTable}, {"totals", (*Data).totalTable},
+	{"roles", (*Data).roleTables},
+	{"events", (*Data).eventTable}, {"added", (*Data).addedTable}, {"likeness", (*Data).likenessTable},
+	{"predictions", (*Data).predictionTable},
 }
 
 func (s section) begin() string {
@@ -143,7 +145,8 @@
 	t.row("changes of configuration a day", digits(s.ChangesPerDay), "operators")
 	t.row("restarts a day", digits(s.RestartsPerDay), "operators")
 	t.row("control machines", fmt.Sprint(s.ControlMachines), "operators")
-	t.row("a proxy's budget for control", fmt.Sprintf("%s of a core, %s, %s", amount(b.ProxyCPU, "part of a core"), amount(b.ProxyMemory, "bytes"),
+	t.row("a proxy's budget for control", fmt.Sprintf("%s of a core, %s, %s", amount(b.ProxyCPU, "part of a core"),
+		amount(b.ProxyMemory, "bytes"),
 		amount(b.ProxyTraffic, "bytes/s")), "operators")
 	t.row("a change in force everywhere within", amount(b.InForceSeconds, "s"), "operators")
 	t.row("added to 99 of 100 calls", amount(b.AddedSeconds, "s"), "operators")
@@ -161,10 +164,13 @@
 		}
 	}
 	t := newTable("assumption", "value", "how")
-	t.row("services that a service calls", fmt.Sprintf("%d to %d; of a machine's backend %s in the mean, %d at most", d.Sizes.CalledLeast, d.Sizes.CalledMost,
+	t.row("services that a service calls", fmt.Sprintf("%d to %d; of a machine's backend %s in the mean, %d at most",
+		d.Sizes.CalledLeast, d.Sizes.CalledMost,
 		digits(mean), most), "a, drawn from the seed")
-	t.row("services that get calls from outside", fmt.Sprintf("%s of them; %d proxies", amount(d.Sizes.FrontShare, "part of a core"), fronts), "a")
-	t.row("calls a second at the busiest service, at its backend", fmt.Sprintf("%s, %s", digits(service), digits(backend)), "a: backends are shared out by calls")
+	t.row("services that get calls from outside", fmt.Sprintf("%s of them; %d proxies",
+		amount(d.Sizes.FrontShare, "part of a core"), fronts), "a")
+	t.row("calls a second at the busiest service, at its backend", fmt.Sprintf("%s, %s", digits(service), digits(backend)),
+		"a: backends are shared out by calls")
 	t.row("calls a second at a proxy, in the mean", digits(d.Sizes.CallsPerSecond/float64(d.Sizes.Proxies)), "w")
 	if s := d.find(roleProxy, listWhole, Proxies, string(WholeList)+" list"); s != nil {
 		t.row("bytes of an entry in a whole list", digits(s.Fit.Slope), "m, with the stand-in's names")
@@ -180,7 +186,8 @@
 
 func (d *Data) totalTable() string {
 	n := float64(d.Sizes.Proxies)
-	t := newTable("role, what", fmt.Sprintf("at %.0f", n), fmt.Sprintf("at %.0f", 2*n), fmt.Sprintf("at %.0f", 4*n), "budget", "room")
+	t := newTable("role, what", fmt.Sprintf("at %.0f", n), fmt.Sprintf("at %.0f", 2*n), fmt.Sprintf("at %.0f", 4*n), "budget",
+		"room")
 	for _, total := range d.Totals() {
 		cells := []string{total.Name()}
 		for _, f := range factors {
@@ -223,13 +230,15 @@
 		for _, term := range total.Terms {
 			law := "-"
 			if term.Series != nil {
-				law = fmt.Sprintf("%s of %s, %s (%s)", term.Series.Fit.Law, term.Series.Against, amount(term.Series.Fit.Relative, "part of a core"), term.Series.Setting)
+				law = fmt.Sprintf("%s of %s, %s (%s)", term.Series.Fit.Law, term.Series.Against,
+					amount(term.Series.Fit.Relative, "part of a core"), term.Series.Setting)
 			}
 			last := WorkedOut
 			if term.Origin == Measured {
 				last = Predicted
 			}
-			t.row(total.Of, term.Name, amount(term.At(n), total.Unit)+" ("+string(term.Origin)+")", amount(term.At(4*n), total.Unit)+" ("+string(last)+")", law, term.Mechanism)
+			t.row(total.Of, term.Name, amount(term.At(n), total.Unit)+" ("+string(term.Origin)+")",
+				amount(term.At(4*n), total.Unit)+" ("+string(last)+")", law, term.Mechanism)
 		}
 	}
 	flush()
@@ -237,7 +246,8 @@
 }
 
 func (d *Data) eventTable() string {
-	t := newTable("event", "lists", "in force: median, 99 in 100, last", "settled", "connections anew", "peaks in a second, and bytes in all", "load")
+	t := newTable("event", "lists", "in force: median, 99 in 100, last", "settled", "connections anew",
+		"peaks in a second, and bytes in all", "load")
 	for _, e := range d.Events {
 		force := "-"
 		if e.InForce != nil {
@@ -245,7 +255,8 @@
 		}
 		var peaks []string
 		for _, p := range e.Peaks {
-			text := fmt.Sprintf("%s: %s, in %s, out %s, in all %s", p.Role, amount(p.CPU, "part of a core"), amount(p.BytesIn, "bytes/s"), amount(p.BytesOut, "bytes/s"),
+			text := fmt.Sprintf("%s: %s, in %s, out %s, in all %s", p.Role, amount(p.CPU, "part of a core"),
+				amount(p.BytesIn, "bytes/s"), amount(p.BytesOut, "bytes/s"),
 				amount(p.Total, "bytes"))
 			if p.Memory > 0 {
 				text += ", " + amount(p.Memory, "bytes") + " of memory"
@@ -262,7 +273,8 @@
 }
 
 func (d *Data) addedTable() string {
-	t := newTable("through", "calls/s", "straight p50, p99, p99.9", "through", "added p50", "added p99", "added p99.9", "failed", "load")
+	t := newTable("through", "calls/s", "straight p50, p99, p99.9", "through", "added p50", "added p99", "added p99.9",
+		"failed", "load")
 	three := func(v [3]float64) string {
 		return fmt.Sprintf("%s, %s, %s", amount(v[0], "s"), amount(v[1], "s"), amount(v[2], "s"))
 	}
@@ -270,7 +282,8 @@
 		added := func(k int) string {
 			return fmt.Sprintf("%s (%s to %s)", amount(a.Through[k]-a.Straight[k], "s"), amount(a.Least[k], "s"), amount(a.Most[k], "s"))
 		}
-		t.row(fmt.Sprintf("%s, %d rounds of %d calls", a.Name, a.Rounds, a.Calls), digits(a.Rate), three(a.Straight), three(a.Through), added(0), added(1), added(2),
+		t.row(fmt.Sprintf("%s, %d rounds of %d calls", a.Name, a.Rounds, a.Calls), digits(a.Rate), three(a.Straight),
+			three(a.Through), added(0), added(1), added(2),
 			fmt.Sprint(a.Failed), digits(a.Load))
 	}
 	return t.String()
@@ -319,7 +332,8 @@
 				off = fmt.Sprintf("%+.0f%%", 100*p.Error())
 			}
 		}
-		t.row(s.Role+", "+s.Figure, s.Setting, fmt.Sprintf("%s of %s", s.Fit.Law, s.Against), amount(s.Fit.Relative, "part of a core"), predicted, measured, off)
+		t.row(s.Role+", "+s.Figure, s.Setting, fmt.Sprintf("%s of %s", s.Fit.Law, s.Against),
+			amount(s.Fit.Relative, "part of a core"), predicted, measured, off)
 	}
 	return t.String()
 }
@@ -339,9 +353,11 @@
 		}
 		beyond := "-"
 		if p := s.Predicted; p != nil {
-			beyond = fmt.Sprintf("%s: %s, %s, %+.0f%%", digits(p.N), amount(p.Predicted, s.Unit), amount(p.Measured, s.Unit), 100*p.Error())
+			beyond = fmt.Sprintf("%s: %s, %s, %+.0f%%", digits(p.N), amount(p.Predicted, s.Unit), amount(p.Measured, s.Unit),
+				100*p.Error())
 		}
-		t.row(s.Role, s.Figure, string(s.Against)+", "+s.Setting, strings.Join(points, "; "), law, amount(s.Fit.Relative, "part of a core"), beyond)
+		t.row(s.Role, s.Figure, string(s.Against)+", "+s.Setting, strings.Join(points, "; "), law,
+			amount(s.Fit.Relative, "part of a core"), beyond)
 	}
 	return t.String()
 }
--- a/internal/scale/page_test.go
+++ b/internal/scale/page_test.go
@@ -41,7 +41,8 @@
 
 // overBudget is data of a fleet whose siblings say more than they may.
 func overBudget() *Data {
-	return &Data{Sizes: fleet.Default(), Series: []Series{{Role: roleProxy, Figure: siblingBytes, Unit: "bytes/s", Against: Calls, Setting: "6 siblings",
+	return &Data{Sizes: fleet.Default(), Series: []Series{{Role: roleProxy, Figure: siblingBytes, Unit: "bytes/s",
+		Against: Calls, Setting: "6 siblings",
 		Points: []fit.Point{{N: 157, Y: 23_000}}, Fit: fit.Fit{Law: fit.Linear, Slope: 147}}}}
 }
 
@@ -72,7 +73,8 @@
 	if again, err := data.Page(page); err != nil || again != page {
 		t.Errorf("writing it again changes it: %v", err)
 	}
-	if spoilt, err := data.Page(strings.Replace(page, "46 KB/s", "4.6 KB/s", 1)); err != nil || spoilt != page || !strings.Contains(page, "46 KB/s") {
+	spoilt, err := data.Page(strings.Replace(page, "46 KB/s", "4.6 KB/s", 1))
+	if err != nil || spoilt != page || !strings.Contains(page, "46 KB/s") {
 		t.Errorf("a figure that was changed by hand stays: %v", err)
 	}
 	if _, err := data.Page("# Page"); err == nil {
--- a/internal/scale/rig.go
+++ b/internal/scale/rig.go
@@ -483,7 +483,8 @@
 			memory += used.Resident
 		}
 		if memory > mostMemory || count > mostProcesses {
-			r.cancel(fmt.Errorf("%w: %.1f GB in %d processes, %.0f GB and %d are allowed", ErrOver, memory/1e9, count, mostMemory/1e9, mostProcesses))
+			r.cancel(fmt.Errorf("%w: %.1f GB in %d processes, %.0f GB and %d are allowed", ErrOver, memory/1e9, count,
+				mostMemory/1e9, mostProcesses))
 			return
 		}
 	}
--- a/internal/scale/samples.go
+++ b/internal/scale/samples.go
@@ -109,7 +109,8 @@
 		{roleDiscovery, "list watch at rest, all agents, out", "bytes/s", n * per(bytesIn)},
 	}
 	if hollowCount > 0 {
-		figures = append(figures, figure{roleHollow, "memory growth for each", "bytes", (s.after.resident(roleHollow) - hollowBase) / float64(hollowCount)})
+		figures = append(figures, figure{roleHollow, "memory growth for each", "bytes",
+			(s.after.resident(roleHollow) - hollowBase) / float64(hollowCount)})
 	}
 	return figures
 }
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -37,7 +37,8 @@
 	}
 	defer os.RemoveAll(directory)
 	sandpassProgram = filepath.Join(directory, "sandpass")
-	if out, err := exec.Command("go", "build", "-o", directory+"/", "sandpass/cmd/sandpass", "sandpass/cmd/sandpass-control").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", directory+"/", "sandpass/cmd/sandpass",
+		"sandpass/cmd/sandpass-control").CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%v: %s", err, out)
 		return 1
 	}
@@ -48,7 +49,8 @@
 	return Programs{Proxy: []string{sandpassProgram, "serve"}, Helper: os.Args[0]}
 }
 
-var smallLikeness = LikenessOptions{Each: 6, Restarts: 12, RestartsEach: 6, CallsEach: 100, CallSeconds: 5, Rest: 2 * time.Second, Replicas: 3, Changes: 4}
+var smallLikeness = LikenessOptions{Each: 6, Restarts: 12, RestartsEach: 6, CallsEach: 100, CallSeconds: 5,
+	Rest: 2 * time.Second, Replicas: 3, Changes: 4}
 
 func TestHollowProxiesAreLikeRealOnes(t *testing.T) {
 	t.Parallel()
--- a/internal/scale/server.go
+++ b/internal/scale/server.go
@@ -31,7 +31,8 @@
 }
 
 // startServer starts PROGRAM serve with a configuration, and does not wait until it is ready.
-func startServer(program []string, environment []string, directory string, index int, l launch, operator string) (*server, error) {
+func startServer(program []string, environment []string, directory string, index int, l launch,
+	operator string) (*server, error) {
 	s := &server{index: index, ended: make(chan struct{}), config: filepath.Join(directory, l.Name+".json"),
 		logPath: filepath.Join(directory, l.Name+".log")}
 	if err := s.write(l); err != nil {
--- a/internal/scale/small_test.go
+++ b/internal/scale/small_test.go
@@ -14,7 +14,8 @@
 // The small run: counts, bytes and laws, none on how fast the machine is.
 func TestLawsOfASmallFleet(t *testing.T) {
 	t.Parallel()
-	o := SlopeOptions{Sizes: fleet.Default(), Counts: []int{8, 16, 32, 64}, FitUpTo: 32, Real: 2, Rest: 2 * time.Second, Restarts: 8, PerSecond: 8,
+	o := SlopeOptions{Sizes: fleet.Default(), Counts: []int{8, 16, 32, 64}, FitUpTo: 32, Real: 2, Rest: 2 * time.Second,
+		Restarts: 8, PerSecond: 8,
 		Lists: []Lists{WholeList}}
 	series, err := Slopes(context.Background(), o, programs(), func(string) {})
 	if err != nil {
--- a/internal/scale/totals.go
+++ b/internal/scale/totals.go
@@ -111,7 +111,8 @@
 	if s == nil {
 		return Term{Name: name, Mechanism: Missing, Origin: Measured, At: func(float64) float64 { return 0 }}
 	}
-	return Term{Name: name, Mechanism: mechanism, Origin: origin, Series: s, At: func(n float64) float64 { return factor(n) * value(s, n) }}
+	return Term{Name: name, Mechanism: mechanism, Origin: origin, Series: s,
+		At: func(n float64) float64 { return factor(n) * value(s, n) }}
 }
 
 func once(float64) float64 { return 1 }
@@ -150,7 +151,8 @@
 			origin = Measured
 		}
 	}
-	return Term{Name: name, Mechanism: mechanism, Origin: origin, Series: s, At: func(float64) float64 { return times * value(s, calls) }}
+	return Term{Name: name, Mechanism: mechanism, Origin: origin, Series: s,
+		At: func(float64) float64 { return times * value(s, calls) }}
 }
 
 const (
@@ -168,14 +170,16 @@
 	control := c.controlSetting()
 	traffic := Total{Role: role, Of: "bytes a second, both ways", Unit: "bytes/s", Budget: budget.ProxyTraffic, Terms: []Term{
 		term("list watch, heartbeats", listMechanism, Measured, c.proxies(roleProxy, listRest, service), once),
-		term("list watch, backends that restart, one whole list of the fleet", listMechanism, WorkedOut, c.proxies(roleProxy, listRestarts, whole), c.restartsASecond),
+		term("list watch, backends that restart, one whole list of the fleet", listMechanism, WorkedOut,
+			c.proxies(roleProxy, listRestarts, whole), c.restartsASecond),
 		byCalls("siblings' messages, with IP and UDP headers", siblingMechanism, c.calls(siblingBytes), calls, 2),
 		term("configuration watch, heartbeats in", configMechanism, Measured, c.proxies(roleProxy, configRestIn, control), once),
 		term("configuration watch, out", configMechanism, Measured, c.proxies(roleProxy, configRestOut, control), once),
 		term("changes of configuration, in", configMechanism, WorkedOut, c.proxies(roleProxy, configIn, control), c.changesASecond),
 		term("changes of configuration, out", configMechanism, WorkedOut, c.proxies(roleProxy, configOut, control), c.changesASecond),
 	}}
-	rest := term("at rest, list and configuration watch", processMechanism, Measured, c.proxies(roleProxy, restCPUWatch, control), once)
+	rest := term("at rest, list and configuration watch", processMechanism, Measured,
+		c.proxies(roleProxy, restCPUWatch, control), once)
 	if rest.Series == nil {
 		rest = term("at rest, list watch", processMechanism, Measured, c.proxies(roleProxy, restCPU, service), once)
 	}
@@ -186,7 +190,8 @@
 		term("changes of configuration", configMechanism, WorkedOut, c.proxies(roleProxy, configCPU, control), c.changesASecond),
 	}}
 	watchMemory := Term{Name: "configuration watch, and what it holds", Mechanism: Missing, At: func(float64) float64 { return 0 }}
-	if with, without := c.proxies(roleProxy, memoryWatch, control), c.proxies(roleProxy, memoryBytes, service); with != nil && without != nil {
+	with, without := c.proxies(roleProxy, memoryWatch, control), c.proxies(roleProxy, memoryBytes, service)
+	if with != nil && without != nil {
 		watchMemory = Term{Name: watchMemory.Name, Origin: WorkedOut, Mechanism: configMechanism, Series: with,
 			At: func(n float64) float64 { return max(0, value(with, n)-value(without, n)) }}
 	}
@@ -204,7 +209,8 @@
 	for _, one := range c.ofProxy(role, c.ownCalls()) {
 		all = append(all, Total{Role: role, Of: one.Of, Unit: one.Unit, Budget: one.Budget, Terms: []Term{{
 			Name: fmt.Sprintf("%.0f processes, one for each service that is called", processes), Origin: WorkedOut,
-			Mechanism: Missing + ": one process for several lists", At: func(n float64) float64 { return perMachine(one, processes, n) }}}})
+			Mechanism: Missing + ": one process for several lists",
+			At:        func(n float64) float64 { return perMachine(one, processes, n) }}}})
 	}
 	return all
 }
@@ -258,7 +264,8 @@
 		{Role: role, Of: "processor time", Unit: "part of a core", Terms: []Term{
 			term("at rest", mechanism, Measured, at("processor time at rest, all agents, part of a core"), each),
 		}},
-		{Role: role, Of: "memory", Unit: "bytes", Terms: []Term{term("all agents' process, in equal parts", mechanism, Measured, at("memory, all agents, bytes"), each)}},
+		{Role: role, Of: "memory", Unit: "bytes", Terms: []Term{term("all agents' process, in equal parts", mechanism, Measured,
+			at("memory, all agents, bytes"), each)}},
 	}
 }
 
