--- a/internal/controlserver/reports.go
+++ b/internal/controlserver/reports.go
@@ -35,17 +35,28 @@
 }
 
 // opened notes a new watch.
-func (s *Server) opened(hello revision.Hello) {
+func (s *Server) opened(session *control.Session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.view.Opened(time.Now(), s.config.Name, hello)
-	s.dirty[hello.Identity.Proxy] = true
+	s.open[session.Identity().Proxy] = session
+	s.noteOpen(session)
 }
 
-// closed notes the end of a watch.
-func (s *Server) closed(proxy string) {
+// noteOpen has the view show that a watch is open here.
+func (s *Server) noteOpen(session *control.Session) {
+	s.view.Opened(time.Now(), s.config.Name, session.Hello())
+	s.dirty[session.Identity().Proxy] = true
+}
+
+// closed notes the end of a watch, unless the proxy has opened another one here since.
+func (s *Server) closed(session *control.Session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	proxy := session.Identity().Proxy
+	if s.open[proxy] != session {
+		return
+	}
+	delete(s.open, proxy)
 	s.view.Closed(time.Now(), s.config.Name, proxy)
 	s.dirty[proxy] = true
 }
@@ -228,6 +239,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, status := range s.view.Merge(statuses) {
+		if session := s.open[status.Identity.Proxy]; session != nil && !status.Connected {
+			s.noteOpen(session) // it has ended there only: the other replica had a late word of it
+		}
 		for _, report := range reportsOf(status) {
 			s.guard.Reported(s.now(), status.Identity.Proxy, report)
 		}
--- a/internal/controlserver/server.go
+++ b/internal/controlserver/server.go
@@ -64,6 +64,7 @@
 	outcomes map[string]chan control.Outcome // of commands that were proposed here, by ID
 	reads    map[string]chan struct{}        // of linearizable reads, by context
 	dirty    map[string]bool                 // proxies whose status the leader has yet to learn
+	open     map[string]*control.Session     // the newest watch here of each proxy
 	watches  int
 	leading  bool      // as of the last look
 	led      time.Time // when a leader was last known
@@ -101,6 +102,7 @@
 		started: time.Now(), led: time.Now(), view: control.NewFleetView(), guard: control.NewGuard(control.GuardConfig{}),
 		pacer: control.NewPacer(WholeBytesRate, WholeBytesBurst), changed: make(chan struct{}),
 		outcomes: map[string]chan control.Outcome{}, reads: map[string]chan struct{}{}, dirty: map[string]bool{},
+		open: map[string]*control.Session{},
 		wake: make(chan struct{}, 1), failed: make(chan error, 1), stop: make(chan struct{})}
 	var ids []uint64
 	for _, peer := range config.Replicas {
--- a/internal/controlserver/watch.go
+++ b/internal/controlserver/watch.go
@@ -54,8 +54,8 @@
 		return
 	}
 	answer.SetReadDeadline(time.Time{})
-	s.opened(hello)
-	defer s.closed(hello.Identity.Proxy)
+	s.opened(session)
+	defer s.closed(session)
 	watch := &watch{server: s, session: session, out: w, answer: answer, reported: make(chan struct{}, 1), gone: make(chan struct{})}
 	var reading sync.WaitGroup
 	defer reading.Wait()
