--- a/internal/control/cut_test.go
+++ b/internal/control/cut_test.go
@@ -56,10 +56,17 @@
 			s.cutOff(region, true)
 			s.pass(cutLasts, changeEvery)
 			during := s.accepted - before
+			if s.violation != nil {
+				t.Fatal(s.violation)
+			}
 			far := s.replicas[region[0]-1].node.State().Newest()
 			if during < 10 || far > before+revision.Number(1) {
 				t.Errorf("%d revisions accepted during the cut, the region cut off went from %d to %d", during, before, far)
 			}
+			if s.checkReplicas(); s.violation == nil {
+				t.Error("the replicas are equal during the cut: the test shows nothing")
+			}
+			s.violation = nil
 			s.cutOff(region, false)
 			s.pass(upToDateAfter, 0)
 			if s.violation == nil {
