Control status: a proxy that moves to another replica keeps since when its revision holds

Cause: tried as a new user, a proxy that went back to its preferred replica was shown with the time of the move, since that replica knows nothing from before. Change: merging keeps the earlier time while the revision is the same.

--- a/internal/control/fleetview.go
+++ b/internal/control/fleetview.go
@@ -117,6 +117,9 @@
 		if exists && !supersedes(status, known) {
 			continue
 		}
+		if known.InForce == status.InForce && !known.Since.IsZero() && known.Since.Before(status.Since) {
+			status.Since = known.Since // a replica that a proxy has just come to does not know since when
+		}
 		v.proxies[status.Identity.Proxy] = status
 		news = append(news, status)
 	}
--- a/internal/control/fleetview_test.go
+++ b/internal/control/fleetview_test.go
@@ -188,3 +188,21 @@
 		t.Errorf("after the replica is back: %+v", status)
 	}
 }
+
+func TestAProxyThatMovesKeepsSinceWhenItsRevisionIsInForce(t *testing.T) {
+	hello := holding("p1", 4, numbers{})
+	leader, next := NewFleetView(), NewFleetView()
+	leader.Opened(at(1), "r1", hello)
+	next.Opened(at(9), "r2", hello)
+	leader.Merge(next.All())
+	status, _ := leader.Proxy("p1")
+	if status.Replica != "r2" || !status.Since.Equal(at(1)) {
+		t.Errorf("%+v", status)
+	}
+	newer := holding("p1", 5, numbers{})
+	next.Opened(at(12), "r2", newer)
+	leader.Merge(next.All())
+	if status, _ := leader.Proxy("p1"); !status.Since.Equal(at(12)) {
+		t.Errorf("a newer revision counts as in force since %v", status.Since)
+	}
+}
