--- a/review/standin/leaving.go
+++ b/review/standin/leaving.go
@@ -51,6 +51,7 @@
 				return
 			}
 			id := fmt.Sprintf("r%05d", n)
+			s.record.add("client %s: sends a stock-check", id)
 			report(s, id, exchange(p.address, "GET", "stock-check", id, 6, ""), &sent, &lost)
 		}()
 		time.Sleep(ordinaryPeriod)
@@ -82,6 +83,7 @@
 		return
 	}
 	defer conn.Close()
+	s.record.add("client %s: sends a stock-check", id)
 	io.WriteString(conn, requestHead("GET", "stock-check", id, 6, 0))
 	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
--- a/review/standin/readers.go
+++ b/review/standin/readers.go
@@ -115,6 +115,7 @@
 	if slowly {
 		conn.(*net.TCPConn).SetReadBuffer(socketBuffer)
 	}
+	s.record.add("client %s: sends a template-fetch", id)
 	io.WriteString(conn, requestHead("GET", "template-fetch", id, fetchSeconds, 0))
 	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil || answer.StatusCode != http.StatusOK {
--- a/review/standin/uploads.go
+++ b/review/standin/uploads.go
@@ -86,6 +86,7 @@
 	defer conn.Close()
 	report(s, id+"-first", exchangeOn(conn, "GET", "stock-check", id+"-first", 6, ""), sent, lost)
 	<-start
+	s.record.add("client %s: sends a %s", id, verb)
 	if verb == "stock-check" {
 		report(s, id, exchangeOn(conn, "GET", verb, id, 6, ""), sent, lost)
 		return
