--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -17,6 +17,7 @@
 	written time.Time // when the last byte of the request was written, zero if it could not be
 	status  int       // 0 without a whole answer
 	body    string
+	closes  bool // the answer ends its connection
 	err     error
 }
 
@@ -58,7 +59,7 @@
 	}
 	text, err := io.ReadAll(answer.Body)
 	if o.err = err; err == nil {
-		o.status, o.body = answer.StatusCode, strings.TrimSpace(string(text))
+		o.status, o.body, o.closes = answer.StatusCode, strings.TrimSpace(string(text)), answer.Close
 	}
 	return o
 }
