proxy: a streamed answer is read to its end after its client has gone

Cause: a command's client could be gone while a relay still streamed to it, and nothing said so but a nil pointer that each handler had to look at. The client's OnDisconnect cleared command.client and left command.answerConn. Where relays may be cancelled the Balancer's Cancel closed the backend's connection in the same call, which hid it. Three handlers were wrong: finishStream used the client (the panic), streamAnswer broke off the relay, which the settings forbid, and reported NotSent for one that had run, and a relay whose reading was paused for that client was never resumed: its backend was blamed with a reset 10 s later.

Evidence: the panic is at address 0x100, the offset of clientConn.answerChunked, in finishStream under OnDisconnect, in the turn in which the stand-in ended the first answer whose client had left. Of all places that clear command.client only OnDisconnect left answerConn.

Change: whether an answer is buffered, forwarded or discarded is a state of the backend's connection. command.end is the one place where a command loses its client; an answer that is forwarded to it is discarded from there on, as other relays that may not be cancelled go on: to its end, after which the connection is reused, or to the command's deadline. A handler that writes to the client runs only while the answer is forwarded, which implies that the client is there.

Tests in departure_test.go.

--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -83,6 +83,7 @@
 	lackedDescriptor bool    // the system had no descriptor at the first attempt
 	answerBegan      float64 // when the incomplete answer began, 0 if none
 	lastProgress     float64 // when the latest part of it was received
+	answer           answerState
 	readPaused       bool    // not read until the client has taken what is buffered
 	idleSince        float64 // when it became idle
 	timer            *loop.Timer
@@ -100,7 +101,17 @@
 	openRelays int
 	done       bool
 	streamed   bool         // the request or an answer is being streamed, so no other backend can take the command
-	answerConn *backendConn // streams the answer
+	answerConn *backendConn // forwards the answer to client, nil if none does
+}
+
+// end marks the command as ended for its client, which has its final answer or is gone. An answer that is still being
+// forwarded is not needed any more. Relays that may not be cancelled stay open.
+func (cmd *command) end() {
+	cmd.done, cmd.client = true, nil
+	if bc := cmd.answerConn; bc != nil {
+		cmd.answerConn = nil
+		bc.discardAnswer()
+	}
 }
 
 // relay is one attempt to run a command on a backend.
@@ -328,8 +339,8 @@
 		bc.close() // unsolicited data
 		return
 	}
-	if bc.relay.cmd.answerConn == bc {
-		bc.streamAnswer()
+	if bc.answer != answerBuffered {
+		bc.readAnswer()
 		return
 	}
 	complete, err := bc.msg.ParseResponse(bc.conn.Unconsumed(), false)
@@ -382,7 +393,7 @@
 		bc.close()
 	case !bc.connected:
 		bc.closeAndReport(balance.ConnectFailed)
-	case bc.relay.cmd.answerConn == bc:
+	case bc.answer != answerBuffered:
 		if bc.msg.BodyLength() < 0 && !bc.msg.Chunked() && err == io.EOF {
 			bc.finishStream(false)
 		} else {
@@ -490,7 +501,7 @@
 // ended it.
 func (p *Proxy) timeOutCommand(cmd *command) {
 	for _, r := range cmd.relays {
-		if !r.ended {
+		if !r.ended && r.conn.answer == answerBuffered {
 			r.conn.closeAndReport(balance.TimedOut)
 		}
 	}
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -190,7 +190,7 @@
 	if cmd != nil {
 		c.cmd, c.bodyConn = nil, nil
 		c.p.clients.awaitingAnswer--
-		cmd.client, cmd.done = nil, true
+		cmd.end()
 		c.p.departedCount++
 	}
 	c.close()
@@ -507,7 +507,7 @@
 		p.abortAnswer(cmd)
 		return
 	}
-	cmd.done, cmd.client = true, nil
+	cmd.end()
 	p.snapshot.countEnded(source != nil)
 	keep := c.msg.KeepAlive && !p.closesAfterAnswer() && !c.bodyStreaming
 	var body []byte
--- /dev/null
+++ b/internal/proxy/departure_test.go
@@ -0,0 +1,191 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// noCancelSettings are the settings of a deployment in which relays may not be cancelled.
+var noCancelSettings = strings.Replace(settingsText, `"cancel": true`, `"cancel": false`, 1)
+
+// runWithSettings runs a proxy with these settings and backends.
+func runWithSettings(t *testing.T, settings string, backends ...*fakeBackend) *testProxy {
+	t.Helper()
+	var endpoints []jsonObject
+	for i, b := range backends {
+		endpoints = append(endpoints, readyEndpoint(fmt.Sprintf("s-%d", i+1), b))
+	}
+	p, err := New(testConfig(endpointList(1, true, endpoints...), nil, settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return runProxy(t, p)
+}
+
+// watchedConn is a backend's connection that remembers whether a write failed.
+type watchedConn struct {
+	net.Conn
+	failed *atomic.Bool
+}
+
+func (c watchedConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	if err != nil {
+		c.failed.Store(true)
+	}
+	return n, err
+}
+
+// wantNothingOpen waits until no command is open, and fails if that takes too long.
+func (r *testProxy) wantNothingOpen(t *testing.T) {
+	t.Helper()
+	r.await(t, "no command is open", func() bool { return len(r.commands) == 0 })
+}
+
+// wantAnswerForOthers fails unless another client's request, with another sid, is answered.
+func (r *testProxy) wantAnswerForOthers(t *testing.T) {
+	t.Helper()
+	request := strings.Replace(requestText("look"), "sid=1", "sid=2", 1)
+	if status, body, _ := r.dial(t).roundTrip(request); status != 200 {
+		t.Errorf("another client got %d %s", status, body)
+	}
+}
+
+// Guards against a crash: where relays may not be cancelled, the proxy panicked when the backend ended an answer without a length
+// by closing, with no data since its client had gone.
+func TestBackendEndsAnswerAfterClientLeaves(t *testing.T) {
+	for _, end := range []string{"close", "reset"} {
+		t.Run(end, func(t *testing.T) {
+			t.Parallel()
+			left := make(chan bool)
+			b := newFakeBackend(t, func(b *fakeBackend, c net.Conn, r *http.Request) {
+				if r.URL.Query().Get("sid") != "1" {
+					echo(b, c, r)
+					return
+				}
+				c.Write(append([]byte("HTTP/1.1 200 OK\r\n\r\n"), numberedBody(100<<10)...))
+				<-left
+				if end == "reset" {
+					resetConn(b, c, r)
+				}
+				c.Close()
+			})
+			p := runWithSettings(t, noCancelSettings, b)
+			c := p.dial(t)
+			io.WriteString(c, requestText("look"))
+			io.CopyN(io.Discard, c.in, 100<<10)
+			c.Close()
+			p.await(t, "the client has gone", func() bool { return p.departedCount == 1 })
+			close(left)
+			p.wantNothingOpen(t)
+			p.wantAnswerForOthers(t)
+		})
+	}
+}
+
+// Guards against breaking off the relay of a client that has gone where relays may not be cancelled, and against blaming its
+// backend 10 s later if the proxy had paused reading for that client.
+func TestClientLeavesDuringStreamedAnswer(t *testing.T) {
+	for _, framing := range []string{"length", "chunks", "close"} {
+		for _, clientReads := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, client reads: %t", framing, clientReads), func(t *testing.T) {
+				t.Parallel()
+				const size, piece, piecesBefore = 32 << 20, 64 << 10, 16
+				left, ended := make(chan bool), make(chan bool, 1)
+				var failed atomic.Bool
+				b := newFakeBackend(t, func(b *fakeBackend, c net.Conn, r *http.Request) {
+					if r.URL.Query().Get("sid") != "1" {
+						echo(b, c, r)
+						return
+					}
+					respondFramed(framing, numberedBody(size), piece, func(sent int) bool {
+						if clientReads && sent == piecesBefore*piece {
+							<-left
+						}
+						return !failed.Load()
+					})(b, watchedConn{c, &failed}, r)
+					ended <- true
+				})
+				p := runWithSettings(t, noCancelSettings, b)
+				c := p.dial(t)
+				io.WriteString(c, requestText("look"))
+				if clientReads {
+					io.CopyN(io.Discard, c.in, piecesBefore*piece)
+				} else {
+					p.await(t, "the proxy pauses reading", func() bool {
+						for bc := range p.backends.conns {
+							return bc.readPaused
+						}
+						return false
+					})
+				}
+				c.Close()
+				p.await(t, "the client has gone", func() bool { return p.departedCount == 1 })
+				close(left)
+				select {
+				case <-ended:
+				case <-time.After(2 * time.Second):
+					t.Fatal("the rest of the answer is not read")
+				}
+				if failed.Load() {
+					t.Error("the relay was broken off")
+				}
+				p.wantNothingOpen(t)
+				p.onLoop(func() {
+					if kept := len(p.backends.conns) == 1; kept != (framing != "close") {
+						t.Errorf("%d backend connections are open", len(p.backends.conns))
+					}
+					if p.loop.BufferedBytes() != 0 {
+						t.Errorf("%d bytes are buffered", p.loop.BufferedBytes())
+					}
+				})
+				p.wantAnswerForOthers(t)
+			})
+		}
+	}
+}
+
+// Guards against reading without end for a client that has gone: an answer that does not end is read until the command's
+// deadline.
+func TestEndlessAnswerIsReadUntilDeadlineAfterClientLeaves(t *testing.T) {
+	const deadline = time.Second
+	for name, leaveAfter := range map[string]time.Duration{
+		"the client leaves before its deadline": deadline / 4,
+		"the client leaves after its deadline":  deadline * 3 / 2,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			brokenOff := make(chan time.Time, 1)
+			b := newFakeBackend(t, func(_ *fakeBackend, c net.Conn, _ *http.Request) {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+				for part := numberedBody(32 << 10); ; time.Sleep(10 * time.Millisecond) {
+					if _, err := c.Write(part); err != nil {
+						brokenOff <- time.Now()
+						return
+					}
+				}
+			})
+			p := runWithSettings(t, noCancelSettings, b)
+			c, began := p.dial(t), time.Now()
+			io.WriteString(c, strings.Replace(requestText("look"), "Req-Deadline: 2.5", "Req-Deadline: 1", 1))
+			go io.Copy(io.Discard, c.in)
+			time.Sleep(leaveAfter)
+			c.Close()
+			select {
+			case at := <-brokenOff:
+				if passed := at.Sub(began); passed < deadline || passed > max(deadline, leaveAfter)+time.Second/2 {
+					t.Errorf("broken off after %v", passed)
+				}
+			case <-time.After(3 * time.Second):
+				t.Error("still read 3 s after the client has gone")
+			}
+			p.wantNothingOpen(t)
+		})
+	}
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -1,6 +1,6 @@
 // This file streams bodies that are too large or too slow to buffer: answers to clients and commands to backends. A stream
 // buffers at most the high watermark and the data of one read. An answer is started only once, and one that breaks off must
-// not look complete to the client.
+// not look complete to the client. An answer whose client is gone is read to its end where the relay may not be cancelled.
 
 package proxy
 
@@ -56,6 +56,15 @@
 		now > min(bc.answerBegan+streamAfterSeconds, bc.relay.cmd.deadline-streamBeforeLimitSeconds)
 }
 
+// answerState is what happens to the answer that arrives on a connection.
+type answerState int
+
+const (
+	answerBuffered  answerState = iota // it stays in the read buffer until it is complete
+	answerForwarded                    // what arrives is written to the client; the command has its client until then
+	answerDiscarded                    // what arrives is dropped: no client waits for it
+)
+
 // startStreaming begins to stream the answer. From here on no other relay can answer the command.
 func (bc *backendConn) startStreaming() {
 	p, r, now := bc.p, bc.relay, bc.p.loop.Now()
@@ -64,12 +73,16 @@
 		bc.handleAnswer(false) // the status alone decides the outcome
 		return
 	}
+	r.answerStartDelay = now - r.sentAt
 	if cmd.done || c == nil || cmd.answerConn != nil { // another relay has answered, and this one may not be cancelled
-		bc.closeAndReport(balance.NotSent)
+		bc.conn.Consume(bc.msg.Size())
+		bc.conn.UseLargeBuffer()
+		bc.discardAnswer()
+		bc.readAnswer()
 		return
 	}
 	in := bc.conn.Unconsumed()
-	cmd.answerConn, cmd.streamed, r.answerStartDelay = bc, true, now-r.sentAt
+	bc.answer, cmd.answerConn, cmd.streamed = answerForwarded, bc, true
 	cmd.timer.Stop()
 	if bc.msg.BodyLength() < 0 {
 		cmd.timer = p.loop.After(cmd.deadline+endlessCutoffSeconds-now, func() { bc.abortEndless(cmd) })
@@ -89,16 +102,11 @@
 	bc.lastProgress = now
 	bc.timer = p.loop.After(streamStallSeconds, bc.checkStreamStall)
 	p.balancer.StreamStarted(now, cmd.id, r.index)
-	bc.streamAnswer()
+	bc.readAnswer()
 }
 
-// streamAnswer writes the data that has arrived from the backend to the client.
-func (bc *backendConn) streamAnswer() {
-	c := bc.relay.cmd.client
-	if c == nil { // the client has disconnected, and the relay may not be cancelled
-		bc.closeAndReport(balance.NotSent)
-		return
-	}
+// readAnswer reads the part of a streamed answer that has arrived.
+func (bc *backendConn) readAnswer() {
 	bc.lastProgress = bc.p.loop.Now()
 	for {
 		in := bc.conn.Unconsumed()
@@ -108,11 +116,8 @@
 			bc.abortStream(balance.Reset)
 			return
 		}
-		if len(data) > 0 && c.answerChunked {
-			bc.p.scratch = appendBodyPart(bc.p.scratch[:0], true, data)
-			c.conn.Write(bc.p.scratch)
-		} else if len(data) > 0 {
-			c.conn.Write(data)
+		if bc.answer == answerForwarded && len(data) > 0 {
+			bc.relay.cmd.client.writeAnswerPart(data)
 		}
 		if bc.conn.Consume(used); done {
 			bc.finishStream(bc.msg.KeepAlive)
@@ -122,12 +127,31 @@
 			break
 		}
 	}
-	if c.conn.UnsentBytes() > bc.p.highWatermark() {
+	if bc.answer == answerForwarded && bc.relay.cmd.client.conn.UnsentBytes() > bc.p.highWatermark() {
 		bc.conn.PauseWithEOF()
 		bc.readPaused = true
 	}
 }
 
+// writeAnswerPart writes a part of a streamed answer's body.
+func (c *clientConn) writeAnswerPart(data []byte) {
+	if !c.answerChunked {
+		c.conn.Write(data)
+		return
+	}
+	c.p.scratch = appendBodyPart(c.p.scratch[:0], true, data)
+	c.conn.Write(c.p.scratch)
+}
+
+// discardAnswer drops what has yet to arrive of an answer that no client waits for, until the command's deadline. The
+// connection can carry other relays after it.
+func (bc *backendConn) discardAnswer() {
+	bc.answer = answerDiscarded
+	bc.timer.Stop()
+	bc.timer = bc.p.loop.After(bc.relay.cmd.deadline-bc.p.loop.Now(), func() { bc.closeAndReport(balance.Cancelled) })
+	bc.resumeAnswer()
+}
+
 // resumeAnswer resumes reading from the backend once the client has taken the pending data.
 func (bc *backendConn) resumeAnswer() {
 	if bc.readPaused {
@@ -140,8 +164,8 @@
 func (bc *backendConn) checkStreamStall() {
 	now, r := bc.p.loop.Now(), bc.relay
 	since, maxSeconds := bc.lastProgress, streamStallSeconds
-	if c := r.cmd.client; bc.readPaused && c != nil {
-		since, maxSeconds = max(bc.lastProgress, c.conn.LastSentAt()), writeStallSeconds
+	if bc.readPaused {
+		since, maxSeconds = max(bc.lastProgress, r.cmd.client.conn.LastSentAt()), writeStallSeconds
 	}
 	if left := since + maxSeconds - now; left > 0 {
 		bc.timer = bc.p.loop.After(left, bc.checkStreamStall)
@@ -151,24 +175,32 @@
 	bc.abortStream(balance.Reset)
 }
 
-// finishStream completes a streamed answer.
+// finishStream handles the end of a streamed answer.
 func (bc *backendConn) finishStream(keep bool) {
-	p, r := bc.p, bc.relay
-	cmd, c := r.cmd, r.cmd.client
-	bc.timer.Stop()
-	if c.answerChunked {
-		c.conn.Write([]byte("0\r\n\r\n"))
+	r := bc.relay
+	if bc.answer == answerForwarded {
+		r.cmd.completeForwarded()
 	}
-	p.answeredCount++
-	p.snapshot.countEnded(true)
-	cmd.done, cmd.client, cmd.answerConn = true, nil, nil
-	c.finishAnswer(c.keepAlive)
+	bc.timer.Stop()
 	r.conn = nil
 	bc.msg.Reset()
-	bc.answerBegan = 0
+	bc.answer, bc.answerBegan = answerBuffered, 0
 	bc.conn.ReleaseLargeBuffer()
 	bc.release(keep)
-	p.reportOutcome(r, balance.Answered)
+	bc.p.reportOutcome(r, balance.Answered)
+}
+
+// completeForwarded ends a command whose streamed answer is complete.
+func (cmd *command) completeForwarded() {
+	c := cmd.client
+	if c.answerChunked {
+		c.conn.Write([]byte("0\r\n\r\n"))
+	}
+	c.p.answeredCount++
+	c.p.snapshot.countEnded(true)
+	cmd.answerConn = nil
+	cmd.end()
+	c.finishAnswer(c.keepAlive)
 }
 
 // abortEndless aborts a streamed answer soon after its command's time limit if it is not long by then. A trickle would never
@@ -181,19 +213,18 @@
 	}
 }
 
-// abortStream ends a streamed answer that can't be completed, in a way that the client can detect.
+// abortStream ends a streamed answer that can't be completed, in a way that its client can detect.
 func (bc *backendConn) abortStream(result balance.Result) {
-	bc.p.abortAnswer(bc.relay.cmd)
+	if bc.answer == answerForwarded {
+		bc.p.abortAnswer(bc.relay.cmd)
+	}
 	bc.closeAndReport(result)
 }
 
 // abortAnswer closes the connection of a client whose answer has begun and can't be completed.
 func (p *Proxy) abortAnswer(cmd *command) {
 	c := cmd.client
-	cmd.done, cmd.client, cmd.answerConn = true, nil, nil
-	if c == nil {
-		return
-	}
+	cmd.end()
 	p.brokenOffCount++
 	c.cmd = nil
 	p.clients.awaitingAnswer--
@@ -299,7 +330,7 @@
 	if cmd.answerConn != nil {
 		p.abortAnswer(cmd)
 	} else {
-		cmd.client, cmd.done = nil, true
+		cmd.end()
 		c.rejectInvalid(status, text)
 	}
 	p.balancer.ClientDisconnected(p.loop.Now(), cmd.id)
