Test: an answer that the Balancer gives up in its middle, where relays may not be cancelled

With limits.response_room set the Balancer gives up the oldest command past its goal. abortAnswer then cleared command.answerConn, and the next bytes of the answer were parsed as the start of a new one.

--- a/internal/proxy/departure_test.go
+++ b/internal/proxy/departure_test.go
@@ -189,3 +189,42 @@
 		})
 	}
 }
+
+// Guards against a crash: where relays may not be cancelled and the Balancer gave up a command whose answer was being streamed,
+// the rest of that answer was parsed as the start of a new one.
+func TestStreamedAnswerIsGivenUp(t *testing.T) {
+	settings := strings.NewReplacer(`"max_relays": 3`, `"max_relays": 3, "response_room": 1`,
+		`"response_goal_ms": 2500`, `"response_goal_ms": 300`).Replace(noCancelSettings)
+	for _, framing := range []string{"length", "chunks", "close"} {
+		t.Run(framing, func(t *testing.T) {
+			t.Parallel()
+			givenUp := make(chan bool)
+			var failed atomic.Bool
+			b := newFakeBackend(t, func(b *fakeBackend, c net.Conn, r *http.Request) {
+				if r.URL.Query().Get("sid") != "1" {
+					echo(b, c, r)
+					return
+				}
+				respondFramed(framing, numberedBody(1<<20), 64<<10, func(sent int) bool {
+					if sent == 128<<10 {
+						<-givenUp
+					}
+					return true
+				})(b, watchedConn{c, &failed}, r)
+			})
+			p := runWithSettings(t, settings, b)
+			for range 2 { // the second one past its goal is one too many, so the first is given up
+				c := p.dial(t)
+				io.WriteString(c, requestText("look"))
+				go io.Copy(io.Discard, c.in)
+			}
+			p.await(t, "one answer is broken off", func() bool { return p.brokenOffCount == 1 })
+			close(givenUp)
+			p.wantNothingOpen(t)
+			if failed.Load() {
+				t.Error("a relay was broken off")
+			}
+			p.wantAnswerForOthers(t)
+		})
+	}
+}
