proxy: a relay that hangs beside a streamed answer ends at its time limit

What callers saw: nothing at once. Where relays may not be cancelled, a relay that hung while its hedge's answer was streamed kept its command, its Req-Id and a connection to the backend for good; the old process of an upgrade never left over it.

Cause: startStreaming stopped the command's timer, which is the time limit of all its relays, since the answer itself may take longer.

Change: the timer goes on. timeOutCommand passes over the relay whose answer is being streamed, and doesn't terminate its command; the cut of an endless answer has a timer of its own.

--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -498,14 +498,14 @@
 }
 
 // timeOutCommand ends the command's open relays at its time limit, and terminates the command if the Balancer has not
-// ended it.
+// ended it. An answer that is being streamed may take longer.
 func (p *Proxy) timeOutCommand(cmd *command) {
 	for _, r := range cmd.relays {
 		if !r.ended && r.conn.answer == answerBuffered {
 			r.conn.closeAndReport(balance.TimedOut)
 		}
 	}
-	if !cmd.done {
+	if !cmd.done && cmd.answerConn == nil {
 		log.Printf("msg=unanswered_at_limit command=%d relays=%d out=%d", cmd.id, len(cmd.relays), cmd.openRelays)
 		p.terminate(cmd)
 	}
--- a/internal/proxy/departure_test.go
+++ b/internal/proxy/departure_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -228,3 +229,31 @@
 		})
 	}
 }
+
+// Guards against a relay that never ends: where relays may not be cancelled, the command's time limit was taken from a relay
+// that hung while the hedge's answer was being streamed, and its connection was kept for good.
+func TestHungRelayEndsAtDeadlineAfterHedgeIsStreamed(t *testing.T) {
+	t.Parallel()
+	var hung sync.Map // Req-Id of each request that hangs at its first backend
+	handle := func(b *fakeBackend, c net.Conn, r *http.Request) {
+		if r.URL.Query().Get("sid") != "1" {
+			echo(b, c, r)
+		} else if _, isHedge := hung.LoadOrStore(r.Header.Get("Req-Id"), true); !isHedge {
+			hang(b, c, r)
+		} else {
+			respondFramed("length", numberedBody(1<<20), 64<<10, nil)(b, c, r)
+		}
+	}
+	p := runWithSettings(t, noCancelSettings, newFakeBackend(t, handle), newFakeBackend(t, handle))
+	status := 0
+	for try := 0; status != 200; try++ { // until the budget allows a hedge
+		if try == 10 {
+			t.Fatal("no hedge was sent")
+		}
+		for range 40 {
+			p.wantAnswerForOthers(t)
+		}
+		status, _, _ = p.dial(t).roundTrip(strings.Replace(requestText("look"), "Req-Deadline: 2.5", "Req-Deadline: 0.5", 1))
+	}
+	p.wantNothingOpen(t)
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -83,9 +83,8 @@
 	}
 	in := bc.conn.Unconsumed()
 	bc.answer, cmd.answerConn, cmd.streamed = answerForwarded, bc, true
-	cmd.timer.Stop()
 	if bc.msg.BodyLength() < 0 {
-		cmd.timer = p.loop.After(cmd.deadline+endlessCutoffSeconds-now, func() { bc.abortEndless(cmd) })
+		p.loop.After(cmd.deadline+endlessCutoffSeconds-now, func() { bc.abortEndless(cmd) })
 	}
 	bc.timer.Stop()
 	c.keepAlive = c.msg.KeepAlive && !p.closesAfterAnswer() && !c.bodyStreaming && (bc.msg.BodyLength() >= 0 || !c.msg.IsHTTP10())
