proxy: no connection is reused while the body of its request is incomplete

What callers saw, in any deployment: a backend that answered with more than 64 KiB before it had read the body of its request, on a connection that it kept, got the next request of that connection as the rest of that body. That request got 502, or whatever came of its bytes.

Cause: finishStream ends the client's part first (finishAnswer forgets where its body goes), then releases the connection, and didn't look whether the body was complete. handleAnswer, for short answers, does.

Change: finishStream closes such a connection.

--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -328,8 +328,8 @@
 
 // OnFlushed continues the streaming of a request body.
 func (bc *backendConn) OnFlushed(*loop.Conn) {
-	if r := bc.relay; r != nil && r.cmd.client != nil && r.cmd.client.bodyConn == bc {
-		r.cmd.client.resumeBody()
+	if bc.relay != nil && bc.sendsBody() {
+		bc.relay.cmd.client.resumeBody()
 	}
 }
 
@@ -411,12 +411,18 @@
 // disconnectResult returns the relay's result after the connection broke. Before its last byte was written the
 // command can't have run.
 func (bc *backendConn) disconnectResult() balance.Result {
-	if c := bc.relay.cmd.client; bc.conn.HasUnsent() || c != nil && c.bodyConn == bc {
+	if bc.conn.HasUnsent() || bc.sendsBody() {
 		return balance.ConnectFailed
 	}
 	return balance.Reset
 }
 
+// sendsBody reports whether the body of the relay's request is being streamed to the backend and is not complete.
+func (bc *backendConn) sendsBody() bool {
+	c := bc.relay.cmd.client
+	return c != nil && c.bodyConn == bc
+}
+
 // cancelUnwritten cancels the relays whose request is not fully delivered: a backend would start it for a client that
 // is gone. This is allowed even where the settings forbid to cancel, since such a command has not run.
 func (cmd *command) cancelUnwritten() {
@@ -442,8 +448,8 @@
 	r := bc.relay
 	response := bc.conn.Unconsumed()
 	result := balance.Errored
-	if c := r.cmd.client; c != nil && c.bodyConn == bc {
-		reuse = false // the command is not fully written
+	if bc.sendsBody() {
+		reuse = false // its backend would take the next request for the rest of the body
 	}
 	otherStreaming := r.cmd.answerConn != nil // another relay's answer is being streamed to the client
 	bc.timer.Stop()
--- a/internal/proxy/departure_test.go
+++ b/internal/proxy/departure_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -257,3 +258,59 @@
 	}
 	p.wantNothingOpen(t)
 }
+
+// Guards against a request that reaches its backend as the body of another one: a connection was used again although the
+// backend had answered, with a long answer, before the body of its request had come.
+func TestConnectionIsNotReusedBeforeItsBodyIsSent(t *testing.T) {
+	t.Parallel()
+	b := newRawBackend(t, func(c net.Conn, r *http.Request) {
+		respondFramed("length", numberedBody(100<<10), 100<<10, nil)(nil, c, r)
+		io.Copy(io.Discard, r.Body)
+	})
+	p := runProxy(t, newTestProxy(t, 200, endpointList(1, true, readyEndpoint("s-1", b)), nil))
+	c := p.dial(t)
+	io.WriteString(c, requestText("pay", "Content-Length: 3000000\r\n"))
+	c.Write(numberedBody(300 << 10))
+	if status, body, _ := c.readAnswer(); status != 200 || len(body) != 100<<10 {
+		t.Fatalf("%d, %d bytes", status, len(body))
+	}
+	p.await(t, "the connection may be used again", func() bool {
+		for bc := range p.backends.conns {
+			return p.loop.Now()-bc.idleSince > reuseDelaySeconds
+		}
+		return true
+	})
+	if status, body, _ := p.dial(t).roundTrip(requestText("look")); status != 200 || len(body) != 100<<10 {
+		t.Errorf("the next request got %d, %d bytes", status, len(body))
+	}
+}
+
+// newRawBackend starts a backend that passes each request to handle when its head has come.
+func newRawBackend(t *testing.T, handle func(net.Conn, *http.Request)) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				in := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					handle(conn, r)
+				}
+			}()
+		}
+	}()
+	return l
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -177,6 +177,9 @@
 // finishStream handles the end of a streamed answer.
 func (bc *backendConn) finishStream(keep bool) {
 	r := bc.relay
+	if bc.sendsBody() {
+		keep = false // its backend would take the next request for the rest of the body
+	}
 	if bc.answer == answerForwarded {
 		r.cmd.completeForwarded()
 	}
