proxy: a request whose body stays incomplete ends with its command

What callers saw: their answer (502, as before). Where relays may not be cancelled the backend waited for the rest of a body that nobody would send, and the connection, the command and its Req-Id stayed until the backend gave up. Had it answered meanwhile, its connection would have been reused in the middle of that body.

Cause: when a client had its final answer while its body was being streamed (the Balancer gives the command up, or the shutdown ends it), finishAnswer forgot where the body goes, and left the backend's connection to the Balancer's Cancel, which these settings forbid.

Change: finishAnswer ends that relay in the next iteration, as a client's departure and failBody do: a request that is not complete has not run, so nothing is cancelled.

--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -12,7 +12,6 @@
 	"strconv"
 	"strings"
 
-	"sandpass/balance"
 	"sandpass/internal/http1"
 	"sandpass/internal/loop"
 )
@@ -197,7 +196,7 @@
 	if cmd != nil {
 		c.p.balancer.ClientDisconnected(c.p.loop.Now(), cmd.id)
 		if bodyConn != nil {
-			bodyConn.closeAndReport(balance.NotSent) // not completely written, so it has not run and never will
+			bodyConn.endIncompleteBody()
 		}
 		cmd.cancelUnwritten()
 		c.p.removeIfFinished(cmd)
@@ -435,6 +434,9 @@
 	if c.cmd != nil {
 		c.p.clients.awaitingAnswer--
 	}
+	if bodyConn := c.bodyConn; bodyConn != nil {
+		c.p.loop.Post(bodyConn.endIncompleteBody)
+	}
 	c.cmd, c.bodyConn = nil, nil
 	if keep {
 		c.setState(stateBusy)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -326,6 +326,10 @@
 	}
 }
 
+// endIncompleteBody ends a relay whose request will not be completed, also where relays may not be cancelled: it has not run
+// and never will.
+func (bc *backendConn) endIncompleteBody() { bc.closeAndReport(balance.NotSent) }
+
 // failBody ends a command whose body can't be read to its end, so that it has not run.
 func (c *clientConn) failBody(status int, text string) {
 	p, cmd, bodyConn := c.p, c.cmd, c.bodyConn
@@ -336,7 +340,7 @@
 		c.rejectInvalid(status, text)
 	}
 	p.balancer.ClientDisconnected(p.loop.Now(), cmd.id)
-	bodyConn.closeAndReport(balance.NotSent)
+	bodyConn.endIncompleteBody()
 	p.removeIfFinished(cmd)
 }
 
