proxy: an incomplete body is the backend connection's own state, and ends wherever its command does

Change: the backend's connection knows it itself (sendsBody), release looks at it for every path, and command.end, where a command loses its client, ends the relay. OnDisconnect, finishAnswer, failBody, finishStream and handleAnswer no longer do so each for itself.

--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -84,6 +84,7 @@
 	answerBegan      float64 // when the incomplete answer began, 0 if none
 	lastProgress     float64 // when the latest part of it was received
 	answer           answerState
+	sendsBody        bool    // the body of the relay's request is being streamed and is not complete
 	readPaused       bool    // not read until the client has taken what is buffered
 	idleSince        float64 // when it became idle
 	timer            *loop.Timer
@@ -105,8 +106,13 @@
 }
 
 // end marks the command as ended for its client, which has its final answer or is gone. An answer that is still being
-// forwarded is not needed any more. Relays that may not be cancelled stay open.
+// forwarded is not needed any more, and the rest of a body that is still being streamed will not come. Other relays that may
+// not be cancelled stay open. The Balancer may be the caller.
 func (cmd *command) end() {
+	if bodyConn := cmd.client.bodyConn; bodyConn != nil {
+		cmd.client.bodyConn = nil
+		bodyConn.p.loop.Post(bodyConn.endIncompleteBody)
+	}
 	cmd.done, cmd.client = true, nil
 	if bc := cmd.answerConn; bc != nil {
 		cmd.answerConn = nil
@@ -232,9 +238,10 @@
 	}
 }
 
-// release makes the connection idle if it can carry another relay, and closes it otherwise.
+// release makes the connection idle if it can carry another relay, and closes it otherwise. A backend that has not had the
+// whole body of its request would take the next one for the rest.
 func (bc *backendConn) release(reuse bool) {
-	if !reuse || bc.backend.state != balance.Ready || bc.superseded() || bc.conn.HasUnsent() || len(bc.conn.Unconsumed()) > 0 {
+	if !reuse || bc.sendsBody || bc.backend.state != balance.Ready || bc.superseded() || bc.conn.HasUnsent() || len(bc.conn.Unconsumed()) > 0 {
 		bc.close()
 		return
 	}
@@ -328,7 +335,7 @@
 
 // OnFlushed continues the streaming of a request body.
 func (bc *backendConn) OnFlushed(*loop.Conn) {
-	if bc.relay != nil && bc.sendsBody() {
+	if bc.sendsBody && bc.relay.cmd.client != nil {
 		bc.relay.cmd.client.resumeBody()
 	}
 }
@@ -411,18 +418,12 @@
 // disconnectResult returns the relay's result after the connection broke. Before its last byte was written the
 // command can't have run.
 func (bc *backendConn) disconnectResult() balance.Result {
-	if bc.conn.HasUnsent() || bc.sendsBody() {
+	if bc.conn.HasUnsent() || bc.sendsBody {
 		return balance.ConnectFailed
 	}
 	return balance.Reset
 }
 
-// sendsBody reports whether the body of the relay's request is being streamed to the backend and is not complete.
-func (bc *backendConn) sendsBody() bool {
-	c := bc.relay.cmd.client
-	return c != nil && c.bodyConn == bc
-}
-
 // cancelUnwritten cancels the relays whose request is not fully delivered: a backend would start it for a client that
 // is gone. This is allowed even where the settings forbid to cancel, since such a command has not run.
 func (cmd *command) cancelUnwritten() {
@@ -448,9 +449,6 @@
 	r := bc.relay
 	response := bc.conn.Unconsumed()
 	result := balance.Errored
-	if bc.sendsBody() {
-		reuse = false // its backend would take the next request for the rest of the body
-	}
 	otherStreaming := r.cmd.answerConn != nil // another relay's answer is being streamed to the client
 	bc.timer.Stop()
 	bc.answerBegan = 0
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -185,9 +185,9 @@
 	if c.closed {
 		return
 	}
-	cmd, bodyConn := c.cmd, c.bodyConn
+	cmd := c.cmd
 	if cmd != nil {
-		c.cmd, c.bodyConn = nil, nil
+		c.cmd = nil
 		c.p.clients.awaitingAnswer--
 		cmd.end()
 		c.p.departedCount++
@@ -195,9 +195,6 @@
 	c.close()
 	if cmd != nil {
 		c.p.balancer.ClientDisconnected(c.p.loop.Now(), cmd.id)
-		if bodyConn != nil {
-			bodyConn.endIncompleteBody()
-		}
 		cmd.cancelUnwritten()
 		c.p.removeIfFinished(cmd)
 	}
@@ -434,10 +431,7 @@
 	if c.cmd != nil {
 		c.p.clients.awaitingAnswer--
 	}
-	if bodyConn := c.bodyConn; bodyConn != nil {
-		c.p.loop.Post(bodyConn.endIncompleteBody)
-	}
-	c.cmd, c.bodyConn = nil, nil
+	c.cmd = nil
 	if keep {
 		c.setState(stateBusy)
 		if !c.consumed {
--- a/internal/proxy/departure_test.go
+++ b/internal/proxy/departure_test.go
@@ -318,35 +318,38 @@
 // Guards against a relay that never ends: where relays may not be cancelled and the Balancer gave up a command whose body was
 // being streamed, its backend kept on waiting for the rest of the body.
 func TestIncompleteBodyEndsWithItsCommand(t *testing.T) {
-	t.Parallel()
-	settings := strings.NewReplacer(`"max_relays": 3`, `"max_relays": 3, "response_room": 1`,
-		`"response_goal_ms": 2500`, `"response_goal_ms": 300`).Replace(noCancelSettings)
-	bodyEnded := make(chan error, 2)
-	b := newRawBackend(t, func(c net.Conn, r *http.Request) {
-		_, err := io.Copy(io.Discard, r.Body)
-		bodyEnded <- err
-	})
-	p, err := New(testConfig(endpointList(1, true, readyEndpoint("s-1", b)), nil, settings))
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := runProxy(t, p)
-	var clients []*testClient
-	for range 2 { // the second one past its goal is one too many, so the first is given up
-		c := r.dial(t)
-		io.WriteString(c, requestText("pay", "Content-Length: 3000000\r\n"))
-		c.Write(numberedBody(300 << 10))
-		clients = append(clients, c)
-	}
-	if status, _, _ := clients[0].readAnswer(); status == 200 || status == 0 {
-		t.Errorf("status %d", status)
-	}
-	select {
-	case err := <-bodyEnded:
-		if err == nil {
-			t.Error("the body looks complete to the backend")
-		}
-	case <-time.After(time.Second):
-		t.Error("the backend still waits for the body a second after the answer")
+	for _, answerBegins := range []bool{false, true} {
+		t.Run(fmt.Sprintf("its answer has begun: %t", answerBegins), func(t *testing.T) {
+			t.Parallel()
+			settings := strings.NewReplacer(`"max_relays": 3`, `"max_relays": 3, "response_room": 1`,
+				`"response_goal_ms": 2500`, `"response_goal_ms": 300`).Replace(noCancelSettings)
+			bodyEnded := make(chan error, 2)
+			b := newRawBackend(t, func(c net.Conn, r *http.Request) {
+				if answerBegins {
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n%s", numberedBody(100<<10))
+				}
+				_, err := io.Copy(io.Discard, r.Body)
+				bodyEnded <- err
+			})
+			p, err := New(testConfig(endpointList(1, true, readyEndpoint("s-1", b)), nil, settings))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := runProxy(t, p)
+			for range 2 { // the second one past its goal is one too many, so the first is given up
+				c := r.dial(t)
+				io.WriteString(c, requestText("pay", "Content-Length: 3000000\r\n"))
+				c.Write(numberedBody(300 << 10))
+			}
+			r.await(t, "a command is given up", func() bool { return r.terminatedCount == 1 })
+			select {
+			case err := <-bodyEnded:
+				if err == nil {
+					t.Error("the body looks complete to the backend")
+				}
+			case <-time.After(time.Second):
+				t.Error("the backend still waits for the body a second later")
+			}
+		})
 	}
 }
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -177,9 +177,6 @@
 // finishStream handles the end of a streamed answer.
 func (bc *backendConn) finishStream(keep bool) {
 	r := bc.relay
-	if bc.sendsBody() {
-		keep = false // its backend would take the next request for the rest of the body
-	}
 	if bc.answer == answerForwarded {
 		r.cmd.completeForwarded()
 	}
@@ -259,6 +256,7 @@
 	}
 	c.conn.Consume(c.msg.Size())
 	c.conn.UseLargeBuffer()
+	l.sendsBody = true
 	c.bodyConn, c.consumed, c.lastProgress, cmd.streamed = l, true, p.loop.Now(), true
 	cmd.timer.Stop()
 	relayIndex := l.relay.index
@@ -318,6 +316,7 @@
 	}
 	c.conn.Pause()
 	c.conn.ReleaseLargeBuffer()
+	l.sendsBody = false
 	c.bodyConn, c.bodyStreaming = nil, false
 	now := p.loop.Now()
 	cmd.deadline, l.relay.sentAt = now+cmd.timeLimit, now
@@ -332,7 +331,7 @@
 
 // failBody ends a command whose body can't be read to its end, so that it has not run.
 func (c *clientConn) failBody(status int, text string) {
-	p, cmd, bodyConn := c.p, c.cmd, c.bodyConn
+	p, cmd := c.p, c.cmd
 	if cmd.answerConn != nil {
 		p.abortAnswer(cmd)
 	} else {
@@ -340,7 +339,6 @@
 		c.rejectInvalid(status, text)
 	}
 	p.balancer.ClientDisconnected(p.loop.Now(), cmd.id)
-	bodyConn.endIncompleteBody()
 	p.removeIfFinished(cmd)
 }
 
