--- a/internal/proxy/departure_test.go
+++ b/internal/proxy/departure_test.go
@@ -263,9 +263,10 @@
 // backend had answered, with a long answer, before the body of its request had come.
 func TestConnectionIsNotReusedBeforeItsBodyIsSent(t *testing.T) {
 	t.Parallel()
-	b := newRawBackend(t, func(c net.Conn, r *http.Request) {
+	b := newRawBackend(t, func(c net.Conn, r *http.Request) bool {
 		respondFramed("length", numberedBody(100<<10), 100<<10, nil)(nil, c, r)
-		io.Copy(io.Discard, r.Body)
+		_, err := io.Copy(io.Discard, r.Body)
+		return err == nil
 	})
 	p := runProxy(t, newTestProxy(t, 200, endpointList(1, true, readyEndpoint("s-1", b)), nil))
 	c := p.dial(t)
@@ -285,8 +286,9 @@
 	}
 }
 
-// newRawBackend starts a backend that passes each request to handle when its head has come.
-func newRawBackend(t *testing.T, handle func(net.Conn, *http.Request)) net.Listener {
+// newRawBackend starts a backend that passes each request to handle when its head has come. handle reports whether the
+// connection goes on.
+func newRawBackend(t *testing.T, handle func(net.Conn, *http.Request) bool) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -307,7 +309,9 @@
 					if err != nil {
 						return
 					}
-					handle(conn, r)
+					if !handle(conn, r) {
+						return
+					}
 				}
 			}()
 		}
@@ -324,12 +328,13 @@
 			settings := strings.NewReplacer(`"max_relays": 3`, `"max_relays": 3, "response_room": 1`,
 				`"response_goal_ms": 2500`, `"response_goal_ms": 300`).Replace(noCancelSettings)
 			bodyEnded := make(chan error, 2)
-			b := newRawBackend(t, func(c net.Conn, r *http.Request) {
+			b := newRawBackend(t, func(c net.Conn, r *http.Request) bool {
 				if answerBegins {
 					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n%s", numberedBody(100<<10))
 				}
 				_, err := io.Copy(io.Discard, r.Body)
 				bodyEnded <- err
+				return false
 			})
 			p, err := New(testConfig(endpointList(1, true, readyEndpoint("s-1", b)), nil, settings))
 			if err != nil {
