proxy: streams and commands have files of their own

stream.go had both directions, backends.go the commands and how relays end as well. answer_stream.go and body_stream.go have the two directions, command.go the open commands and their relays; stream.go keeps what both streams use.

The tests of streams, clients and connections pass (67 s).

--- /dev/null
+++ b/internal/proxy/answer_stream.go
@@ -0,0 +1,206 @@
+// This file streams answers that are too large or too slow to buffer to their clients. An answer is started only once, and one
+// that breaks off must not look complete to the client. An answer whose client is gone is read to its end where the relay may
+// not be cancelled.
+
+package proxy
+
+import (
+	"log"
+
+	"sandpass/balance"
+	"sandpass/internal/http1"
+)
+
+const (
+	streamAfterSeconds       = 0.25 // from the first byte of an answer of unknown length, if it makes progress
+	streamBeforeLimitSeconds = 0.05 // before the time limit, in any case: the first bytes of an answer must be in time
+	endlessCutoffSeconds     = 0.4  // after the time limit, if the answer is not long by then: at 0.5 s it counts as lost
+)
+
+// shouldStream reports whether an incomplete answer is to be streamed to the client.
+func (bc *backendConn) shouldStream(now float64) bool {
+	m := &bc.msg
+	if !m.HeadComplete() {
+		return false
+	}
+	return m.BodyLength() > http1.MaxBufferedResponseBody || m.DecodedBytes() > http1.MaxBufferedResponseBody ||
+		bc.conn.ReadBufferFull() || m.BodyLength() < 0 && m.DecodedBytes() > 0 && bc.answerBegan > 0 &&
+		now > min(bc.answerBegan+streamAfterSeconds, bc.relay.cmd.deadline-streamBeforeLimitSeconds)
+}
+
+// answerState is what happens to the answer that arrives on a connection.
+type answerState int
+
+const (
+	answerBuffered  answerState = iota // it stays in the read buffer until it is complete
+	answerForwarded                    // what arrives is written to the client; the command has its client until then
+	answerDiscarded                    // what arrives is dropped: no client waits for it
+)
+
+// startStreaming begins to stream the answer. From here on no other relay can answer the command.
+func (bc *backendConn) startStreaming() {
+	p, r, now := bc.p, bc.relay, bc.p.loop.Now()
+	cmd, c := r.cmd, r.cmd.client
+	if bc.msg.Status != 200 {
+		bc.handleAnswer(false) // the status alone decides the outcome
+		return
+	}
+	r.answerStartDelay = now - r.sentAt
+	if cmd.done || c == nil || cmd.answerConn != nil { // another relay has answered, and this one may not be cancelled
+		bc.conn.Consume(bc.msg.Size())
+		bc.conn.UseLargeBuffer()
+		bc.discardAnswer()
+		bc.readAnswer()
+		return
+	}
+	in := bc.conn.Unconsumed()
+	bc.answer, cmd.answerConn, cmd.streamed = answerForwarded, bc, true
+	if bc.msg.BodyLength() < 0 {
+		p.loop.After(cmd.deadline+endlessCutoffSeconds-now, func() { bc.abortEndless(cmd) })
+	}
+	bc.timer.Stop()
+	c.keepAlive = c.msg.KeepAlive && !p.closesAfterAnswer() && !c.bodyStreaming && (bc.msg.BodyLength() >= 0 || !c.msg.IsHTTP10())
+	c.answerChunked = bc.msg.BodyLength() < 0 && !c.msg.IsHTTP10()
+	h := p.responseHeadFramed(200, bc.msg.BodyLength(), c.answerChunked, c.keepAlive)
+	h = append(bc.msg.AppendFields(h, in), "\r\n"...)
+	if body := bc.msg.Body(in); len(body) > 0 {
+		h = appendBodyPart(h, c.answerChunked, body)
+	}
+	p.scratch = h
+	c.conn.Write(h)
+	bc.conn.Consume(bc.msg.Size())
+	bc.conn.UseLargeBuffer()
+	bc.lastProgress = now
+	bc.timer = p.loop.After(streamStallSeconds, bc.checkStreamStall)
+	p.balancer.StreamStarted(now, cmd.id, r.index)
+	bc.readAnswer()
+}
+
+// readAnswer reads the part of a streamed answer that has arrived.
+func (bc *backendConn) readAnswer() {
+	bc.lastProgress = bc.p.loop.Now()
+	for {
+		in := bc.conn.Unconsumed()
+		data, used, done, err := bc.msg.ReadBodyPart(in)
+		if err != nil {
+			bc.p.invalidCount++
+			bc.abortStream(balance.Reset)
+			return
+		}
+		if bc.answer == answerForwarded && len(data) > 0 {
+			bc.relay.cmd.client.writeAnswerPart(data)
+		}
+		if bc.conn.Consume(used); done {
+			bc.finishStream(bc.msg.KeepAlive)
+			return
+		}
+		if used == 0 || used == len(in) {
+			break
+		}
+	}
+	if bc.answer == answerForwarded && bc.relay.cmd.client.conn.UnsentBytes() > bc.p.highWatermark() {
+		bc.conn.PauseWithEOF()
+		bc.readPaused = true
+	}
+}
+
+// writeAnswerPart writes a part of a streamed answer's body.
+func (c *clientConn) writeAnswerPart(data []byte) {
+	if !c.answerChunked {
+		c.conn.Write(data)
+		return
+	}
+	c.p.scratch = appendBodyPart(c.p.scratch[:0], true, data)
+	c.conn.Write(c.p.scratch)
+}
+
+// discardAnswer drops what has yet to arrive of an answer that no client waits for, until the command's deadline. The
+// connection can carry other relays after it.
+func (bc *backendConn) discardAnswer() {
+	bc.answer = answerDiscarded
+	bc.timer.Stop()
+	bc.timer = bc.p.loop.After(bc.relay.cmd.deadline-bc.p.loop.Now(), func() { bc.closeAndReport(balance.Cancelled) })
+	bc.resumeAnswer()
+}
+
+// resumeAnswer resumes reading from the backend once the client has taken the pending data.
+func (bc *backendConn) resumeAnswer() {
+	if bc.readPaused {
+		bc.readPaused, bc.lastProgress = false, bc.p.loop.Now()
+		bc.conn.Resume()
+	}
+}
+
+// checkStreamStall aborts a streamed answer when the backend sends nothing or the client reads nothing for too long.
+func (bc *backendConn) checkStreamStall() {
+	now, r := bc.p.loop.Now(), bc.relay
+	since, maxSeconds := bc.lastProgress, streamStallSeconds
+	if bc.readPaused {
+		since, maxSeconds = max(bc.lastProgress, r.cmd.client.conn.LastSentAt()), writeStallSeconds
+	}
+	if left := since + maxSeconds - now; left > 0 {
+		bc.timer = bc.p.loop.After(left, bc.checkStreamStall)
+		return
+	}
+	log.Printf("msg=answer_stands command=%d untaken=%t", r.cmd.id, bc.readPaused)
+	bc.abortStream(balance.Reset)
+}
+
+// finishStream handles the end of a streamed answer.
+func (bc *backendConn) finishStream(keep bool) {
+	r := bc.relay
+	if bc.answer == answerForwarded {
+		r.cmd.completeForwarded()
+	}
+	bc.timer.Stop()
+	r.conn = nil
+	bc.msg.Reset()
+	bc.answer, bc.answerBegan = answerBuffered, 0
+	bc.conn.ReleaseLargeBuffer()
+	bc.release(keep)
+	bc.p.reportOutcome(r, balance.Answered)
+}
+
+// completeForwarded ends a command whose streamed answer is complete.
+func (cmd *command) completeForwarded() {
+	c := cmd.client
+	if c.answerChunked {
+		c.conn.Write([]byte("0\r\n\r\n"))
+	}
+	c.p.answeredCount++
+	c.p.snapshot.countEnded(true)
+	cmd.answerConn = nil
+	cmd.end()
+	c.finishAnswer(c.keepAlive)
+}
+
+// abortEndless aborts a streamed answer soon after its command's time limit if it is not long by then. A trickle would never
+// end, while for a long answer only the first bytes must be in time.
+func (bc *backendConn) abortEndless(cmd *command) {
+	if cmd.answerConn == bc && bc.msg.DecodedBytes() <= http1.MaxBufferedResponseBody {
+		log.Printf("msg=answer_endless command=%d bytes=%d", cmd.id, bc.msg.DecodedBytes())
+		bc.p.invalidCount++
+		bc.abortStream(balance.TimedOut)
+	}
+}
+
+// abortStream ends a streamed answer that can't be completed, in a way that its client can detect.
+func (bc *backendConn) abortStream(result balance.Result) {
+	if bc.answer == answerForwarded {
+		bc.p.abortAnswer(bc.relay.cmd)
+	}
+	bc.closeAndReport(result)
+}
+
+// abortAnswer closes the connection of a client whose answer has begun and can't be completed.
+func (p *Proxy) abortAnswer(cmd *command) {
+	c := cmd.client
+	cmd.end()
+	p.brokenOffCount++
+	c.cmd = nil
+	p.clients.awaitingAnswer--
+	if !c.answerChunked {
+		c.conn.ResetOnClose()
+	}
+	c.close()
+}
--- /dev/null
+++ b/internal/proxy/body_stream.go
@@ -0,0 +1,138 @@
+// This file streams the bodies of commands that are too large to buffer to their backends. A command whose body is not complete
+// has not run.
+
+package proxy
+
+import (
+	"strings"
+
+	"sandpass/balance"
+	"sandpass/internal/http1"
+)
+
+const (
+	bodyStallSeconds      = 2.5  // without data from the client in a streamed body: an answer is due within 3 s
+	minBodyBytesPerSecond = 32e3 // half the rate of slow clients
+	bodyGraceSeconds      = 1.0  // in addition to the time at the minimum rate
+)
+
+// shouldStreamBody reports whether an incomplete command is to be streamed to the backend.
+func (c *clientConn) shouldStreamBody() bool {
+	return c.msg.HeadComplete() && (c.msg.BodyLength() > http1.MaxBufferedCommandBody || c.conn.ReadBufferFull())
+}
+
+// streamBodyTo writes the head and the data that has arrived of a command's body to the backend, and begins to stream the
+// rest.
+func (c *clientConn) streamBodyTo(l *backendConn, head []byte) {
+	p, in := c.p, c.conn.Unconsumed()
+	cmd := c.cmd
+	if body := c.msg.Body(in); len(body) > 0 {
+		head = appendBodyPart(head, c.msg.Chunked(), body)
+	}
+	p.scratch = head
+	l.conn.Write(head)
+	if !c.sentContinue && strings.EqualFold(string(c.msg.Get(in, "Expect")), "100-continue") {
+		c.sentContinue = true
+		c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+	c.conn.Consume(c.msg.Size())
+	c.conn.UseLargeBuffer()
+	l.sendsBody = true
+	c.bodyConn, c.consumed, c.lastProgress, cmd.streamed = l, true, p.loop.Now(), true
+	cmd.timer.Stop()
+	relayIndex := l.relay.index
+	p.loop.Post(func() { // the Balancer must not be called from within its own calls
+		if c.cmd == cmd && c.bodyConn == l {
+			p.balancer.StreamStarted(p.loop.Now(), cmd.id, relayIndex)
+			c.conn.Resume()
+			c.forwardBody()
+		}
+	})
+}
+
+// forwardBody writes the body data that has arrived from the client to the backend.
+func (c *clientConn) forwardBody() {
+	l := c.bodyConn
+	c.lastProgress = c.p.loop.Now()
+	for in := c.conn.Unconsumed(); len(in) > 0; in = c.conn.Unconsumed() {
+		data, used, done, err := c.msg.ReadBodyPart(in)
+		if err != nil {
+			c.failBody(400, "malformed body")
+			return
+		}
+		if len(data) > 0 && c.msg.Chunked() {
+			c.p.scratch = appendBodyPart(c.p.scratch[:0], true, data)
+			l.conn.Write(c.p.scratch)
+		} else if len(data) > 0 {
+			l.conn.Write(data)
+		}
+		c.conn.Consume(used)
+		if done {
+			c.finishBody()
+			return
+		}
+		if used == 0 {
+			break
+		}
+	}
+	if l.conn.UnsentBytes() > c.p.highWatermark() {
+		c.conn.PauseWithEOF()
+		c.readPaused = true
+	}
+}
+
+// resumeBody resumes reading from the client once the backend has taken the pending data.
+func (c *clientConn) resumeBody() {
+	if c.readPaused {
+		c.readPaused, c.lastProgress = false, c.p.loop.Now()
+		c.conn.Resume()
+	}
+}
+
+// finishBody completes a streamed body. The command's time limit starts here.
+func (c *clientConn) finishBody() {
+	p, cmd, l := c.p, c.cmd, c.bodyConn
+	if c.msg.Chunked() {
+		l.conn.Write([]byte("0\r\n\r\n"))
+	}
+	c.conn.Pause()
+	c.conn.ReleaseLargeBuffer()
+	l.sendsBody = false
+	c.bodyConn, c.bodyStreaming = nil, false
+	now := p.loop.Now()
+	cmd.deadline, l.relay.sentAt = now+cmd.timeLimit, now
+	if cmd.answerConn == nil {
+		cmd.timer = p.loop.After(cmd.timeLimit, func() { p.timeOutCommand(cmd) })
+	}
+}
+
+// endIncompleteBody ends a relay whose request will not be completed, also where relays may not be cancelled: it has not run
+// and never will.
+func (bc *backendConn) endIncompleteBody() { bc.closeAndReport(balance.NotSent) }
+
+// failBody ends a command whose body can't be read to its end, so that it has not run.
+func (c *clientConn) failBody(status int, text string) {
+	p, cmd := c.p, c.cmd
+	if cmd.answerConn != nil {
+		p.abortAnswer(cmd)
+	} else {
+		cmd.end()
+		c.rejectInvalid(status, text)
+	}
+	p.balancer.ClientDisconnected(p.loop.Now(), cmd.id)
+	p.removeIfFinished(cmd)
+}
+
+// sweepBodies ends streamed bodies when the client sends nothing or the backend reads nothing for too long.
+func (p *Proxy) sweepBodies(now float64) {
+	for e := p.clients.byState[stateBusy].Front(); e != nil; {
+		c := e.Value.(*clientConn)
+		switch e = e.Next(); {
+		case c.bodyConn == nil:
+		case c.readPaused && now-max(c.lastProgress, c.bodyConn.conn.LastSentAt()) > streamStallSeconds:
+			c.bodyConn.closeAndReport(balance.ConnectFailed)
+		case !c.readPaused && now-c.lastProgress > bodyStallSeconds:
+			c.failBody(408, "the body did not come in time")
+		}
+	}
+}
