--- a/cmd/sandpass/upgrade_test.go
+++ b/cmd/sandpass/upgrade_test.go
@@ -329,8 +329,11 @@
 	}
 	second := p.start("--operator", operatorFile)
 	second.waitHealthy(t)
-	if !strings.Contains(second.out.String(), "msg=accepting successor=true") {
-		t.Errorf("the new process does not succeed the running one: %s", second.out)
+	// The log is written beside the loop, so the line may come after the answer.
+	for start := time.Now(); !strings.Contains(second.out.String(), "msg=accepting successor=true"); time.Sleep(5 * time.Millisecond) {
+		if time.Since(start) > time.Second {
+			t.Fatalf("the new process does not succeed the running one: %s", second.out)
+		}
 	}
 }
 
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -319,9 +319,7 @@
 		})
 	case "state":
 		p.control.ReloadSaved() // the predecessor may have saved a newer configuration since this process started
-		p.applyState(msg, 0)
-		log.Printf("msg=handed_over backends=%d left_out=%d drained=%t", p.backends.readyCount, len(p.maintenance.Cordoned),
-			msg.Drained)
+		p.takeOver(msg)
 	case "serving":
 		p.yieldTo(o)
 	case "holds":
@@ -382,6 +380,19 @@
 	if msg.Drained {
 		p.startDrain()
 	}
+}
+
+// takeOver continues from the predecessor's state, which is newer than a snapshot.
+func (p *Proxy) takeOver(msg *handoverMessage) {
+	if !msg.Drained {
+		p.endDrain()
+	}
+	if msg.StartAges != nil && !p.watch.Received {
+		clear(p.startTimes) // those of the snapshot
+	}
+	p.applyState(msg, 0)
+	log.Printf("msg=handed_over backends=%d left_out=%d drained=%t", p.backends.readyCount, len(p.maintenance.Cordoned),
+		msg.Drained)
 	p.finishHandover()
 }
 
--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -266,3 +266,29 @@
 		t.Errorf("%d", status)
 	}
 }
+
+// Guards against a snapshot that outlives what the running process says: a drain that has ended since it was saved, and a backend
+// that was restarted since, whose machine's clock is behind.
+func TestPredecessorStateReplacesSnapshot(t *testing.T) {
+	a := newFakeBackend(t, echo)
+	running := newUnstartedProxy(t, testConfig(endpointList(7, true, started("s-a", a, 7200)), nil, settingsText))
+	running.startDrain()
+	saved := running.handoverState()
+	running.endDrain()
+	running.watch.listApplied = true
+	running.applyEndpoints(parseUpdate(t, endpointList(8, true, started("s-a", a, 3600))))
+	current := running.handoverState()
+
+	next := newUnstartedProxy(t, testConfig("", nil, settingsText))
+	next.applyState(&saved, 0)
+	if next.handover.done || !next.drain.active {
+		t.Fatalf("after the snapshot: handover done %t, drained %t", next.handover.done, next.drain.active)
+	}
+	next.takeOver(&current)
+	if !next.handover.done || next.drain.active {
+		t.Errorf("after the handover: done %t, drained %t", next.handover.done, next.drain.active)
+	}
+	if want, got := agesOf(running)["s-a"], agesOf(next)["s-a"]; got > want+1 {
+		t.Errorf("the restarted backend counts as %.1f s old, not %.1f s", got, want)
+	}
+}
