loop: a full read buffer is the handler's to act on, also where others took the room meanwhile

Cause: Conn.read ended a connection whose full buffer could not grow, and the proxy took that for the client's end. readCommand streams or declines a command in a full buffer, but was asked only after a read; if there was room then and other connections took it before the next bytes came, nobody asked. A backend's answer was lost in the same way (a reset: 502 for a command that must not run twice).

Change: the loop reports the full buffer (OnData, ReadBufferFull) and ends the connection only if its handler neither consumes anything nor stops reading. A chunk's line that fills the buffer of a streamed body is answered 400. The limits on buffers are as before.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -19,13 +19,14 @@
 	sendBufferBytes    = 128 << 10 // SO_SNDBUF of accepted connections; a larger one hides whether the peer reads
 )
 
-// ErrReadBufferFull ends a connection whose unconsumed bytes exceed the limit set by its owner.
+// ErrReadBufferFull ends a connection that has more to read, of which no more fits in its read buffer, and whose handler neither
+// consumes any of it nor stops reading.
 var ErrReadBufferFull = errors.New("unconsumed bytes exceed the read buffer limit")
 
 // Handler receives the events of a connection.
 type Handler interface {
 	OnConnect(c *Conn)               // a dialed connection is established
-	OnData(c *Conn)                  // Unconsumed has more bytes
+	OnData(c *Conn)                  // Unconsumed has more bytes, or more wait and ReadBufferFull is true
 	OnFlushed(c *Conn)               // the kernel has taken all written bytes
 	OnDisconnect(c *Conn, err error) // it has ended, with io.EOF if the peer closed it cleanly; Close must still be called
 }
@@ -403,7 +404,7 @@
 		return
 	}
 	if !c.ensureSpace() {
-		c.disconnect(ErrReadBufferFull)
+		c.reportBufferFull()
 		return
 	}
 	n, err := c.loop.read(c.fd, c.buffer[c.end:])
@@ -425,6 +426,16 @@
 	c.disconnect(err)
 }
 
+// reportBufferFull lets the handler act on a full buffer: there may have been room when the latest bytes were read, and other
+// connections took it meanwhile.
+func (c *Conn) reportBufferFull() {
+	c.handler.OnData(c)
+	stoppedReading := c.paused || c.pausedWithEOF || c.discardLimit > 0
+	if c.fd >= 0 && !stoppedReading && c.ReadBufferFull() {
+		c.disconnect(ErrReadBufferFull)
+	}
+}
+
 // ensureSpace makes space in the buffer for the next read and reports whether the limits allow it.
 func (c *Conn) ensureSpace() bool {
 	if c.end < len(c.buffer) {
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -206,7 +206,9 @@
 	switch {
 	case c.state == stateClosing:
 	case c.bodyConn != nil:
-		c.forwardBody()
+		if c.forwardBody(); c.bodyConn != nil && !c.readPaused && c.conn.ReadBufferFull() {
+			c.failBody(400, "a chunk's line is too long")
+		}
 	default:
 		c.readCommand()
 	}
