balance: a command whose answer is being streamed is not given up for others past their goal

Cause: goalPassed counted commands with an open relay, also where that relay's answer was already being passed on, and gave up the oldest. The proxy can end such an answer only by a reset, which loses the request.

Change: commands with a stream are not counted, and one whose stream begins past its goal is taken out of the count.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -853,9 +853,10 @@
 }
 
 // goalPassed is called when a command's response goal has passed. Late answers may hold only a small part of the
-// capacity for unread answers; beyond it the oldest is given up.
+// capacity for unread answers; beyond it the oldest is given up. A command with a stream is not: an answer that has
+// begun must not be cut off.
 func (b *Balancer) goalPassed(c *command) {
-	if c.done || c.pendingRelays == 0 {
+	if c.done || c.streaming || c.pendingRelays == 0 {
 		return
 	}
 	b.lateCommands = append(b.lateCommands, c)
@@ -865,6 +866,11 @@
 	}
 }
 
+// forgetLate takes a command out of those that are past their goal and may be given up for others.
+func (b *Balancer) forgetLate(c *command) {
+	b.lateCommands = slices.DeleteFunc(b.lateCommands, func(x *command) bool { return x == c })
+}
+
 // sendRelay sends the command's next relay to the backend and starts its timers.
 func (b *Balancer) sendRelay(c *command, be *backend) {
 	v := c.verb
@@ -947,6 +953,7 @@
 	if c, ok := b.commands[id]; ok && !c.done && !c.streaming && n < len(c.relays) && c.relays[n].pending {
 		r := &c.relays[n]
 		c.streaming, r.inFlight = true, 0 // a slow client is no load for the backend
+		b.forgetLate(c)
 		r.to.inFlight--
 		b.inFlight--
 		b.cancelOthers(c, n)
@@ -1113,7 +1120,7 @@
 	if len(c.relays) > 0 {
 		c.countInGroups(-1)
 	}
-	b.lateCommands = slices.DeleteFunc(b.lateCommands, func(x *command) bool { return x == c })
+	b.forgetLate(c)
 	b.removeHeld(c)
 	b.endGrantWait(c)
 	b.cancelOthers(c, -1)
--- a/balance/conditions_test.go
+++ b/balance/conditions_test.go
@@ -128,6 +128,42 @@
 	}
 }
 
+// Guards against answers that are cut off: a command whose answer was being streamed to a slow reader was given up for others.
+func TestStreamedAnswersAreNotGivenUpForOthers(t *testing.T) {
+	h := startBalancer(t, setup{verb: Verb{Goal: 1, TimeLimit: 5, Utility: 1, LateUtility: 0.2},
+		limits: Limits{MaxRelays: 1, CancelRelays: true, MaxUnreadAnswers: 40}})
+	const streamed, commands = 10, 30
+	for cmd := uint64(1); cmd <= commands; cmd++ {
+		h.b.CommandReceived(h.now, cmd, 0, 0, h.now+5, 0)
+		if cmd <= streamed {
+			h.b.StreamStarted(h.now, cmd, 0)
+		}
+	}
+	h.advanceTo(h.now + 1.01)
+	var late []uint64
+	for cmd := uint64(1); cmd <= commands; cmd++ {
+		switch {
+		case cmd <= streamed && h.ended[cmd]:
+			t.Errorf("command %d was given up, its stream began before its goal", cmd)
+		case cmd > streamed && !h.ended[cmd]:
+			late = append(late, cmd)
+			h.b.StreamStarted(h.now, cmd, 0)
+		}
+	}
+	if len(late) > 6 || len(late) < 4 {
+		t.Errorf("%d late commands without a stream were open, want 4 to 6", len(late))
+	}
+	for cmd := uint64(100); cmd < 100+commands; cmd++ {
+		h.b.CommandReceived(h.now, cmd, 0, 0, h.now+5, 0)
+	}
+	h.advanceTo(h.now + 1.01)
+	for _, cmd := range late {
+		if h.ended[cmd] {
+			t.Errorf("command %d was given up, its stream began after its goal", cmd)
+		}
+	}
+}
+
 // TestSaturationIsBounded guards against a tier in which all capacity waits for calls from the next tier back into
 // it, so that nothing is answered any more. The number in flight under normal load limits what may be added.
 func TestSaturationIsBounded(t *testing.T) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -104,7 +104,7 @@
 	limitCutAt, completedAt          float64
 	relaysSent, relaysLate           decayingSum
 	retryBudget                      tokenBucket
-	lateCommands                     []*command     // past their goal but not answered, oldest goal first
+	lateCommands                     []*command     // past their goal, not answered and without a stream, oldest goal first
 	budgetCommands, extraRelays      slidingCounter // commands and extra relays counted for the relay budget
 	groups                           groupTable
 	allEnded, allFailed              decayingSum
