loop, proxy: a client's end is seen behind the bytes that wait while its command is open

Cause: a connection is not read while its command is open, and the kernel tells the end only once it has it: behind more bytes than the receive window holds the client's machine can't send it.

Change: a connection that waits for an answer reads ahead once 32 KiB wait, up to what one command may hold and to a quarter of the buffers. SO_RCVLOWAT tells when, so that little input costs no event. What was read ahead counts as arrived when it was first seen.

TestCommandsReadAheadKeepTheirTime fails with the arrival time taken out (told 2.5 s at 0.70 s of 2.5 s).

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -17,6 +17,8 @@
 	maxFreeBuffers     = 256       // initial buffers kept for reuse, 1 MiB
 	largeBufferBytes   = 32 << 10  // size of the read buffer through which a long message is streamed
 	sendBufferBytes    = 128 << 10 // SO_SNDBUF of accepted connections; a larger one hides whether the peer reads
+	readAheadAtBytes   = 32 << 10  // unread bytes from which a paused connection reads ahead; any receive window holds fewer
+	readAheadDivisor   = 4         // of the loop's MaxBufferBytes: beyond this part nothing is read ahead
 )
 
 // ErrReadBufferFull ends a connection that has more to read, of which no more fits in its read buffer, and whose handler neither
@@ -47,6 +49,10 @@
 	inputSince    float64 // when input was first seen waiting while the connection was paused, 0 if none was
 	receivedAt    float64 // time by which the bytes read last had arrived
 	pausedWithEOF bool    // paused, and the peer's close is reported only after all bytes before it
+	readsAhead    bool    // paused, and reads ahead when many bytes wait
+	lowWatermark  bool    // SO_RCVLOWAT is readAheadAtBytes
+	aheadBytes    int     // how many of the last unconsumed bytes were read ahead
+	aheadSince    float64 // when input was first seen waiting before them
 	largeBuffer   bool    // uses a large buffer and keeps it while it is empty
 	lastSentAt    float64 // when the kernel last accepted written bytes
 	disconnected  bool    // OnDisconnect was called or is scheduled
@@ -127,6 +133,7 @@
 // Consume drops the first n bytes of Unconsumed. An empty buffer is returned to the free list.
 func (c *Conn) Consume(n int) {
 	c.start += n
+	c.aheadBytes = min(c.aheadBytes, c.end-c.start)
 	if c.start < c.end {
 		return
 	}
@@ -232,16 +239,25 @@
 	}
 }
 
+// PauseReadingAhead is like Pause after a complete message. If many bytes arrive meanwhile, they are read without being reported, as
+// long as there is room: the peer's close behind them would not reach a full receive buffer.
+func (c *Conn) PauseReadingAhead() { c.paused, c.readsAhead = true, true }
+
 // PauseWithEOF stops reading and also defers the peer's close, or a reset, until all bytes before it have been read, since
 // they may be a whole message. Only on an accepted connection is a reset reported at once: the client is gone.
 func (c *Conn) PauseWithEOF() { c.pausedWithEOF = true; c.updateInterest() }
 
 // Resume reads on after Pause or PauseWithEOF.
 func (c *Conn) Resume() {
-	if c.paused && c.interest&unix.EPOLLIN == 0 && c.inputSince == 0 && c.fd >= 0 && !c.IsIdle() {
+	noEvents := c.interest&unix.EPOLLIN == 0 || c.lowWatermark
+	if c.paused && noEvents && c.inputSince == 0 && c.fd >= 0 && !c.IsIdle() {
 		c.inputSince = c.loop.iterationStart - c.LastReceiveAge() // no event showed when the input arrived
 	}
-	c.paused, c.pausedWithEOF = false, false
+	c.paused, c.pausedWithEOF, c.readsAhead = false, false, false
+	if c.lowWatermark && c.fd >= 0 {
+		c.lowWatermark = false
+		unix.SetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_RCVLOWAT, 1)
+	}
 	c.updateInterest()
 }
 
@@ -259,7 +275,7 @@
 		interest = 0
 	} else if c.pausedWithEOF {
 		interest = unix.EPOLLET // EPOLLHUP and EPOLLERR can't be masked out; report them once and not in every iteration
-	} else if !c.paused {
+	} else if !c.paused || c.readsAhead {
 		interest = readEvents
 	}
 	if c.dialing || len(c.unsent) > 0 {
@@ -382,16 +398,56 @@
 		if events&endEvents != 0 {
 			c.disconnect(io.EOF)
 		} else if events&unix.EPOLLIN != 0 {
-			if c.inputSince == 0 {
-				c.inputSince = c.loop.iterationStart
-			}
-			c.updateInterest()
+			c.inputWhilePaused()
 		}
 	case events&(unix.EPOLLIN|endEvents) != 0:
 		c.read()
 	}
 }
 
+// inputWhilePaused notes when input was first seen waiting. A connection that reads ahead does so from the next event on, which comes
+// once many bytes wait.
+func (c *Conn) inputWhilePaused() {
+	switch {
+	case c.lowWatermark:
+		c.readAhead()
+		return
+	case c.inputSince == 0:
+		c.inputSince = c.loop.iterationStart
+	}
+	c.lowWatermark = c.readsAhead && unix.SetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_RCVLOWAT, readAheadAtBytes) == nil
+	c.readsAhead = c.lowWatermark
+	c.updateInterest()
+}
+
+// readAhead makes one read call without reporting its bytes. Where there is no room, what follows stays in the kernel.
+func (c *Conn) readAhead() {
+	if c.loop.bufferedBytes > c.loop.MaxBufferBytes/readAheadDivisor || !c.ensureSpace() {
+		c.readsAhead = false
+		c.updateInterest()
+		return
+	}
+	n, err := c.loop.read(c.fd, c.buffer[c.end:])
+	switch {
+	case n > 0:
+		if c.aheadBytes == 0 {
+			c.aheadSince, c.inputSince = c.inputSince, 0
+		}
+		c.end += n
+		c.aheadBytes += n
+	case err == nil:
+		c.disconnect(io.EOF)
+	case !isRetryable(err):
+		c.disconnect(err)
+	}
+}
+
+// ReadAheadSince reports whether the last of the first n unconsumed bytes was read ahead, and if so when it had arrived at the
+// earliest.
+func (c *Conn) ReadAheadSince(n int) (at float64, ahead bool) {
+	return c.aheadSince, n > c.end-c.start-c.aheadBytes
+}
+
 // read makes one read call and reports its bytes, the peer's close or an error to the handler.
 func (c *Conn) read() {
 	if c.discardLimit > 0 {
@@ -410,6 +466,7 @@
 	n, err := c.loop.read(c.fd, c.buffer[c.end:])
 	if n > 0 {
 		c.end += n
+		c.aheadBytes = 0
 		if c.receivedAt = c.loop.iterationStart; c.inputSince > 0 {
 			c.receivedAt, c.inputSince = c.inputSince, 0
 		}
--- a/internal/proxy/body_stream.go
+++ b/internal/proxy/body_stream.go
@@ -95,7 +95,7 @@
 	if c.msg.Chunked() {
 		l.conn.Write([]byte("0\r\n\r\n"))
 	}
-	c.conn.Pause()
+	c.conn.PauseReadingAhead()
 	c.conn.ReleaseLargeBuffer()
 	l.sendsBody = false
 	c.bodyConn, c.bodyStreaming = nil, false
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -337,13 +337,17 @@
 		c.reject("too many commands\n", retryOverloadSeconds, false)
 		return
 	}
-	expires := c.receivedAt + timeLimit
+	expires := c.commandReceivedAt() + timeLimit
 	if expires <= p.loop.Now() && timeLimit > 0 {
 		p.declinedCount++
 		c.reject("its time was up before it was read\n", retrySoonSeconds, c.msg.KeepAlive)
 		return
 	}
-	c.conn.Pause() // the command stays in the read buffer until it is answered
+	if c.bodyStreaming {
+		c.conn.Pause()
+	} else {
+		c.conn.PauseReadingAhead() // the command stays in the read buffer until it is answered
+	}
 	p.lastCommandID++
 	cmd := &command{id: p.lastCommandID, requestID: string(c.msg.Get(in, "Req-Id")), client: c,
 		timeLimit: timeLimit, deadline: expires}
@@ -356,6 +360,14 @@
 	p.balancer.CommandReceived(p.loop.Now(), cmd.id, verb, customer, cmd.deadline, resourceKey(c.msg.Get(in, "Req-Extra")))
 }
 
+// commandReceivedAt returns the time by which the command had arrived.
+func (c *clientConn) commandReceivedAt() float64 {
+	if at, ahead := c.conn.ReadAheadSince(c.msg.Size()); ahead {
+		return at
+	}
+	return c.receivedAt
+}
+
 // resourceKey returns a hash of the resource that a command names, the same at every proxy, or 0 if it names none.
 func resourceKey(extra []byte) uint64 {
 	for part := range bytes.SplitSeq(extra, []byte(",")) {
