--- /dev/null
+++ b/cmd/sandpass/pressure_test.go
@@ -0,0 +1,244 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	leastMemoryMB   = 32   // least memory limit that the platform sets
+	mostDescriptors = 1024 // most descriptors that it allows
+	crowdSize       = 500  // connections; clients may hold 582 of 1,024 descriptors
+	slowRate        = 64e3 // bytes a second of the slowest clients that are served
+)
+
+// constrainedProxy is the program as operators build it, under the platform's least memory limit.
+type constrainedProxy struct {
+	t       *testing.T
+	cmd     *exec.Cmd
+	out     *output
+	address string
+}
+
+// buildProgram builds the program, without tests.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "sandpass")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return program
+}
+
+// startConstrained starts the program with one backend and waits until it is ready.
+func startConstrained(t *testing.T, program string, backend net.Addr) *constrainedProxy {
+	t.Helper()
+	config, address := writeConfig(t)
+	text, err := os.ReadFile(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var c map[string]any
+	if err := json.Unmarshal(text, &c); err != nil {
+		t.Fatal(err)
+	}
+	c["limits"] = map[string]any{"cores": 1.0, "memory_mb": leastMemoryMB, "sockets": mostDescriptors}
+	c["known"] = json.RawMessage(fmt.Sprintf(`{"index":1,"snapshot":true,"endpoints":[{"name":"s-1","address":"%s",
+		"zone":"a","group":1,"status":"ready","weight":1,"since_ms":0}]}`, backend))
+	if text, err = json.Marshal(c); err == nil {
+		err = os.WriteFile(config, text, 0o600)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &constrainedProxy{t: t, address: address, out: &output{}}
+	p.cmd = exec.Command(program, "serve", "--config", config)
+	p.cmd.Stdout, p.cmd.Stderr = p.out, p.out
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.cmd.Process.Kill(); p.cmd.Wait() })
+	for range 500 {
+		c, err := net.Dial("tcp", address)
+		if err == nil {
+			answer := roundTrip(c, "GET /-/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+			c.Close()
+			if strings.HasPrefix(answer, "HTTP/1.1 200") {
+				return p
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("not ready: %s", p.out)
+	return nil
+}
+
+// roundTrip writes a request and reads until the connection ends.
+func roundTrip(c net.Conn, request string) string {
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	io.WriteString(c, request)
+	answer, _ := io.ReadAll(c)
+	return string(answer)
+}
+
+var peakPattern = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
+
+// peakMemoryMB returns the most memory that the process has had resident, in MiB.
+func (p *constrainedProxy) peakMemoryMB() float64 {
+	p.t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatalf("the process has ended: %v, %s", err, p.out)
+	}
+	kilobytes, err := strconv.Atoi(string(peakPattern.FindSubmatch(text)[1]))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return float64(kilobytes) / 1024
+}
+
+// serveBackend passes each connection to a function.
+func serveBackend(t *testing.T, serve func(net.Conn)) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { serve(c); c.Close() }()
+		}
+	}()
+	return l
+}
+
+// readSlowly discards what comes at the given rate, in bytes a second, until the connection ends.
+func readSlowly(c net.Conn, rate float64) {
+	part := make([]byte, int(rate/20))
+	for _, err := io.ReadFull(c, part); err == nil; _, err = io.ReadFull(c, part) {
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// writeSlowly writes at the given rate, in bytes a second, until the duration has passed or the connection ends.
+func writeSlowly(c net.Conn, text []byte, rate float64, duration time.Duration) {
+	step := int(rate / 20)
+	for until := time.Now().Add(duration); len(text) > 0 && time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		n := min(step, len(text))
+		if _, err := c.Write(text[:n]); err != nil {
+			return
+		}
+		text = text[n:]
+	}
+}
+
+// crowd has many clients act at once, each on a connection of its own, and waits for all.
+func crowd(address string, act func(n int, c net.Conn)) {
+	var clients sync.WaitGroup
+	for n := range crowdSize {
+		clients.Go(func() {
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			act(n, c)
+		})
+	}
+	clients.Wait()
+}
+
+// requestHead returns the head of a request without the empty line.
+func requestHead(method, verb string, n int, fields string) string {
+	return fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: a\r\nReq-Id: id-%d\r\nReq-Kind: %s\r\nReq-Owner: acme\r\nReq-Deadline: 3\r\n%s",
+		method, verb, n, verb, fields)
+}
+
+// Guards against a process that passes its memory limit under a crowd: hundreds of clients that write slowly, stop half way
+// through a large request, send heads of very many short fields, or read long answers slowly.
+func TestCrowdStaysWithinMemoryLimit(t *testing.T) {
+	program := buildProgram(t)
+	const actSeconds = 4 * time.Second
+	large := bytes.Repeat([]byte("x"), 900<<10)
+	shortFields := strings.Repeat("a:\r\n", 3900)
+	longAnswer := serveBackend(t, func(c net.Conn) {
+		in := make([]byte, 4096)
+		for {
+			if _, err := c.Read(in); err != nil {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 4<<20)
+			for range 64 {
+				if _, err := c.Write(large[:64<<10]); err != nil {
+					return
+				}
+			}
+		}
+	})
+	slowReader := serveBackend(t, func(c net.Conn) { readSlowly(c, slowRate) })
+	slowWriters := func(n int, c net.Conn) {
+		io.WriteString(c, requestHead("POST", "pay", n, "Content-Length: 250000\r\n\r\n"))
+		writeSlowly(c, large[:250000], slowRate, actSeconds)
+	}
+	stopped := func(n int, c net.Conn) {
+		io.WriteString(c, requestHead("POST", "pay", n, "Content-Length: 921600\r\n\r\n"))
+		c.Write(large[:450<<10])
+		time.Sleep(actSeconds)
+	}
+	stoppedBuffered := func(n int, c net.Conn) {
+		io.WriteString(c, requestHead("POST", "pay", n, "Content-Length: 250000\r\n\r\n"))
+		c.Write(large[:125000])
+		time.Sleep(actSeconds)
+	}
+	manyFields := func(n int, c net.Conn) {
+		io.WriteString(c, requestHead("GET", "look", n, shortFields))
+		time.Sleep(actSeconds)
+	}
+	slowReaders := func(n int, c net.Conn) {
+		io.WriteString(c, requestHead("GET", "look", n, "\r\n"))
+		c.SetDeadline(time.Now().Add(actSeconds))
+		readSlowly(c, slowRate)
+	}
+	kinds := []func(int, net.Conn){slowWriters, stopped, stoppedBuffered, manyFields, slowReaders}
+	mixed := func(n int, c net.Conn) { kinds[n%len(kinds)](n, c) }
+	for _, test := range []struct {
+		name    string
+		backend net.Listener
+		act     func(int, net.Conn)
+	}{
+		{"nothing", longAnswer, func(int, net.Conn) {}},
+		{"slow writers", slowReader, slowWriters},
+		{"stopped half way", slowReader, stopped},
+		{"stopped half way in a buffered body", slowReader, stoppedBuffered},
+		{"many short fields", longAnswer, manyFields},
+		{"slow readers", longAnswer, slowReaders},
+		{"mixed", longAnswer, mixed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := startConstrained(t, program, test.backend.Addr())
+			crowd(p.address, test.act)
+			peak := p.peakMemoryMB()
+			t.Logf("peak %.1f MiB of %d", peak, leastMemoryMB)
+			if peak > leastMemoryMB {
+				t.Errorf("peak of %.1f MiB over the limit of %d", peak, leastMemoryMB)
+			}
+		})
+	}
+}
