proxy: a sound answer that its backend writes slowly is not cut off

Cause: two time-outs took slowness for an end. checkStall closed a relay whose answer made no progress for 0.5 s, since 'a backend writes an answer without a pause'; abortEndless went by the bytes so far. Class: a timer that judges a peer by a pause.

Change: an answer that stalls keeps its relay to the command's limit; the Balancer is told (RelayStalled) and asks another backend beside it where a repeat is allowed, out of the same budget as the retry that followed the cut. Near the limit an answer of unknown length is streamed with its head alone. After the limit it is cut only while it is short and comes at under 32 kB/s, half the rate of slow clients.

Before: TestSlowAnswersAreNotCutOff failed (nearly all cases with a pause, and those that begin near the limit); now it passes, as do TestEndlessAnswerIsCut as it was, TestStalledAnswerIsRetriedBesideTheFirst and TestStalledAnswerKeepsItsRelay (module), and the packages balance and internal/proxy.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -14,7 +14,7 @@
 //     have been answered, declined or terminated. utility: the value of an answer; it sets a command's priority under overload.
 //
 // A front creates one Balancer per instance with New and applies its settings with Configure. It then reports each
-// event by a method call: CommandReceived, ConnectionOpened, StreamStarted, RelayEnded, ClientDisconnected,
+// event by a method call: CommandReceived, ConnectionOpened, StreamStarted, RelayStalled, RelayEnded, ClientDisconnected,
 // UpdateBackends, BackendListFailed, MessageReceived, TimerFired and Stalled. Times are clock readings in seconds.
 // The Balancer acts only through its Host. The interface and the plain types are in host.go; docs/design.md
 // describes the algorithm and where it departs from its model.
@@ -1045,20 +1045,39 @@
 	}
 }
 
+// RelayStalled reports that a relay's answer has begun and makes no progress. It may still become whole, so the relay stays open.
+// Where a repeat beside it is allowed, another backend is asked as well.
+func (b *Balancer) RelayStalled(now float64, id uint64, n int) {
+	b.now = now
+	c, ok := b.commands[id]
+	if ok && !c.done && !c.streaming && n < len(c.relays) && c.relays[n].pending && c.pendingRelays == 1 && b.limits.Hedges {
+		b.sendRetry(c)
+	}
+}
+
 // retry sends a command whose relays have all failed to another backend, or gives it up.
 func (b *Balancer) retry(c *command) {
+	if !b.sendRetry(c) {
+		b.recordCompletion(c, true)
+		b.giveUp(c)
+	}
+}
+
+// sendRetry sends a command to another backend, within the budgets, and reports whether it did.
+func (b *Balancer) sendRetry(c *command) bool {
 	refill := retriesPerCall * b.arrived.rate(b.now, callSpanSeconds, b.start)
-	if !c.inLimitedGroup() && len(c.relays) < b.limits.MaxRelays && c.expiresAt > b.now+2*b.tick &&
-		b.withinBudget(zeroUtilityShare+(1-zeroUtilityShare)*c.priority) &&
-		b.retryBudget.read(b.now, refill, max(retryBurst, refill)) >= 1 {
-		if be := b.pick(c, false, false); be != nil {
-			b.retryBudget.tokens--
-			b.sendRelay(c, be)
-			return
-		}
+	if c.inLimitedGroup() || len(c.relays) >= b.limits.MaxRelays || c.expiresAt <= b.now+2*b.tick ||
+		!b.withinBudget(zeroUtilityShare+(1-zeroUtilityShare)*c.priority) ||
+		b.retryBudget.read(b.now, refill, max(retryBurst, refill)) < 1 {
+		return false
 	}
-	b.recordCompletion(c, true)
-	b.giveUp(c)
+	be := b.pick(c, false, false)
+	if be == nil {
+		return false
+	}
+	b.retryBudget.tokens--
+	b.sendRelay(c, be)
+	return true
 }
 
 // mayDecline reports whether a retry by the client is harmless whenever it comes. A receipted command may be
--- a/internal/proxy/answer_stream.go
+++ b/internal/proxy/answer_stream.go
@@ -14,18 +14,25 @@
 const (
 	streamAfterSeconds       = 0.25 // from the first byte of an answer of unknown length, if it makes progress
 	streamBeforeLimitSeconds = 0.05 // before the time limit, in any case: the first bytes of an answer must be in time
-	endlessCutoffSeconds     = 0.4  // after the time limit, if the answer is not long by then: at 0.5 s it counts as lost
+	endlessCutoffSeconds     = 0.4  // after the time limit, from when a short answer that is too slow is cut: at 0.5 s it counts as lost
+	endlessCheckSeconds      = 0.05 // between checks of an answer after that
+	minAnswerBytesPerSecond  = 32e3 // half the rate of slow clients
+	answerGraceSeconds       = 0.3  // in addition to the time at the minimum rate
+	maxBodyDelaySeconds      = 1.0  // from the first bytes of the head to those of the body
 )
 
 // shouldStream reports whether an incomplete answer is to be streamed to the client.
 func (bc *backendConn) shouldStream(now float64) bool {
 	m := &bc.msg
-	if !m.HeadComplete() {
+	switch {
+	case !m.HeadComplete():
+		return false
+	case m.BodyLength() > http1.MaxBufferedResponseBody || m.DecodedBytes() > http1.MaxBufferedResponseBody || bc.conn.ReadBufferFull():
+		return true
+	case m.BodyLength() >= 0 || bc.answerBegan == 0:
 		return false
 	}
-	return m.BodyLength() > http1.MaxBufferedResponseBody || m.DecodedBytes() > http1.MaxBufferedResponseBody ||
-		bc.conn.ReadBufferFull() || m.BodyLength() < 0 && m.DecodedBytes() > 0 && bc.answerBegan > 0 &&
-		now > min(bc.answerBegan+streamAfterSeconds, bc.relay.cmd.deadline-streamBeforeLimitSeconds)
+	return now > bc.relay.cmd.deadline-streamBeforeLimitSeconds || m.DecodedBytes() > 0 && now > bc.answerBegan+streamAfterSeconds
 }
 
 // answerState is what happens to the answer that arrives on a connection.
@@ -54,6 +61,7 @@
 		return
 	}
 	in := bc.conn.Unconsumed()
+	bc.noteProgress()
 	bc.answer, cmd.answerConn, cmd.streamed = answerForwarded, bc, true
 	if bc.msg.BodyLength() < 0 {
 		p.loop.After(cmd.deadline+endlessCutoffSeconds-now, func() { bc.abortEndless(cmd) })
@@ -87,6 +95,9 @@
 			bc.abortStream(balance.Reset)
 			return
 		}
+		if bc.bodyBegan == 0 && len(data) > 0 {
+			bc.bodyBegan = bc.lastProgress
+		}
 		if bc.answer == answerForwarded && len(data) > 0 {
 			bc.relay.cmd.client.writeAnswerPart(data)
 		}
@@ -154,8 +165,7 @@
 	}
 	bc.timer.Stop()
 	r.conn = nil
-	bc.msg.Reset()
-	bc.answer, bc.answerBegan = answerBuffered, 0
+	bc.resetAnswer()
 	bc.conn.ReleaseLargeBuffer()
 	bc.release(keep)
 	bc.p.reportOutcome(r, balance.Answered)
@@ -174,14 +184,31 @@
 	c.finishAnswer(c.keepAlive)
 }
 
-// abortEndless aborts a streamed answer soon after its command's time limit if it is not long by then. A trickle would never
-// end, while for a long answer only the first bytes must be in time.
+// abortEndless aborts a streamed answer that is past its command's time limit if it is short and so slow that it may never end. For
+// a long answer only the first bytes must be in time, and one that comes at the minimum rate may become long.
 func (bc *backendConn) abortEndless(cmd *command) {
-	if cmd.answerConn == bc && bc.msg.DecodedBytes() <= http1.MaxBufferedResponseBody {
-		log.Printf("msg=answer_endless command=%d bytes=%d", cmd.id, bc.msg.DecodedBytes())
-		bc.p.invalidCount++
-		bc.abortStream(balance.TimedOut)
+	decoded := bc.msg.DecodedBytes()
+	if cmd.answerConn != bc || decoded > http1.MaxBufferedResponseBody {
+		return
+	}
+	if !bc.tooSlow() {
+		bc.p.loop.After(endlessCheckSeconds, func() { bc.abortEndless(cmd) })
+		return
+	}
+	log.Printf("msg=answer_endless command=%d bytes=%d", cmd.id, decoded)
+	bc.p.invalidCount++
+	bc.abortStream(balance.TimedOut)
+}
+
+// tooSlow reports whether an answer comes at less than the minimum rate. Time in which its client does not read is not held
+// against it.
+func (bc *backendConn) tooSlow() bool {
+	began := bc.bodyBegan
+	if began == 0 {
+		began = bc.answerBegan + maxBodyDelaySeconds
 	}
+	seconds := bc.p.loop.Now() - began - answerGraceSeconds
+	return !bc.readPaused && float64(bc.msg.DecodedBytes()) < minAnswerBytesPerSecond*seconds
 }
 
 // abortStream ends a streamed answer that can't be completed, in a way that its client can detect.
--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"hash/fnv"
 	"io"
+	"math"
 	"net/netip"
 	"slices"
 	"sort"
@@ -20,7 +21,7 @@
 	connectRetrySeconds = 0.005 // before connecting again after the system had no descriptor
 	maxIdleFraction     = 0.7   // of the configured idle time, after which a connection is closed: well before the backend does
 	reuseDelaySeconds   = 0.01  // from an answer to the next use of its connection: late bytes would pass for the next answer
-	answerStallSeconds  = 0.5   // without progress, after which an incomplete answer counts as broken
+	answerStallSeconds  = 0.5   // without progress, after which a repeat elsewhere may overtake an incomplete answer
 )
 
 // backendPool holds the backends and all connections to them.
@@ -79,7 +80,9 @@
 	connected        bool
 	lackedDescriptor bool    // the system had no descriptor at the first attempt
 	answerBegan      float64 // when the incomplete answer began, 0 if none
+	bodyBegan        float64 // when the first bytes of its body were received, 0 if none were
 	lastProgress     float64 // when the latest part of it was received
+	stallReported    bool    // the Balancer was told that the answer makes no progress
 	answer           answerState
 	sendsBody        bool    // the body of the relay's request is being streamed and is not complete
 	readPaused       bool    // not read until the client has taken what is buffered
@@ -316,14 +319,28 @@
 		bc.p.invalidCount++
 		bc.closeAndReport(bc.disconnectResult())
 	case bc.msg.Started(bc.conn.Unconsumed()):
-		bc.lastProgress = bc.p.loop.Now()
-		if bc.answerBegan == 0 {
-			bc.answerBegan = bc.lastProgress
-			bc.timer = bc.p.loop.After(bc.stallCheckDelay(answerStallSeconds), bc.checkStall)
-		}
+		bc.noteProgress()
+	}
+}
+
+// noteProgress notes that a part of an incomplete answer has come.
+func (bc *backendConn) noteProgress() {
+	bc.lastProgress = bc.p.loop.Now()
+	if bc.bodyBegan == 0 && bc.msg.DecodedBytes() > 0 {
+		bc.bodyBegan = bc.lastProgress
+	}
+	if bc.answerBegan == 0 {
+		bc.answerBegan = bc.lastProgress
+		bc.timer = bc.p.loop.After(bc.stallCheckDelay(answerStallSeconds), bc.checkStall)
 	}
 }
 
+// resetAnswer prepares the connection for the next answer.
+func (bc *backendConn) resetAnswer() {
+	bc.msg.Reset()
+	bc.answer, bc.answerBegan, bc.bodyBegan, bc.stallReported = answerBuffered, 0, 0, false
+}
+
 // stallCheckDelay returns the seconds until the next check of an incomplete answer, at most limit. An answer of
 // unknown length is checked in time to be streamed before the command's deadline.
 func (bc *backendConn) stallCheckDelay(limit float64) float64 {
@@ -333,19 +350,24 @@
 	return limit
 }
 
-// checkStall ends a relay whose answer makes no progress. An answer that makes progress has until the command's
-// deadline.
+// checkStall reports an answer that makes no progress, once, and begins to stream one of unknown length when its time limit is near.
+// A slow answer may be whole: it is not broken off before the command's deadline.
 func (bc *backendConn) checkStall() {
 	now := bc.p.loop.Now()
-	remaining := bc.lastProgress + answerStallSeconds - now
-	switch {
-	case remaining <= 0:
-		bc.p.invalidCount++
-		bc.closeAndReport(bc.disconnectResult())
-	case now > bc.relay.cmd.deadline-streamBeforeLimitSeconds && bc.shouldStream(now):
+	if now > bc.relay.cmd.deadline-streamBeforeLimitSeconds && bc.shouldStream(now) {
 		bc.startStreaming()
-	default:
-		bc.timer = bc.p.loop.After(bc.stallCheckDelay(remaining), bc.checkStall)
+		return
+	}
+	remaining := bc.lastProgress + answerStallSeconds - now
+	if remaining <= 0 && !bc.stallReported {
+		bc.stallReported = true
+		bc.p.balancer.RelayStalled(now, bc.relay.cmd.id, bc.relay.index)
+	}
+	if bc.stallReported {
+		remaining = math.Inf(1)
+	}
+	if delay := bc.stallCheckDelay(remaining); !math.IsInf(delay, 1) {
+		bc.timer = bc.p.loop.After(delay, bc.checkStall)
 	}
 }
 
@@ -397,7 +419,6 @@
 	result := balance.Errored
 	otherStreaming := r.cmd.answerConn != nil // another relay's answer is being streamed to the client
 	bc.timer.Stop()
-	bc.answerBegan = 0
 	switch status := bc.msg.Status; status {
 	case 429, 408: // temporary conditions, not faults of the command
 	default:
@@ -422,7 +443,7 @@
 	}
 	r.conn = nil
 	bc.conn.Consume(bc.msg.Size())
-	bc.msg.Reset()
+	bc.resetAnswer()
 	bc.release(reuse)
 	bc.p.reportOutcome(r, result)
 }
