http1: a head of many short fields takes no more memory than its bytes

Cause: Message kept 32 bytes for each header field, on no account of the loop's MaxBufferBytes: eight times the bytes of a field like 'a:'. 500 heads of 3,900 such fields took 78.8 MiB of a limit of 32. Class: memory that grows with what a client sends and that no limit counts. Excluded: a leak over time (the second kill came 0.86 s after a start), slow writers, half requests and slow readers (14.5 to 22.5 MiB).

Change: nothing is stored for a field; names and values are found in the head's bytes when they are asked for. What Connection fields list is collected once for a message: it was searched anew for each field, which took time by the square of the number of fields.

--- a/cmd/sandpass/pressure_test.go
+++ b/cmd/sandpass/pressure_test.go
@@ -178,6 +178,7 @@
 	const actSeconds = 4 * time.Second
 	large := bytes.Repeat([]byte("x"), 900<<10)
 	shortFields := strings.Repeat("a:\r\n", 3900)
+	smallChunks := bytes.Repeat([]byte("1\r\nx\r\n"), 4096)
 	longAnswer := serveBackend(t, func(c net.Conn) {
 		in := make([]byte, 4096)
 		for {
@@ -193,6 +194,7 @@
 		}
 	})
 	slowReader := serveBackend(t, func(c net.Conn) { readSlowly(c, slowRate) })
+	hung := serveBackend(t, func(c net.Conn) { io.Copy(io.Discard, c) })
 	slowWriters := func(n int, c net.Conn) {
 		io.WriteString(c, requestHead("POST", "pay", n, "Content-Length: 250000\r\n\r\n"))
 		writeSlowly(c, large[:250000], slowRate, actSeconds)
@@ -216,7 +218,27 @@
 		c.SetDeadline(time.Now().Add(actSeconds))
 		readSlowly(c, slowRate)
 	}
-	kinds := []func(int, net.Conn){slowWriters, stopped, stoppedBuffered, manyFields, slowReaders}
+	completeHeads := func(n int, c net.Conn) {
+		io.WriteString(c, requestHead("GET", "look", n, shortFields+"\r\n"))
+		time.Sleep(actSeconds)
+	}
+	chunks := func(n int, c net.Conn) {
+		io.WriteString(c, requestHead("POST", "pay", n, "Transfer-Encoding: chunked\r\n\r\n"))
+		c.SetDeadline(time.Now().Add(actSeconds))
+		for _, err := c.Write(smallChunks); err == nil; _, err = c.Write(smallChunks) {
+		}
+	}
+	sendsAhead := func(n int, c net.Conn) {
+		c.SetDeadline(time.Now().Add(actSeconds))
+		for i := range 200 {
+			io.WriteString(c, requestHead("POST", "pay", 1000*n+i, "Content-Length: 4096\r\n\r\n"))
+			if _, err := c.Write(large[:4096]); err != nil {
+				return
+			}
+		}
+		io.Copy(io.Discard, c)
+	}
+	kinds := []func(int, net.Conn){slowWriters, stopped, stoppedBuffered, manyFields, slowReaders, completeHeads, chunks, sendsAhead}
 	mixed := func(n int, c net.Conn) { kinds[n%len(kinds)](n, c) }
 	for _, test := range []struct {
 		name    string
@@ -229,7 +251,20 @@
 		{"stopped half way in a buffered body", slowReader, stoppedBuffered},
 		{"many short fields", longAnswer, manyFields},
 		{"slow readers", longAnswer, slowReaders},
-		{"mixed", longAnswer, mixed},
+		{"complete heads of many short fields", hung, completeHeads},
+		{"bodies of very small chunks", slowReader, chunks},
+		{"requests sent ahead", hung, sendsAhead},
+		{"mixed, long answers", longAnswer, mixed},
+		{"mixed, slow backend", slowReader, mixed},
+		{"three waves", longAnswer, func(n int, c net.Conn) {
+			mixed(n, c)
+			for range 2 {
+				if c, err := net.Dial("tcp", c.RemoteAddr().String()); err == nil {
+					mixed(n+1, c)
+					c.Close()
+				}
+			}
+		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			p := startConstrained(t, program, test.backend.Addr())
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -1,11 +1,14 @@
 // Package http1 parses HTTP/1.1 messages incrementally from a buffer. A command is a request of a client.
 //
-// The parser does no I/O. It stores offsets into the buffer and no copies, so that the buffer may move between calls. It never
+// The parser does no I/O. It stores offsets into the buffer and no copies, so that the buffer may move between calls, and nothing
+// for each header field: a head of many short fields takes no more memory than its bytes. It never
 // reports an incomplete message as complete and never guesses where a message ends: an ambiguous message is a ProtocolError.
 package http1
 
 import (
 	"bytes"
+	"iter"
+	"slices"
 	"strings"
 )
 
@@ -45,9 +48,6 @@
 // slice returns the bytes of the range.
 func (s span) slice(in []byte) []byte { return in[s.from:s.to] }
 
-// field is the range of a header field's name and of its value.
-type field struct{ name, value span }
-
 // Message is a command or a response that is parsed step by step. The zero value is ready for use; Reset prepares it for the
 // next message.
 type Message struct {
@@ -55,7 +55,7 @@
 	KeepAlive  bool // the connection may carry another message
 	method     span
 	target     span
-	fields     []field
+	fields     span // the field lines parsed so far
 	started    bool // the request line or status line has been parsed
 	http10     bool // HTTP/1.0
 	lineStart  int  // offset of the line that is being parsed
@@ -76,8 +76,8 @@
 	return n
 }
 
-// Reset prepares m for the next message and keeps its memory.
-func (m *Message) Reset() { *m = Message{fields: m.fields[:0]} }
+// Reset prepares m for the next message.
+func (m *Message) Reset() { *m = Message{} }
 
 // Size returns how many bytes of the message have been parsed; for a complete message, that is its length in the buffer.
 func (m *Message) Size() int { return m.size }
@@ -136,11 +136,25 @@
 // Body returns the part of the body that has been decoded.
 func (m *Message) Body(in []byte) []byte { return in[m.headSize : m.headSize+m.decoded] }
 
+// eachField yields name and value of each header field in turn.
+func (m *Message) eachField(in []byte) iter.Seq2[[]byte, []byte] {
+	return func(yield func(name, value []byte) bool) {
+		for lines := m.fields.slice(in); len(lines) > 0; {
+			end := bytes.IndexByte(lines, '\n') + 1
+			name, value, _ := bytes.Cut(lines[:end-len("\r\n")], []byte{':'})
+			if !yield(name, bytes.Trim(value, " \t")) {
+				return
+			}
+			lines = lines[end:]
+		}
+	}
+}
+
 // Get returns the value of the first field with that name, nil if there is none.
 func (m *Message) Get(in []byte, name string) []byte {
-	for _, f := range m.fields {
-		if equalFold(f.name.slice(in), name) {
-			return f.value.slice(in)
+	for fieldName, value := range m.eachField(in) {
+		if equalFold(fieldName, name) {
+			return value
 		}
 	}
 	return nil
@@ -157,26 +171,51 @@
 
 // AppendFields appends the fields that are forwarded with the message, except those given.
 func (m *Message) AppendFields(to, in []byte, except ...string) []byte {
-	connection := m.CountFields(in, "Connection") > 0
-next:
-	for _, f := range m.fields {
-		name := f.name.slice(in)
-		for _, list := range [2][]string{hopByHop, except} {
-			for _, n := range list {
-				if equalFold(name, n) {
-					continue next
-				}
-			}
-		}
-		if connection && m.IsConnectionOption(in, string(name)) {
+	options := m.ConnectionOptions(in)
+	for name, value := range m.eachField(in) {
+		isName := func(n string) bool { return equalFold(name, n) }
+		if slices.ContainsFunc(hopByHop, isName) || slices.ContainsFunc(except, isName) || options.Contains(string(name)) {
 			continue
 		}
 		to = append(append(to, name...), ": "...)
-		to = append(append(to, f.value.slice(in)...), "\r\n"...)
+		to = append(append(to, value...), "\r\n"...)
 	}
 	return to
 }
 
+// ConnectionOptions are the names that Connection fields list, in lower case: fields that concern one connection only. It is nil
+// if they list nothing but close and keep-alive.
+type ConnectionOptions map[string]struct{}
+
+// Contains reports whether a field name is among the options.
+func (o ConnectionOptions) Contains(name string) bool {
+	if len(o) == 0 {
+		return false
+	}
+	_, listed := o[strings.ToLower(name)]
+	return listed
+}
+
+// ConnectionOptions returns the names that the message's Connection fields list.
+func (m *Message) ConnectionOptions(in []byte) (options ConnectionOptions) {
+	for name, value := range m.eachField(in) {
+		if !equalFold(name, "Connection") {
+			continue
+		}
+		for part := range strings.SplitSeq(string(value), ",") {
+			option := strings.ToLower(strings.Trim(part, " \t"))
+			if option == "close" || option == "keep-alive" {
+				continue
+			}
+			if options == nil {
+				options = ConnectionOptions{}
+			}
+			options[option] = struct{}{}
+		}
+	}
+	return options
+}
+
 // listContains reports whether a comma-separated value contains the word.
 func listContains(value, word string) bool {
 	for part := range strings.SplitSeq(value, ",") {
@@ -223,7 +262,7 @@
 		case n == 101:
 			return false, newProtocolError(502, "switching protocols was not asked for")
 		case n < 200:
-			m.started, m.fields = false, m.fields[:0]
+			m.started = false
 			continue
 		case n == 204 || n == 304:
 			m.bodyLength, m.chunked = 0, false
@@ -265,11 +304,14 @@
 		var err error
 		switch {
 		case !m.started && response:
+			m.fields = span{end, end}
 			err = m.parseStatusLine(text)
 		case !m.started:
+			m.fields = span{end, end}
 			err = m.parseRequestLine(text, lineStart)
 		case len(text) > 0:
-			err = m.parseField(text, lineStart, response)
+			m.fields.to = end
+			err = m.parseField(text, response)
 		default:
 			return true, m.checkFraming()
 		}
@@ -363,15 +405,13 @@
 	return newProtocolError(400, "malformed first line")
 }
 
-// parseField parses a field line, which starts at the given offset, and applies the fields on framing and connection.
-func (m *Message) parseField(text []byte, lineStart int, response bool) error {
+// parseField parses a field line and applies the fields on framing and connection.
+func (m *Message) parseField(text []byte, response bool) error {
 	colon := bytes.IndexByte(text, ':')
 	if colon <= 0 || !isToken(text[:colon]) {
 		return newProtocolError(400, "malformed field")
 	}
 	value := bytes.Trim(text[colon+1:], " \t")
-	from := lineStart + colon + 1 + len(text[colon+1:]) - len(bytes.TrimLeft(text[colon+1:], " \t"))
-	m.fields = append(m.fields, field{span{lineStart, lineStart + colon}, span{from, from + len(value)}})
 	switch name := text[:colon]; {
 	case equalFold(name, "Content-Length"):
 		n, ok := parseNumber(value, 10)
@@ -407,24 +447,14 @@
 
 // CountFields returns how many fields have that name.
 func (m *Message) CountFields(in []byte, name string) (n int) {
-	for _, f := range m.fields {
-		if equalFold(f.name.slice(in), name) {
+	for fieldName := range m.eachField(in) {
+		if equalFold(fieldName, name) {
 			n++
 		}
 	}
 	return n
 }
 
-// IsConnectionOption reports whether a Connection field lists the named field as one that concerns only this connection.
-func (m *Message) IsConnectionOption(in []byte, name string) bool {
-	for _, f := range m.fields {
-		if equalFold(f.name.slice(in), "Connection") && listContains(string(f.value.slice(in)), name) {
-			return true
-		}
-	}
-	return false
-}
-
 // readBody reads the body and reports whether it is complete. The data of chunks is joined in place.
 func (m *Message) readBody(in []byte, ended bool) (bool, error) {
 	switch {
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -259,8 +259,9 @@
 	invalid := func(status int, text string) (int, int, float64, *http1.ProtocolError) {
 		return 0, 0, 0, &http1.ProtocolError{Status: status, Text: text}
 	}
+	options := c.msg.ConnectionOptions(in)
 	for _, name := range commandHeaders {
-		if c.msg.CountFields(in, name) > 1 || c.msg.IsConnectionOption(in, name) {
+		if c.msg.CountFields(in, name) > 1 || options.Contains(name) {
 			return invalid(400, "a field that says what the command is comes twice or is named in Connection")
 		}
 	}
