balance, loop: the timers of a finished command end with it

Cause: a command that was declined at once left three or four timers behind until its time limit, each with a closure that holds the command, and a stopped timer kept its entry in the loop's heap until it was due. Memory was the rate times the limit. Class: work that is ended but not released. Excluded: tables by names of clients (new customers, resources, verbs and fields cost the same as old ones).

Change: a command's timers are stopped when it is finished (Host.StopTimer, which a host may ignore; the simulator's wire has no message for it), and the loop removes stopped timers once they are the greater part. Decisions are the same: all of these callbacks had nothing to do for a finished command.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -639,7 +639,7 @@
 	for len(b.held) > maxHeld {
 		b.giveUp(b.held[len(b.held)-1])
 	}
-	b.startTimer(maxHold, func() {
+	b.startCommandTimer(c, maxHold, func() {
 		if c.held {
 			b.giveUp(c)
 		}
@@ -828,13 +828,13 @@
 	b.countArrival()
 	b.budgetCommands.add(now, b.limits.ExtraRelays.Span, 1)
 	v.calls.add(now, callSpanSeconds, 1)
-	b.startTimer(expires-now-expiryTicks*b.tick, func() { b.expire(c) })
+	b.startCommandTimer(c, expires-now-expiryTicks*b.tick, func() { b.expire(c) })
 	if b.limits.MaxUnreadAnswers > 0 {
-		b.startTimer(v.Goal, func() { b.goalPassed(c) })
+		b.startCommandTimer(c, v.Goal, func() { b.goalPassed(c) })
 	}
 	if v.LateUtility == 0 {
 		// A command that can no longer earn any utility would only take capacity from others.
-		b.startTimer(min(v.Goal, expires-now), func() {
+		b.startCommandTimer(c, min(v.Goal, expires-now), func() {
 			if !c.done && !c.streaming {
 				b.recordCompletion(c, false)
 				b.giveUp(c)
@@ -894,7 +894,7 @@
 		b.startTimer(reportIntervalSeconds, func() { b.repeatReport(c, n) })
 	}
 	if !v.Stream {
-		b.startTimer(r.delay, func() { b.relayOverdue(c, n) })
+		b.startCommandTimer(c, r.delay, func() { b.relayOverdue(c, n) })
 	}
 }
 
@@ -1143,6 +1143,7 @@
 	b.removeHeld(c)
 	b.endGrantWait(c)
 	b.cancelOthers(c, -1)
+	b.stopTimers(c)
 	b.removeIfDone(c)
 }
 
--- a/balance/helper_test.go
+++ b/balance/helper_test.go
@@ -56,6 +56,9 @@
 func (h *fakeHost) StartTimer(s float64, token uint64) {
 	h.timers = append(h.timers, timer{h.now + s, token})
 }
+func (h *fakeHost) StopTimer(token uint64) {
+	h.timers = slices.DeleteFunc(h.timers, func(t timer) bool { return t.token == token })
+}
 func (h *fakeHost) WatchBackends() { h.watchCount++ }
 func (h *fakeHost) SendToPeer(to int, data []byte) {
 	h.messages = append(h.messages, sentMessage{to, slices.Clone(data)})
--- a/balance/host.go
+++ b/balance/host.go
@@ -20,6 +20,8 @@
 	Terminate(cmd uint64)
 	// StartTimer requests a call of TimerFired with this token after the given time.
 	StartTimer(seconds float64, token uint64)
+	// StopTimer says that the timer with this token is not needed any more. TimerFired ignores it, so a host may do nothing.
+	StopTimer(token uint64)
 	// WatchBackends subscribes to changes of the backend list; UpdateBackends or BackendListFailed follows.
 	WatchBackends()
 	// SendToPeer sends a short message to another instance of the tier by its index. The message may be lost.
--- a/balance/instance.go
+++ b/balance/instance.go
@@ -78,11 +78,29 @@
 // VerbCount returns the number of configured verbs.
 func (b *Balancer) VerbCount() int { return len(b.verbs) }
 
-// startTimer calls the function after the given time.
-func (b *Balancer) startTimer(seconds float64, callback func()) {
+// startTimer calls the function after the given time. It returns the timer's token.
+func (b *Balancer) startTimer(seconds float64, callback func()) uint64 {
 	b.lastTimer++
 	b.timers[b.lastTimer] = callback
 	b.host.StartTimer(max(0, seconds), b.lastTimer)
+	return b.lastTimer
+}
+
+// startCommandTimer is like startTimer for a function that has nothing to do once the command is finished. The timer ends with the
+// command: a client that is declined often must not leave timers behind for a whole time limit each.
+func (b *Balancer) startCommandTimer(c *command, seconds float64, callback func()) {
+	c.timers = append(c.timers, b.startTimer(seconds, callback))
+}
+
+// stopTimers stops the timers of a finished command.
+func (b *Balancer) stopTimers(c *command) {
+	for _, token := range c.timers {
+		if _, pending := b.timers[token]; pending {
+			delete(b.timers, token)
+			b.host.StopTimer(token)
+		}
+	}
+	c.timers = nil
 }
 
 // TimerFired reports that a requested timer has expired.
--- a/balance/state.go
+++ b/balance/state.go
@@ -47,9 +47,10 @@
 	nested                bool     // a call by a lower tier, whose caller waits for the answer
 	askedCells            []uint16 // cells whose coordinators were asked
 	askedAt               float64
-	requestID             int  // number of the pending grant request, 0 if none
-	coordinator           int  // instance that was asked
-	stalled               bool // the process was stalled while it was open
+	requestID             int      // number of the pending grant request, 0 if none
+	coordinator           int      // instance that was asked
+	stalled               bool     // the process was stalled while it was open
+	timers                []uint64 // tokens of the timers that end with the command
 }
 
 // takeover is the state of a cell that this instance coordinates in place of another.
--- a/cmd/sandpass/pressure_test.go
+++ b/cmd/sandpass/pressure_test.go
@@ -51,6 +51,7 @@
 		t.Fatal(err)
 	}
 	var c map[string]any
+	text = bytes.ReplaceAll(text, []byte(`"time_limit_ms": 3000`), []byte(`"time_limit_ms": 6000`))
 	if err := json.Unmarshal(text, &c); err != nil {
 		t.Fatal(err)
 	}
@@ -167,7 +168,7 @@
 
 // requestHead returns the head of a request without the empty line.
 func requestHead(method, verb string, n int, fields string) string {
-	return fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: a\r\nReq-Id: id-%d\r\nReq-Kind: %s\r\nReq-Owner: acme\r\nReq-Deadline: 3\r\n%s",
+	return fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: a\r\nReq-Id: id-%d\r\nReq-Kind: %s\r\nReq-Owner: acme\r\nReq-Deadline: 6\r\n%s",
 		method, verb, n, verb, fields)
 }
 
--- a/internal/benchwire/wire.go
+++ b/internal/benchwire/wire.go
@@ -96,6 +96,9 @@
 	h.u64(token)
 }
 
+// StopTimer does nothing: the wire has no message for it.
+func (h *host) StopTimer(uint64) {}
+
 func (h *host) WatchBackends() {
 	h.record(outStream, 1)
 	*h.reply = append(*h.reply, 1)
--- a/internal/emulator/instances.go
+++ b/internal/emulator/instances.go
@@ -457,6 +457,9 @@
 	inst.sim.queue.push(onTimer, event{at: inst.sim.now + max(0, seconds), number: token, argument: int32(inst.serial)})
 }
 
+// StopTimer implements balance.Host: on the platform's wire a timer can't be withdrawn.
+func (inst *instance) StopTimer(uint64) {}
+
 // SendToPeer implements balance.Host.
 func (inst *instance) SendToPeer(to int, message []byte) {
 	sim := inst.sim
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -17,6 +17,7 @@
 
 const (
 	maxEventsPerPoll         = 128       // events per epoll_wait call; timers and posted functions run in between
+	minStoppedTimers         = 1024      // stopped timers from which they are removed together
 	maxWaitSeconds           = 60.0      // longest wait in one epoll_wait call
 	discardBufferBytes       = 256 << 10 // bytes discarded per call
 	stallThresholdSeconds    = 0.1       // an iteration this late or this long is a stall of the process
@@ -48,6 +49,7 @@
 	callbackStart     float64 // when the running callback was called, 0 if none runs
 	descriptors       []descriptor
 	timers            timerHeap
+	stoppedTimers     int // stopped timers that timers still holds
 	posted            []func()
 	externalPosts     []func() // posted by other goroutines, guarded by mu
 	runningPosts      []func() // functions of the previous iteration, kept to reuse the slice
@@ -253,7 +255,7 @@
 		}
 		for len(l.timers) > 0 && l.timers[0].at <= l.iterationStart {
 			l.callbackStart = l.readClock() // for each timer: after a stall many are due, and their callbacks depend on the time
-			if t := l.timers.pop(); t.callback != nil {
+			if t := l.popTimer(); t.callback != nil {
 				t.callback()
 			} else if t.tokenCallback != nil {
 				t.tokenCallback(t.token)
@@ -276,7 +278,7 @@
 		return 0
 	}
 	for len(l.timers) > 0 && l.timers[0].timer.stopped() {
-		l.timers.pop()
+		l.popTimer()
 	}
 	seconds := maxWaitSeconds
 	if len(l.unsynced) > 0 {
@@ -290,6 +292,7 @@
 
 // Timer is a scheduled callback.
 type Timer struct {
+	loop          *Loop // nil once the timer is no longer in the loop's heap
 	callback      func()
 	tokenCallback func(uint64)
 	token         uint64
@@ -300,22 +303,44 @@
 
 // Stop cancels the timer; t may be nil.
 func (t *Timer) Stop() {
-	if t != nil {
-		t.callback, t.tokenCallback = nil, nil
+	if t == nil || t.stopped() {
+		return
+	}
+	t.callback, t.tokenCallback = nil, nil
+	if t.loop != nil {
+		t.loop.stoppedTimers++
 	}
 }
 
 // After schedules f to run in the given number of seconds.
 func (l *Loop) After(seconds float64, f func()) *Timer {
-	t := &Timer{callback: f}
+	return l.schedule(seconds, &Timer{loop: l, callback: f})
+}
+
+// AfterToken schedules f to run with the token in the given number of seconds. It needs no closure: it allocates only its entry.
+func (l *Loop) AfterToken(seconds float64, f func(uint64), token uint64) *Timer {
+	return l.schedule(seconds, &Timer{loop: l, tokenCallback: f, token: token})
+}
+
+// schedule adds a timer. It first removes the stopped ones if they are the greater part: a stopped timer would otherwise take
+// memory until it was due.
+func (l *Loop) schedule(seconds float64, t *Timer) *Timer {
+	if l.stoppedTimers > max(minStoppedTimers, len(l.timers)/2) {
+		l.timers.removeStopped()
+		l.stoppedTimers = 0
+	}
 	l.timers.push(timerEntry{l.Now() + max(0, seconds), t})
 	return t
 }
 
-// AfterToken schedules f to run with the token in the given number of seconds. It can't be canceled, and needs no closure:
-// it allocates only its entry.
-func (l *Loop) AfterToken(seconds float64, f func(uint64), token uint64) {
-	l.timers.push(timerEntry{l.Now() + max(0, seconds), &Timer{tokenCallback: f, token: token}})
+// popTimer removes the timer that is due first and returns it.
+func (l *Loop) popTimer() *Timer {
+	t := l.timers.pop()
+	t.loop = nil
+	if t.stopped() {
+		l.stoppedTimers--
+	}
+	return t
 }
 
 // timerEntry is a timer and its due time, which is stored here so that comparing entries follows no pointer.
@@ -328,6 +353,18 @@
 // heap, half as many steps go through memory.
 type timerHeap []timerEntry
 
+// removeStopped removes the entries of stopped timers.
+func (h *timerHeap) removeStopped() {
+	all := *h
+	*h = all[:0]
+	for _, entry := range all {
+		if !entry.timer.stopped() {
+			h.push(entry)
+		}
+	}
+	clear(all[len(*h):])
+}
+
 // push adds an entry.
 func (h *timerHeap) push(entry timerEntry) {
 	*h = append(*h, entry)
--- a/internal/loop/timer_test.go
+++ b/internal/loop/timer_test.go
@@ -50,6 +50,31 @@
 	}
 }
 
+// Guards against memory that grows with the rate of commands: a timer that is stopped must not stay in the loop until it is due.
+func TestStoppedTimersAreRemoved(t *testing.T) {
+	l, _ := New()
+	defer l.Close()
+	const total = 100_000
+	fired := 0
+	for i := range total {
+		timer := l.After(1000, func() { t.Error("a stopped timer fired") })
+		if i%10 == 0 {
+			l.AfterToken(0.001, func(uint64) { fired++ }, 0)
+		}
+		timer.Stop()
+		timer.Stop()
+	}
+	if n := len(l.timers); n > total/10+2*(total/10+minStoppedTimers) {
+		t.Errorf("%d timers are held, %d of them are not stopped", n, total/10)
+	}
+	done := l.After(0.1, l.Stop)
+	l.Run(func() {})
+	done.Stop() // has fired: no effect
+	if fired != total/10 || l.stoppedTimers < 0 || l.stoppedTimers > len(l.timers) {
+		t.Errorf("%d timers fired, want %d; %d of %d counted as stopped", fired, total/10, l.stoppedTimers, len(l.timers))
+	}
+}
+
 // Within a callback the loop's clock is constant; between callbacks it advances. A latency measured across two callbacks is
 // correct, and each callback reads the clock once.
 func TestClockIsConstantWithinACallback(t *testing.T) {
--- a/internal/proxy/check.go
+++ b/internal/proxy/check.go
@@ -20,6 +20,7 @@
 func (idleHost) Terminate(uint64)                {}
 func (idleHost) StartTimer(float64, uint64)      {}
 func (idleHost) WatchBackends()                  {}
+func (idleHost) StopTimer(uint64)                {}
 func (idleHost) SendToPeer(int, []byte)          {}
 
 // Check validates a configuration and returns the first error.
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -70,9 +70,18 @@
 func (p *Proxy) StartTimer(seconds float64, token uint64) {
 	if p.timerFired == nil {
 		// Created once to avoid an allocation per command.
-		p.timerFired = func(token uint64) { p.balancer.TimerFired(p.loop.Now(), token) }
+		p.timerFired = func(token uint64) {
+			delete(p.balancerTimers, token)
+			p.balancer.TimerFired(p.loop.Now(), token)
+		}
 	}
-	p.loop.AfterToken(seconds, p.timerFired, token)
+	p.balancerTimers[token] = p.loop.AfterToken(seconds, p.timerFired, token)
+}
+
+// StopTimer cancels a timer event of the Balancer.
+func (p *Proxy) StopTimer(token uint64) {
+	p.balancerTimers[token].Stop()
+	delete(p.balancerTimers, token)
 }
 
 // WatchBackends does nothing: the proxy keeps its watch on the endpoint list open from the start, since the discovery agent is on
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -80,14 +80,15 @@
 
 // Proxy is one front: its Balancer, its connections and their event loop.
 type Proxy struct {
-	loop          *loop.Loop
-	balancer      *balance.Balancer
-	timerFired    func(uint64) // calls the Balancer's timer event
-	names         settings.Names
-	verbIndex     map[string]int
-	customerIndex map[string]int
-	network       settings.NetworkSettings
-	startConfig   *Config // configuration at the start
+	loop           *loop.Loop
+	balancer       *balance.Balancer
+	timerFired     func(uint64)           // calls the Balancer's timer event
+	balancerTimers map[uint64]*loop.Timer // those of the Balancer, by token
+	names          settings.Names
+	verbIndex      map[string]int
+	customerIndex  map[string]int
+	network        settings.NetworkSettings
+	startConfig    *Config // configuration at the start
 
 	listener *loop.Listener
 	clients  clientConns
@@ -166,7 +167,7 @@
 // prepare decodes and validates the configuration into a Proxy without opening sockets. It also returns the known endpoints,
 // or nil if there are none.
 func prepare(config *Config) (p *Proxy, known *endpointUpdate, err error) {
-	p = &Proxy{startTimes: startTimes{}, commands: map[uint64]*command{}, commandsByReqID: map[string]*command{},
+	p = &Proxy{startTimes: startTimes{}, balancerTimers: map[uint64]*loop.Timer{}, commands: map[uint64]*command{}, commandsByReqID: map[string]*command{},
 		verbIndex: map[string]int{}, customerIndex: map[string]int{}}
 	p.memorySample[0].Name = "/memory/classes/total:bytes"
 	if len(config.Settings) == 0 {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -24,6 +24,7 @@
 func (nopHost) Terminate(uint64)                {}
 func (nopHost) StartTimer(float64, uint64)      {}
 func (nopHost) WatchBackends()                  {}
+func (nopHost) StopTimer(uint64)                {}
 func (nopHost) SendToPeer(int, []byte)          {}
 
 func TestOptionalSettingsAreChecked(t *testing.T) {
