proxy: the next request on a connection waits until the answer before it is sent

Cause: requests that the proxy answers by itself did not stop reading. OnData parsed and answered the next one in the same turn, past the check for unsent bytes in resumeReading, and each such answer posted one more resumeReading, so that the requests of a turn multiplied. Class: a limit that one of two paths to the same work goes round. Related path checked: relayed commands pause reading until their answer.

Change: finishAnswer pauses the connection until resumeReading; OnData leaves a connection in stateBusy alone.

--- a/cmd/sandpass/flood_test.go
+++ b/cmd/sandpass/flood_test.go
@@ -42,9 +42,9 @@
 	})
 }
 
-// flood writes requests at full speed until the time is over, on one connection as long as that stays open, and reads what comes back.
-// first, if set, comes at the start of each connection. It returns the number of requests written.
-func flood(address, first string, request func(n int) string, until time.Time) (sent int) {
+// flood writes requests at full speed until the time is over, on one connection as long as that stays open, and reads what comes back
+// unless deaf. first, if set, comes at the start of each connection. It returns the number of requests written.
+func flood(address, first string, request func(n int) string, deaf bool, until time.Time) (sent int) {
 	for ; time.Now().Before(until); time.Sleep(floodRedialPeriod) {
 		c, err := net.Dial("tcp", address)
 		if err != nil {
@@ -52,7 +52,13 @@
 		}
 		c.SetDeadline(until)
 		ended := make(chan bool)
-		go func() { io.Copy(io.Discard, c); c.Close(); close(ended) }()
+		go func() {
+			defer close(ended)
+			if !deaf {
+				io.Copy(io.Discard, c)
+				c.Close()
+			}
+		}()
 		io.WriteString(c, first)
 		for err == nil {
 			var batch bytes.Buffer
@@ -114,6 +120,8 @@
 		request func(int) string
 	}{
 		"readiness":           {"", constant("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")},
+		"readiness, unread":   {"", constant("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")},
+		"no time, unread":     {"", func(n int) string { return strings.Replace(get("")(n), "Deadline: 6", "Deadline: 0.00001", 1) }},
 		"blank lines":         {"", constant("\r\n")},
 		"requests":            {"", get("")},
 		"effects":             {"", post("")},
@@ -138,7 +146,7 @@
 			sent := make(chan int)
 			go func() {
 				until := time.Now().Add(time.Duration(floodSeconds * float64(time.Second)))
-				sent <- flood(p.address, c.first, c.request, until)
+				sent <- flood(p.address, c.first, c.request, strings.Contains(name, "unread"), until)
 			}()
 			perSecond, slowest := p.askInTurn(floodSeconds)
 			peak := p.peakMemoryMB()
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -209,6 +209,7 @@
 		if c.forwardBody(); c.bodyConn != nil && !c.readPaused && c.conn.ReadBufferFull() {
 			c.failBody(400, "a chunk's line is too long")
 		}
+	case c.state == stateBusy: // resumeReading handles it
 	default:
 		c.readCommand()
 	}
@@ -443,11 +444,15 @@
 // finishAnswer ends the current command after its answer was written. The next command is read in the next iteration, or
 // the connection is closed.
 func (c *clientConn) finishAnswer(keep bool) {
-	if c.cmd != nil {
+	hadOpenCommand := c.cmd != nil
+	if hadOpenCommand {
 		c.p.clients.awaitingAnswer--
 	}
 	c.cmd = nil
 	if keep {
+		if !hadOpenCommand { // otherwise it is paused
+			c.conn.Pause()
+		}
 		c.setState(stateBusy)
 		if !c.consumed {
 			c.conn.Consume(c.msg.Size())
