proxy: a body that its backend takes slowly is answered within its client's time

Cause: the time limit of a streamed body counted from when the proxy had read its last byte, and the proxy reads only as fast as the backend takes. The client had written it long before, to the kernels between. A stuck backend had 10 s.

Change: the loop knows since when bytes may have waited unread (UnreadSince). A body's time limit counts from there, and when it is over before the body is read to its end, the command is declined: without its last byte it has not run. With a Content-Length the client can't have finished while more is missing than kernels hold; with chunks it may always have. At the limit a relay whose last byte is still unsent counts as not sent, not as timed out.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -51,6 +51,7 @@
 	receivedAt    float64 // time by which the bytes read last had arrived
 	filledAt      float64 // when the latest read filled the buffer, so that more bytes may have waited; 0 if it did not
 	pausedWithEOF bool    // paused, and the peer's close is reported only after all bytes before it
+	pausedAt      float64 // since when pausedWithEOF is set
 	readsAhead    bool    // paused, and reads ahead when many bytes wait
 	lowWatermark  bool    // SO_RCVLOWAT is readAheadAtBytes
 	consumed      int     // bytes consumed since the start
@@ -256,18 +257,59 @@
 
 // PauseWithEOF stops reading and also defers the peer's close, or a reset, until all bytes before it have been read, since
 // they may be a whole message. Only on an accepted connection is a reset reported at once: the client is gone.
-func (c *Conn) PauseWithEOF() { c.pausedWithEOF = true; c.updateInterest() }
+func (c *Conn) PauseWithEOF() {
+	c.pausedWithEOF, c.pausedAt = true, c.loop.Now()
+	c.updateInterest()
+}
 
 // Resume reads on after Pause or PauseWithEOF.
 func (c *Conn) Resume() {
 	if c.paused && c.interest&unix.EPOLLIN == 0 && c.inputSince == 0 && c.fd >= 0 && !c.IsIdle() {
 		c.inputSince = c.loop.iterationStart - c.LastReceiveAge() // no event showed when the input arrived
 	}
+	if since, waiting := c.UnreadSince(); c.pausedWithEOF && waiting {
+		c.inputSince = since
+	}
 	c.paused, c.pausedWithEOF, c.readsAhead = false, false, false
 	c.clearLowWatermark()
 	c.updateInterest()
 }
 
+// UnreadSince reports whether bytes may wait unread, after a read that filled the buffer or while the connection is paused by
+// PauseWithEOF, and since when the first of them may have waited. It may cost a system call.
+func (c *Conn) UnreadSince() (since float64, waiting bool) {
+	switch {
+	case c.fd < 0:
+		return 0, false
+	case c.inputSince > 0:
+		return c.inputSince, true
+	case c.filledAt > 0:
+		return c.receivedAt, !c.IsIdle()
+	case c.pausedWithEOF:
+		return c.pausedAt, !c.IsIdle()
+	}
+	return 0, false
+}
+
+// CountUnreadFrom has bytes that wait unread count as arrived by the given time, if there are any.
+func (c *Conn) CountUnreadFrom(at float64) {
+	if c.fd >= 0 && !c.IsIdle() {
+		c.inputSince = at
+	}
+}
+
+// UnreadBytes returns how many bytes wait to be read, as far as the kernel has them.
+func (c *Conn) UnreadBytes() int {
+	if c.fd < 0 {
+		return 0
+	}
+	n, err := unix.IoctlGetInt(c.fd, unix.SIOCINQ)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // ResetOnClose makes Close reset the connection, so that a truncated message does not look complete to the peer.
 func (c *Conn) ResetOnClose() {
 	if c.fd >= 0 {
--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -402,6 +402,14 @@
 	return balance.Reset
 }
 
+// timeoutResult returns the result of a relay whose command's time is up. If its last byte was not written, it can't have run.
+func (bc *backendConn) timeoutResult() balance.Result {
+	if bc.conn != nil && (bc.conn.HasUnsent() || bc.sendsBody) {
+		return balance.NotSent
+	}
+	return balance.TimedOut
+}
+
 // closeAndReport closes the connection and reports the relay's result.
 func (bc *backendConn) closeAndReport(result balance.Result) {
 	r := bc.relay
--- a/internal/proxy/body_stream.go
+++ b/internal/proxy/body_stream.go
@@ -4,6 +4,7 @@
 package proxy
 
 import (
+	"log"
 	"strings"
 
 	"sandpass/balance"
@@ -11,9 +12,10 @@
 )
 
 const (
-	bodyStallSeconds      = 2.5  // without data from the client in a streamed body: an answer is due within 3 s
-	minBodyBytesPerSecond = 32e3 // half the rate of slow clients
-	bodyGraceSeconds      = 1.0  // in addition to the time at the minimum rate
+	bodyStallSeconds      = 2.5     // without data from the client in a streamed body: an answer is due within 3 s
+	minBodyBytesPerSecond = 32e3    // half the rate of slow clients
+	bodyGraceSeconds      = 1.0     // in addition to the time at the minimum rate
+	maxPeerBufferBytes    = 4 << 20 // that a client's kernel may hold unsent: Linux's usual limit (tcp_wmem)
 )
 
 // shouldStreamBody reports whether an incomplete command is to be streamed to the backend.
@@ -40,10 +42,12 @@
 	l.sendsBody = true
 	c.bodyConn, c.consumed, c.lastProgress, cmd.streamed = l, true, p.loop.Now(), true
 	cmd.timer.Stop()
+	cmd.timer = p.loop.After(cmd.timeLimit, func() { p.checkBodyDeadline(cmd) })
 	relayIndex := l.relay.index
 	p.loop.Post(func() { // the Balancer must not be called from within its own calls
 		if c.cmd == cmd && c.bodyConn == l {
 			p.balancer.StreamStarted(p.loop.Now(), cmd.id, relayIndex)
+			c.conn.CountUnreadFrom(c.receivedAt) // the client may have written all of the body since
 			c.conn.Resume()
 			c.forwardBody()
 		}
@@ -80,7 +84,38 @@
 	}
 }
 
-// finishBody completes a streamed body. The command's time limit starts here.
+// checkBodyDeadline declines a command whose body its client may have written whole a time limit ago, while the proxy has not read
+// it to its end because the backend does not take it. It has not run.
+func (p *Proxy) checkBodyDeadline(cmd *command) {
+	c, now := cmd.client, p.loop.Now()
+	if c == nil || c.bodyConn == nil || cmd.answerConn != nil {
+		return
+	}
+	if remaining := c.bodyWrittenAt(now) + cmd.timeLimit - now; remaining > 0 {
+		cmd.timer = p.loop.After(remaining, func() { p.checkBodyDeadline(cmd) })
+		return
+	}
+	log.Printf("msg=body_not_taken command=%d bytes=%d unread=%d backend=%s", cmd.id, c.msg.DecodedBytes(), c.conn.UnreadBytes(),
+		c.bodyConn.backend.name)
+	p.declinedCount++
+	cmd.end()
+	c.reject("its backend did not take the body in time\n", retrySoonSeconds, false)
+	p.balancer.ClientDisconnected(now, cmd.id)
+	p.removeIfFinished(cmd)
+}
+
+// bodyWrittenAt returns the earliest time at which the client may have written the last byte of the body, now at the latest. While
+// nothing waits unread, it has not.
+func (c *clientConn) bodyWrittenAt(now float64) float64 {
+	since, waiting := c.conn.UnreadSince()
+	notRead := c.msg.BodyLength() - c.msg.DecodedBytes() // below 0 if the length is unknown
+	if !waiting || notRead > c.conn.UnreadBytes()+maxPeerBufferBytes {
+		return now
+	}
+	return since
+}
+
+// finishBody completes a streamed body. The command's time limit starts when the last byte had arrived.
 func (c *clientConn) finishBody() {
 	p, cmd, l := c.p, c.cmd, c.bodyConn
 	if c.msg.Chunked() {
@@ -91,9 +126,10 @@
 	l.sendsBody = false
 	c.bodyConn, c.bodyStreaming = nil, false
 	now := p.loop.Now()
-	cmd.deadline, l.relay.sentAt = now+cmd.timeLimit, now
+	cmd.deadline, l.relay.sentAt = c.receivedAt+cmd.timeLimit, now
+	cmd.timer.Stop()
 	if cmd.answerConn == nil {
-		cmd.timer = p.loop.After(cmd.timeLimit, func() { p.timeOutCommand(cmd) })
+		cmd.timer = p.loop.After(cmd.deadline-now, func() { p.timeOutCommand(cmd) })
 	}
 }
 
--- a/internal/proxy/command.go
+++ b/internal/proxy/command.go
@@ -86,7 +86,7 @@
 func (p *Proxy) timeOutCommand(cmd *command) {
 	for _, r := range cmd.relays {
 		if !r.ended && r.conn.answer == answerBuffered {
-			r.conn.closeAndReport(balance.TimedOut)
+			r.conn.closeAndReport(r.conn.timeoutResult())
 		}
 	}
 	if !cmd.done && cmd.answerConn == nil {
--- a/internal/proxy/slow_transfer_test.go
+++ b/internal/proxy/slow_transfer_test.go
@@ -1,10 +1,14 @@
 package proxy
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -88,3 +92,98 @@
 		t.Errorf("status %d %q after %.2f s", status, body, took)
 	}
 }
+
+// newUploadBackend starts a backend that reads at the given rate, in bytes a second, and stops after so many bytes. It answers a
+// request that it has read to the end. Its receive buffer is small, so that what it has not read waits in the proxy.
+func newUploadBackend(t *testing.T, rate, stopAfter int) (b net.Listener, completed *atomic.Int32) {
+	t.Helper()
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 16<<10) })
+	}}
+	b, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { b.Close() })
+	completed = &atomic.Int32{}
+	serve := func(c net.Conn) {
+		defer c.Close()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		part := make([]byte, max(1, rate/20))
+		for total := 0; total < stopAfter; time.Sleep(50 * time.Millisecond) {
+			n, err := io.ReadFull(r.Body, part)
+			if total += n; err == io.EOF || err == io.ErrUnexpectedEOF && r.ContentLength < 0 || int64(total) == r.ContentLength {
+				completed.Add(1)
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				break
+			}
+			if err != nil {
+				return
+			}
+		}
+		io.Copy(io.Discard, io.LimitReader(c, 1)) // holds the connection
+		time.Sleep(8 * time.Second)
+	}
+	go func() {
+		for {
+			c, err := b.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return b, completed
+}
+
+// writeBody writes a body with the given framing, "length" or "chunks". The request's last byte is written when it returns.
+func writeBody(c net.Conn, framing string, body []byte) error {
+	if framing == "length" {
+		_, err := c.Write(body)
+		return err
+	}
+	var text bytes.Buffer
+	for at := 0; at < len(body); at += 16 << 10 {
+		part := body[at:min(at+16<<10, len(body))]
+		fmt.Fprintf(&text, "%x\r\n%s\r\n", len(part), part)
+	}
+	text.WriteString("0\r\n\r\n")
+	_, err := c.Write(text.Bytes())
+	return err
+}
+
+// Guards against answers that come seconds after their time: the time limit of a request that its client had written whole counted
+// from when the proxy had read its last byte, which it did as slowly as the backend took the body.
+func TestSlowlyReadBodyIsAnsweredInTime(t *testing.T) {
+	const sizeBytes, graceSeconds = 6 << 20, 0.05
+	for name, c := range map[string]struct{ rate, stopAfter int }{
+		"read slowly": {97_000, 1 << 30}, "stuck": {1_000_000, 30_861},
+	} {
+		for _, framing := range []string{"length", "chunks"} {
+			for _, verb := range []string{"pay", "order"} {
+				t.Run(fmt.Sprintf("%s, %s, %s", name, framing, verb), func(t *testing.T) {
+					t.Parallel()
+					b, completed := newUploadBackend(t, c.rate, c.stopAfter)
+					client := runProxy(t, newTestProxy(t, 200, endpointList(1, true, readyEndpoint("s-1", b)), nil)).dial(t)
+					framingField := map[string]string{"length": fmt.Sprintf("Content-Length: %d\r\n", sizeBytes),
+						"chunks": "Transfer-Encoding: chunked\r\n"}[framing]
+					io.WriteString(client, requestText(verb, framingField, "Idempotency-Key: k\r\n"))
+					writeErr := writeBody(client, framing, numberedBody(sizeBytes))
+					written := time.Now()
+					status, _, header := client.readAnswer()
+					took := time.Since(written).Seconds()
+					t.Logf("%d after %.2f s, write error %v", status, took, writeErr)
+					if status == 0 || took > 2.5+graceSeconds {
+						t.Errorf("status %d %.2f s after the last byte was written", status, took)
+					}
+					if status == 503 && (header.Get("Retry-After") == "" || completed.Load() > 0) {
+						t.Errorf("declined; the backend has read %d to the end, Retry-After %q", completed.Load(), header.Get("Retry-After"))
+					}
+				})
+			}
+		}
+	}
+}
