proxy: the last byte of a body is not sent on once its client has gone

Cause: while the backend does not read, the client's connection is not read either, and its end lies behind the rest of the body. Once the backend went on, the rest was read and written to the last byte before the end itself was read. Class: an order to go on that is given before what follows it was looked at.

Change: before the last part of a streamed body is written, the proxy looks whether the client's end is next; then the relay ends incomplete, which never runs.

TestBodyIsNotCompletedAfterItsClientLeft fails before ('the backend got the last byte after the client had gone', both framings) and passes.

--- a/internal/proxy/body_stream.go
+++ b/internal/proxy/body_stream.go
@@ -4,6 +4,7 @@
 package proxy
 
 import (
+	"io"
 	"log"
 	"strings"
 
@@ -63,6 +64,10 @@
 		c.failBody(400, "malformed body")
 		return
 	}
+	if done && c.conn.PeerClosed() {
+		c.OnDisconnect(c.conn, io.EOF) // the client has gone, and the backend would begin with the last byte
+		return
+	}
 	if len(data) > 0 {
 		l.conn.Write(c.p.encodeBodyPart(c.msg.Chunked(), data)...)
 	}
