proxy: nothing is sent for a client whose end may lie behind unread bytes

Change: where there was no room to read ahead and bytes still wait, the client may have gone: no relay begins for its open command, and commands that lie before the unread bytes are declined (503, Retry-After) until the connection has been read empty.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -52,6 +52,7 @@
 	filledAt      float64 // when the latest read filled the buffer, so that more bytes may have waited; 0 if it did not
 	pausedWithEOF bool    // paused, and the peer's close is reported only after all bytes before it
 	pausedAt      float64 // since when pausedWithEOF is set
+	aheadBlocked  bool    // there was no room to read ahead, and bytes have waited since
 	readsAhead    bool    // paused, and reads ahead when many bytes wait
 	lowWatermark  bool    // SO_RCVLOWAT is readAheadAtBytes
 	consumed      int     // bytes consumed since the start
@@ -310,6 +311,13 @@
 	return n
 }
 
+// EndMayBeHidden reports whether the peer may have closed the connection unseen: more bytes wait than there was room to read
+// ahead, and its close would lie behind them.
+func (c *Conn) EndMayBeHidden() bool {
+	c.aheadBlocked = c.aheadBlocked && c.fd >= 0 && !c.IsIdle()
+	return c.aheadBlocked
+}
+
 // ResetOnClose makes Close reset the connection, so that a truncated message does not look complete to the peer.
 func (c *Conn) ResetOnClose() {
 	if c.fd >= 0 {
@@ -472,7 +480,7 @@
 // readAhead makes one read call without reporting its bytes. Where there is no room, what follows stays in the kernel.
 func (c *Conn) readAhead() {
 	if c.loop.bufferedBytes > c.loop.MaxBufferBytes/readAheadDivisor || !c.ensureSpace() {
-		c.readsAhead = false
+		c.readsAhead, c.aheadBlocked = false, true
 		c.updateInterest()
 		return
 	}
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -339,6 +339,11 @@
 		c.reject("too many commands\n", retryOverloadSeconds, false)
 		return
 	}
+	if c.conn.EndMayBeHidden() {
+		p.overLimitCount++
+		c.reject("too much was sent ahead\n", retryOverloadSeconds, c.msg.KeepAlive)
+		return
+	}
 	expires := c.commandReceivedAt() + timeLimit
 	if expires <= p.loop.Now() && timeLimit > 0 {
 		p.declinedCount++
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -29,6 +29,10 @@
 		p.reportNextIteration(r, balance.NotSent)
 		return
 	}
+	if cmd.client.conn.EndMayBeHidden() {
+		p.reportNextIteration(r, balance.NotSent)
+		return
+	}
 	p.sendRelay(r)
 }
 
