loop: an inherited listener that is made blocking does not stop the loop

What callers saw: nothing yet.

Cause: the blocking mode belongs to the open socket, which the platform and both processes share. A platform that starts the next process with the descriptor may make it blocking (Go's os/exec does), and where another process took the connection, accept then waits.

Change: the mode is set before each accept on an inherited listener, and a receive time-out of one tick covers the moment between, but for multipath TCP, which ignores it.

TestInheritedListenerMadeBlockingDoesNotStopTheLoop fails before ('the loop is blocked', TCP and multipath TCP) and passes.

--- a/internal/loop/listener.go
+++ b/internal/loop/listener.go
@@ -26,6 +26,7 @@
 	onAccept      func(*Conn) Handler
 	onExhausted   func()
 	paused        bool    // accepts no connections
+	inherited     bool    // other processes share the descriptor and its blocking mode
 	backlogSince  float64 // since when the backlog has not been empty, 0 if it is empty as far as known
 }
 
@@ -93,6 +94,9 @@
 			s.pauseBriefly()
 			return false
 		}
+		if s.inherited {
+			unix.SetNonblock(s.fd, true) // a process that starts another one with the descriptor may have made it blocking
+		}
 		fd, err := s.loop.accept(s.fd)
 		switch err {
 		case nil:
--- a/internal/loop/local.go
+++ b/internal/loop/local.go
@@ -27,11 +27,18 @@
 		return nil, fmt.Errorf("descriptor %d listens at %s, not at %s", fd, actual, address)
 	}
 	unix.CloseOnExec(fd)
-	if err := unix.SetNonblock(fd, true); err != nil {
+	// Whoever shares the descriptor may make it blocking between the moment that acceptUpTo sets its mode and the call. Multipath
+	// TCP ignores the time-out.
+	shortest := unix.Timeval{Usec: 1}
+	err := unix.SetsockoptTimeval(fd, unix.SOL_SOCKET, unix.SO_RCVTIMEO, &shortest)
+	if err == nil {
+		err = unix.SetNonblock(fd, true)
+	}
+	if err != nil {
 		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
 	}
 	s := &Listener{loop: l, fd: fd, maxUnconsumed: maxUnconsumed, hasRoom: hasRoom, onAccept: onAccept,
-		onExhausted: onExhausted, paused: true, Addr: actual}
+		onExhausted: onExhausted, paused: true, inherited: true, Addr: actual}
 	if err := l.register(fd, s, 0); err != nil {
 		return nil, err
 	}
