proxy: the log says why requests, relays and connections ended

The logs of the report say that a process was killed and how many requests it had, but not what held its memory, nor why a request was cut or refused.

Change: a line for each command that was not served (with its Req-Id, status, reason, attempts, time left), each relay without an answer (backend, result) and each connection that was closed early (reason, state, unread and unsent bytes); a line while memory is short; and msg=reasons beside msg=summary: connections closed by reason and open by state, relays by result, refusals by cause, the most bytes buffered, timers.

--- a/balance/host.go
+++ b/balance/host.go
@@ -133,8 +133,15 @@
 	Reset                // the connection was lost
 	Cancelled            // given up by Cancel
 	NotSent              // never written to a connection
+	ResultCount          // number of results
 )
 
+// resultNames are the results as logs have them.
+var resultNames = [ResultCount]string{"answered", "errored", "full", "timed_out", "connect_failed", "reset", "cancelled", "not_sent"}
+
+// String returns the result's name.
+func (r Result) String() string { return resultNames[r] }
+
 // NeverRan reports whether the result proves that the relay had no effect.
 func (r Result) NeverRan() bool { return r == Full || r == ConnectFailed || r == NotSent }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -134,6 +134,9 @@
 // BufferedBytes returns how many bytes read buffers beyond their initial size and unsent data hold; MaxBufferBytes limits it.
 func (l *Loop) BufferedBytes() int { return l.bufferedBytes }
 
+// TimerCount returns how many timers are scheduled, and stopped ones that are still held.
+func (l *Loop) TimerCount() int { return len(l.timers) }
+
 // WakeUp ends the loop's wait from another goroutine, such as the one that receives signals. Once the loop is closed it does
 // nothing: the number of wakeupFD may belong to a connection by then, which would get the bytes.
 func (l *Loop) WakeUp() {
--- a/internal/proxy/answer_stream.go
+++ b/internal/proxy/answer_stream.go
@@ -5,8 +5,6 @@
 package proxy
 
 import (
-	"log"
-
 	"sandpass/balance"
 	"sandpass/internal/http1"
 )
@@ -142,7 +140,7 @@
 		bc.timer = bc.p.loop.After(left, bc.checkStreamStall)
 		return
 	}
-	log.Printf("msg=answer_stands command=%d untaken=%t", r.cmd.id, bc.readPaused)
+	bc.p.logEvent("msg=answer_stands command=%d id=%q untaken=%t", r.cmd.id, r.cmd.requestID, bc.readPaused)
 	bc.abortStream(balance.Reset)
 }
 
@@ -184,7 +182,7 @@
 		bc.p.loop.After(endlessCheckSeconds, func() { bc.abortEndless(cmd) })
 		return
 	}
-	log.Printf("msg=answer_endless command=%d bytes=%d", cmd.id, decoded)
+	bc.p.logEvent("msg=answer_endless command=%d id=%q bytes=%d", cmd.id, cmd.requestID, decoded)
 	bc.p.invalidCount++
 	bc.abortStream(balance.TimedOut)
 }
@@ -211,6 +209,7 @@
 // abortAnswer closes the connection of a client whose answer has begun and can't be completed.
 func (p *Proxy) abortAnswer(cmd *command) {
 	c := cmd.client
+	p.logCommandEnd(cmd, 200, "its answer could not be completed")
 	cmd.end()
 	p.brokenOffCount++
 	c.cmd = nil
@@ -218,5 +217,5 @@
 	if !c.answerChunked {
 		c.conn.ResetOnClose()
 	}
-	c.close()
+	c.close(closedIncomplete)
 }
--- a/internal/proxy/body_stream.go
+++ b/internal/proxy/body_stream.go
@@ -5,7 +5,6 @@
 
 import (
 	"io"
-	"log"
 	"strings"
 
 	"sandpass/balance"
@@ -100,8 +99,9 @@
 		cmd.timer = p.loop.After(remaining, func() { p.checkBodyDeadline(cmd) })
 		return
 	}
-	log.Printf("msg=body_not_taken command=%d bytes=%d unread=%d backend=%s", cmd.id, c.msg.DecodedBytes(), c.conn.UnreadBytes(),
-		c.bodyConn.backend.name)
+	p.events.bodiesNotTaken++
+	p.logEvent("msg=body_not_taken command=%d id=%q bytes=%d unread=%d backend=%s", cmd.id, cmd.requestID, c.msg.DecodedBytes(),
+		c.conn.UnreadBytes(), c.bodyConn.backend.name)
 	p.declinedCount++
 	cmd.end()
 	c.reject("its backend did not take the body in time\n", retrySoonSeconds, false)
@@ -145,6 +145,7 @@
 // failBody ends a command whose body can't be read to its end, so that it has not run.
 func (c *clientConn) failBody(status int, text string) {
 	p, cmd := c.p, c.cmd
+	p.logCommandEnd(cmd, status, text)
 	if cmd.answerConn != nil {
 		p.abortAnswer(cmd)
 	} else {
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -125,7 +125,7 @@
 		for i := 0; e != nil && i < maxEvictionChecks; i, e = i+1, e.Next() {
 			c := e.Value.(*clientConn)
 			if now-c.stateSince > minAge && !c.conn.HasUnsent() && (c.conn.IsIdle() || s == stateClosing && c.conn.PeerClosed()) {
-				c.close()
+				c.close(closedEvicted)
 				return true
 			}
 		}
@@ -150,11 +150,12 @@
 func (c *clientConn) isIdle() bool { return c.cmd == nil && !c.conn.HasUnsent() && c.conn.IsIdle() }
 
 // close is the only function that closes a client connection and removes it from the lists.
-func (c *clientConn) close() {
+func (c *clientConn) close(reason closeReason) {
 	if c.closed {
 		return
 	}
 	c.closed = true
+	c.p.countClosed(c, reason)
 	c.p.clients.byState[c.state].Remove(c.element)
 	c.p.clients.count--
 	c.conn.Close()
@@ -192,7 +193,7 @@
 		cmd.end()
 		c.p.departedCount++
 	}
-	c.close()
+	c.close(closedByClient)
 	if cmd != nil {
 		c.p.balancer.ClientDisconnected(c.p.loop.Now(), cmd.id)
 		cmd.cancelUnwritten()
@@ -280,6 +281,7 @@
 		return invalid(400, "a Req-Id is needed")
 	}
 	if p.commandsByReqID[string(id)] != nil {
+		p.events.idConflicts++
 		return invalid(409, "a command with this Req-Id is open")
 	}
 	if v.Receipted && len(c.msg.Get(in, "Idempotency-Key")) == 0 {
@@ -341,6 +343,7 @@
 	}
 	if c.conn.EndMayBeHidden() {
 		p.overLimitCount++
+		p.events.sentAhead++
 		c.reject("too much was sent ahead\n", retryOverloadSeconds, c.msg.KeepAlive)
 		return
 	}
@@ -505,7 +508,7 @@
 			c.closeAfterLinger()
 			return
 		}
-		c.close()
+		c.close(closedAfterAnswer)
 	})
 }
 
@@ -559,7 +562,7 @@
 			if connState(s) == stateSending {
 				c.rejectInvalid(408, "the command did not come in time")
 			} else {
-				c.close()
+				c.close(closedOverdue)
 			}
 		}
 	}
--- a/internal/proxy/command.go
+++ b/internal/proxy/command.go
@@ -13,7 +13,7 @@
 // command is one that has not been answered yet, or that still has open relays.
 type command struct {
 	id         uint64
-	requestID  string      // value of Req-Id
+	requestID  string      // value of Req-Id, for the log
 	client     *clientConn // nil once the command is answered or the client is gone
 	timeLimit  float64     // seconds
 	deadline   float64     // the deadline, by the loop's clock
@@ -65,6 +65,7 @@
 func (p *Proxy) reportOutcome(r *relay, result balance.Result) {
 	r.ended, r.conn = true, nil
 	r.cmd.openRelays--
+	p.logRelayEnd(r, result)
 	now := p.loop.Now()
 	noLoad := balance.LoadReport{Active: -1, Waiting: -1, CPU: -1, Latency: -1}
 	latency := now - r.sentAt
@@ -98,6 +99,7 @@
 // terminate ends a command without the Balancer's decision and informs the Balancer that no answer is needed any more.
 func (p *Proxy) terminate(cmd *command) {
 	p.terminatedCount++
+	p.logCommandEnd(cmd, 502, "no answer in time, or the process stops")
 	p.answerClient(cmd, 502, 0, nil)
 	cmd.done = true
 	p.balancer.ClientDisconnected(p.loop.Now(), cmd.id)
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -82,6 +82,6 @@
 		n = int(math.Ceil(float64(n) * idleCloseIntervalSeconds / left))
 	}
 	for _, c := range idle[:n] {
-		c.close()
+		c.close(closedDrained)
 	}
 }
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -51,6 +51,7 @@
 func (p *Proxy) Decline(id uint64, retryAfter float64) {
 	if cmd := p.commands[id]; cmd != nil {
 		p.declinedCount++
+		p.logCommandEnd(cmd, 503, "declined by the balancer")
 		p.answerClient(cmd, 503, retryAfter, nil)
 		p.removeNextIteration(cmd)
 	}
@@ -60,6 +61,7 @@
 func (p *Proxy) Terminate(id uint64) {
 	if cmd := p.commands[id]; cmd != nil {
 		p.terminatedCount++
+		p.logCommandEnd(cmd, 502, "terminated by the balancer")
 		p.answerClient(cmd, 502, 0, nil)
 		p.removeNextIteration(cmd)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -116,6 +116,7 @@
 	seed              uint64
 	randomCounter     uint64
 	memorySample      [1]metrics.Sample
+	events            eventLog
 
 	// Counters since the last summary line.
 	receivedCount, answeredCount, declinedCount, terminatedCount, departedCount, invalidCount, brokenOffCount int
@@ -409,6 +410,7 @@
 	p.sweepClients(now)
 	p.sweepBodies(now)
 	p.closeStaleConns()
+	p.trackMemory(now)
 	p.watch.CheckLiveness(now)
 	p.control.CheckLiveness(now)
 }
@@ -422,20 +424,6 @@
 	}
 }
 
-// logSummary logs the counters since the last summary and resets them.
-func (p *Proxy) logSummary() {
-	metrics.Read(p.memorySample[:])
-	log.Printf("msg=summary came=%d answered=%d declined=%d no_room=%d terminated=%d departed=%d bad=%d broken_off=%d "+
-		"relays=%d open=%d clients=%d links=%d backends=%d left_out=%d told=%d heard=%d not_heard=%d memory_mb=%d",
-		p.receivedCount, p.answeredCount, p.declinedCount, p.overLimitCount, p.terminatedCount, p.departedCount, p.invalidCount,
-		p.brokenOffCount, p.relayCount, len(p.commands), p.clients.count, len(p.backends.conns), p.backends.readyCount,
-		len(p.maintenance.Cordoned), p.peers.sent, p.peers.received, p.peers.invalid,
-		p.memorySample[0].Value.Uint64()>>20)
-	p.receivedCount, p.answeredCount, p.declinedCount, p.overLimitCount, p.terminatedCount, p.departedCount, p.invalidCount,
-		p.brokenOffCount, p.relayCount = 0, 0, 0, 0, 0, 0, 0, 0, 0
-	p.peers.sent, p.peers.received, p.peers.invalid = 0, 0, 0
-}
-
 // pseudoRandom returns a number in [0, 1) derived from the seed and a counter. It is used for jitter.
 func (p *Proxy) pseudoRandom() float64 {
 	var input [16]byte
--- a/internal/proxy/races_test.go
+++ b/internal/proxy/races_test.go
@@ -819,7 +819,7 @@
 		}
 		io.WriteString(c, requestText("pay", "Content-Length: 0\r\n"))
 		waitUntil(t, "the request is received", func() bool { return !x.conn.IsIdle() })
-		x.close()
+		x.close(closedEvicted)
 	})
 	if status, why, _ := c.readAnswer(); status != 0 || b.commands.Load() != 1 {
 		t.Errorf("%d %s, %d were relayed", status, why, b.commands.Load())
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -92,7 +92,7 @@
 	p.clients.forEach(func(c *clientConn) {
 		silent := c.state == stateSilent
 		if (silent || c.state == stateIdle) && p.shutdown.plan.MayClose(elapsed, silent, now-c.stateSince) && c.isIdle() {
-			c.close()
+			c.close(closedDrained)
 			p.shutdown.closedIdle++
 		}
 	})
