proxy: a Req-Id whose command may have run does not run again, nor at the other process

Cause: an id was known only while its command had an open relay, and only to one process. Class: a promise that outlives the state that keeps it.

Change: ids of keyed and unsafe requests that may have run are remembered for one to two minutes, at least 8,192 of them (16 bytes each), and get a 409. The processes of an upgrade tell each other such ids, and while both serve each asks the other before it relays a keyed or unsafe request; without a reply in 0.25 s the request fails (409), since a refusal with 503 would promise that it never ran. A process of an older version is not asked. Declined ids may come again.

--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -280,9 +280,9 @@
 	if len(id) == 0 || len(id) > maxReqIDBytes {
 		return invalid(400, "a Req-Id is needed")
 	}
-	if p.commandsByReqID[string(id)] != nil {
+	if key := keyOf(string(id)); p.openRequests[key] != nil || !v.Pure && p.knowsRequest(key) {
 		p.events.idConflicts++
-		return invalid(409, "a command with this Req-Id is open")
+		return invalid(idConflictStatus, idConflictText)
 	}
 	if v.Receipted && len(c.msg.Get(in, "Idempotency-Key")) == 0 {
 		return invalid(400, "this verb needs an Idempotency-Key")
@@ -359,15 +359,31 @@
 		c.conn.PauseReadingAhead() // the command stays in the read buffer until it is answered
 	}
 	p.lastCommandID++
-	cmd := &command{id: p.lastCommandID, requestID: string(c.msg.Get(in, "Req-Id")), client: c,
-		timeLimit: timeLimit, deadline: expires}
+	requestID := string(c.msg.Get(in, "Req-Id"))
+	cmd := &command{id: p.lastCommandID, requestID: requestID, key: keyOf(requestID), client: c,
+		repeatable: p.names.Verbs[verb].Pure, timeLimit: timeLimit, deadline: expires}
 	c.cmd, c.hadCommand = cmd, true
 	c.setState(stateBusy)
-	p.commandsByReqID[cmd.requestID] = cmd
+	p.openRequests[cmd.key] = cmd
 	p.clients.awaitingAnswer++
 	p.commands[cmd.id] = cmd
 	cmd.timer = p.loop.After(cmd.deadline-p.loop.Now(), func() { p.timeOutCommand(cmd) })
-	p.balancer.CommandReceived(p.loop.Now(), cmd.id, verb, customer, cmd.deadline, resourceKey(c.msg.Get(in, "Req-Extra")))
+	resource := resourceKey(c.msg.Get(in, "Req-Extra"))
+	start := func() { p.balancer.CommandReceived(p.loop.Now(), cmd.id, verb, customer, cmd.deadline, resource) }
+	other := p.claimTarget()
+	if cmd.repeatable || other == nil {
+		start()
+		return
+	}
+	p.claim(other, cmd, func(result claimResult) {
+		switch {
+		case cmd.done: // its client has gone, or its time is over
+		case result != claimGranted:
+			p.refuseClaimed(cmd, result)
+		default:
+			start()
+		}
+	})
 }
 
 // commandReceivedAt returns the time by which the command had arrived.
--- a/internal/proxy/command.go
+++ b/internal/proxy/command.go
@@ -14,6 +14,9 @@
 type command struct {
 	id         uint64
 	requestID  string      // value of Req-Id, for the log
+	key        requestKey  // of its Req-Id
+	repeatable bool        // it may run again
+	mayHaveRun bool        // a relay has ended after which it may have run
 	client     *clientConn // nil once the command is answered or the client is gone
 	timeLimit  float64     // seconds
 	deadline   float64     // the deadline, by the loop's clock
@@ -66,6 +69,7 @@
 	r.ended, r.conn = true, nil
 	r.cmd.openRelays--
 	p.logRelayEnd(r, result)
+	r.cmd.mayHaveRun = r.cmd.mayHaveRun || !result.NeverRan()
 	now := p.loop.Now()
 	noLoad := balance.LoadReport{Active: -1, Waiting: -1, CPU: -1, Latency: -1}
 	latency := now - r.sentAt
@@ -121,8 +125,9 @@
 	if cmd.done && cmd.openRelays == 0 {
 		cmd.timer.Stop()
 		delete(p.commands, cmd.id)
-		if p.commandsByReqID[cmd.requestID] == cmd {
-			delete(p.commandsByReqID, cmd.requestID)
+		if p.openRequests[cmd.key] == cmd {
+			delete(p.openRequests, cmd.key)
+			p.rememberRequest(cmd)
 		}
 	}
 }
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -41,7 +41,7 @@
 // incompatible.
 type handoverMessage struct {
 	Version       int             `json:"v"`
-	Kind          string          `json:"say"` // hello, state, serving, holds, call, done
+	Kind          string          `json:"say"` // hello, state, serving, holds, call, done, ran, claim, claimed
 	Discovery     string          `json:"discovery,omitempty"`
 	Endpoints     *endpointUpdate `json:"list,omitempty"`
 	Maintenance   *maintenance    `json:"maintenance,omitempty"`
@@ -52,7 +52,9 @@
 	Number        int             `json:"number,omitempty"`
 	Operation     string          `json:"call,omitempty"`
 	ID            string          `json:"id,omitempty"`
-	Error         string          `json:"failed,omitempty"` // why the operation was not persisted
+	Error         string          `json:"failed,omitempty"` // why the operation was not persisted, or the claim refused
+	IDs           []string        `json:"ids,omitempty"`    // keys of Req-Ids
+	KnowsClaims   bool            `json:"claims,omitempty"` // the sender replies to claims
 }
 
 // handover is this process's state between its predecessor and its successor.
@@ -72,9 +74,10 @@
 
 // otherProcess is the connection to the predecessor or the successor.
 type otherProcess struct {
-	p         *Proxy
-	conn      *loop.Conn
-	connected bool
+	p           *Proxy
+	conn        *loop.Conn
+	connected   bool
+	knowsClaims bool // it replies to claims of Req-Ids
 }
 
 // parseSocketFD parses the descriptor number of the inherited listener. It returns -1 if text is empty.
@@ -225,7 +228,7 @@
 // OnConnect sends the hello to the predecessor.
 func (o *otherProcess) OnConnect(*loop.Conn) {
 	o.connected = true
-	o.send(handoverMessage{Kind: "hello"})
+	o.send(handoverMessage{Kind: "hello", KnowsClaims: true})
 }
 
 // OnFlushed does nothing.
@@ -262,6 +265,7 @@
 	for n := range h.pendingOperations {
 		h.operationDone(n, nil)
 	}
+	p.grantAllClaims()
 	if h.predecessor == nil && h.successor == nil {
 		p.limitMemory(1)
 		p.limitDescriptors(p.startConfig.Limits.Sockets)
@@ -311,13 +315,16 @@
 		h.successor = o
 		p.control.Pause() // the successor starts from the configuration saved so far
 		p.limitMemory(sharedMemoryFraction)
+		o.knowsClaims = msg.KnowsClaims
 		o.send(p.handoverState())
+		p.sendRecentRequests(o)
 		p.loop.After(takeoverTimeoutSeconds, func() {
 			if h.successor == o && !h.successorServes {
 				o.disconnected(errors.New("successor did not start to serve in time"))
 			}
 		})
 	case "state":
+		o.knowsClaims = msg.KnowsClaims
 		p.control.ReloadSaved() // the predecessor may have saved a newer configuration since this process started
 		p.takeOver(msg)
 	case "serving":
@@ -334,6 +341,16 @@
 			}
 			o.send(done)
 		})
+	case "ran":
+		p.addRequestsRunElsewhere(msg.IDs)
+	case "claim":
+		p.replyToClaim(o, msg)
+	case "claimed":
+		result := claimGranted
+		if msg.Error != "" {
+			result = claimRefused
+		}
+		p.claimDone(msg.Number, result)
 	case "done":
 		var err error
 		if msg.Error != "" {
@@ -359,7 +376,7 @@
 	}
 	slices.SortFunc(list.Endpoints, func(a, b endpoint) int { return strings.Compare(a.Name, b.Name) })
 	return handoverMessage{Kind: "state", Discovery: p.watch.addr.String(), Endpoints: list, Maintenance: &p.maintenance,
-		StartAges: p.collectAges(), Drained: p.drain.active}
+		StartAges: p.collectAges(), Drained: p.drain.active, KnowsClaims: true}
 }
 
 // applyState continues from the predecessor's state, which is elapsed seconds old. The list's index is valid only for
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -104,7 +104,10 @@
 	startTimes        startTimes
 	snapshot          snapshotState
 	commands          map[uint64]*command
-	commandsByReqID   map[string]*command // open commands by Req-Id
+	openRequests      map[requestKey]*command // open commands by Req-Id
+	recentRequests    recentRequests
+	pendingClaims     map[int]func(claimResult) // callbacks for claims that wait for the other process, by number
+	lastClaim         int
 	lastCommandID     uint64
 	scratch           []byte // reused buffer for message heads
 	bodyScratch       []byte // reused buffer for the data of several chunks
@@ -169,7 +172,7 @@
 // prepare decodes and validates the configuration into a Proxy without opening sockets. It also returns the known endpoints,
 // or nil if there are none.
 func prepare(config *Config) (p *Proxy, known *endpointUpdate, err error) {
-	p = &Proxy{startTimes: startTimes{}, balancerTimers: map[uint64]*loop.Timer{}, commands: map[uint64]*command{}, commandsByReqID: map[string]*command{},
+	p = &Proxy{startTimes: startTimes{}, balancerTimers: map[uint64]*loop.Timer{}, commands: map[uint64]*command{}, openRequests: map[requestKey]*command{},
 		verbIndex: map[string]int{}, customerIndex: map[string]int{}}
 	p.memorySample[0].Name = "/memory/classes/total:bytes"
 	if len(config.Settings) == 0 {
