proxy: a later process at a backend's address is not taken for the one before it

Cause, two parts. (1) A connection that is opened after a backend's process has ended reaches whatever listens there now, and the list shows that seconds later. A repeat of a keyed request, chosen within its group by the list, ran in another group. (2) Where the list told of a new backend before it told that the one at its address was gone, both were used, the old one as warm. Class: an identity that is taken from an address.

Change: when a backend's side ends or refuses a connection, its process may have been replaced for 10 s (6 s for the list, and what discovery takes). A repeat that is bound to its group then goes only over a connection from before, and not at all once an attempt went over one from after. Of two listed backends with one address the one that started later counts, the other is gone. msg=backend_replaced and repeats_not_sent tell. The price: some repeats of keyed requests are not sent after a backend closed a connection for another reason.

--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -21,6 +21,7 @@
 	connectRetrySeconds = 0.005 // before connecting again after the system had no descriptor
 	maxIdleFraction     = 0.7   // of the configured idle time, after which a connection is closed: well before the backend does
 	reuseDelaySeconds   = 0.01  // from an answer to the next use of its connection: late bytes would pass for the next answer
+	listDelaySeconds    = 10.0  // in which the list may not show yet that a process has ended: 6 s, and what discovery itself takes
 	answerStallSeconds  = 0.5   // without progress, after which a repeat elsewhere may overtake an incomplete answer
 )
 
@@ -42,6 +43,9 @@
 	state     balance.State  // the effective state, after the operators' requests
 	sinceMs   float64        // start of its process as listed, Unix milliseconds
 	connCount int            // including those being opened
+	toldSeq   int            // number of the last update that named it
+	connLost  bool           // a connection was ended by its side or refused
+	lostAt    float64        // when that was last seen
 	idle      []*backendConn // the most recently used is last
 }
 
@@ -61,6 +65,15 @@
 	}
 }
 
+// noteConnLost notes a sign that the backend's process may have ended.
+func (b *backend) noteConnLost(now float64) { b.connLost, b.lostAt = true, now }
+
+// mayBeReplaced reports whether another process may listen at the backend's address: the listed one may have ended, and the list
+// is behind.
+func (b *backend) mayBeReplaced(now float64) bool {
+	return b.connLost && now-b.lostAt < listDelaySeconds
+}
+
 // closeIdle closes the backend's idle connections.
 func (b *backend) closeIdle() {
 	for len(b.idle) > 0 {
@@ -79,6 +92,7 @@
 	relay            *relay // the open relay, nil while idle
 	connected        bool
 	lackedDescriptor bool    // the system had no descriptor at the first attempt
+	untrustedUntil   float64 // until then it may lead to a later process at the backend's address, which the list does not show yet
 	answerBegan      float64 // when the incomplete answer began, 0 if none
 	bodyBegan        float64 // when the first bytes of its body were received, 0 if none were
 	lastProgress     float64 // when the latest part of it was received
@@ -92,16 +106,23 @@
 
 // takeIdleConn returns the most recently used idle connection that has been idle for reuseDelaySeconds, or nil. Idle
 // connections are in the order in which they became idle, and only the one to be used is checked: the check is a
-// system call, and a busy backend has as many idle connections as it answers commands in that time.
-func (p *Proxy) takeIdleConn(b *backend) *backendConn {
+// system call, and a busy backend has as many idle connections as it answers commands in that time. With trustedOnly,
+// untrusted connections are passed over.
+func (p *Proxy) takeIdleConn(b *backend, trustedOnly bool) *backendConn {
 	now := p.loop.Now()
 	for {
 		i := sort.Search(len(b.idle), func(i int) bool { return now-b.idle[i].idleSince < reuseDelaySeconds }) - 1
+		for trustedOnly && i >= 0 && b.idle[i].untrustedUntil > now {
+			i--
+		}
 		if i < 0 {
 			return nil
 		}
 		bc := b.idle[i]
 		if p.idleTooLong(bc) || !bc.conn.IsIdle() {
+			if bc.conn.PeerClosed() {
+				b.noteConnLost(now)
+			}
 			bc.close()
 			continue
 		}
@@ -113,11 +134,20 @@
 // sendRelay sends a relay on an idle connection or on a new one.
 func (p *Proxy) sendRelay(r *relay) {
 	b := r.backend
-	if bc := p.takeIdleConn(b); bc != nil {
+	boundToGroup := r.cmd.boundToGroup()
+	if boundToGroup && r.cmd.groupUnknown {
+		p.refuseRepeat(r)
+		return
+	}
+	if bc := p.takeIdleConn(b, boundToGroup); bc != nil {
 		bc.relay, r.conn = r, bc
 		bc.sendCommand()
 		return
 	}
+	if boundToGroup && b.mayBeReplaced(p.loop.Now()) {
+		p.refuseRepeat(r)
+		return
+	}
 	if len(p.backends.conns) >= p.backends.maxConns {
 		p.closeOldestIdleConn()
 	}
@@ -126,6 +156,9 @@
 		return
 	}
 	bc := &backendConn{p: p, backend: b, addr: b.addr, sinceMs: b.sinceMs, relay: r}
+	if now := p.loop.Now(); b.mayBeReplaced(now) {
+		bc.untrustedUntil = now + listDelaySeconds
+	}
 	r.conn = bc
 	p.backends.conns[bc] = struct{}{}
 	b.connCount++
@@ -136,6 +169,12 @@
 	}
 }
 
+// refuseRepeat reports a relay as not sent: the command may have run, and the relay might reach a process that does not know that.
+func (p *Proxy) refuseRepeat(r *relay) {
+	p.events.repeatsNotSent++
+	p.reportNextIteration(r, balance.NotSent)
+}
+
 // dial opens the connection. If the system lacks a descriptor or memory for the socket, dial closes idle connections
 // and tries again until the connect timeout, since a shortage usually passes.
 func (bc *backendConn) dial() (err error) {
@@ -239,6 +278,7 @@
 // sendCommand writes the relay's request to the connection.
 func (bc *backendConn) sendCommand() {
 	p, c := bc.p, bc.relay.cmd.client
+	bc.relay.cmd.groupUnknown = bc.relay.cmd.groupUnknown || bc.untrustedUntil > p.loop.Now()
 	request := c.conn.Unconsumed()
 	body := c.msg.Body(request)
 	head := append(p.scratch[:0], c.msg.Method(request)...)
@@ -276,7 +316,7 @@
 			return // the relay was cancelled
 		}
 	}
-	if r.cmd.done || r.cmd.streamed || bc.backend.state != balance.Ready || bc.superseded() ||
+	if r.cmd.done || r.cmd.streamed || r.cmd.boundToGroup() && bc.backend.mayBeReplaced(bc.p.loop.Now()) || bc.backend.state != balance.Ready || bc.superseded() ||
 		!bc.p.balancer.ConnectionOpened(bc.p.loop.Now(), r.cmd.id, r.index) {
 		r.conn = nil
 		bc.release(true)
@@ -373,6 +413,7 @@
 
 // OnDisconnect handles the end of the connection.
 func (bc *backendConn) OnDisconnect(_ *loop.Conn, err error) {
+	bc.backend.noteConnLost(bc.p.loop.Now())
 	switch {
 	case bc.relay == nil:
 		bc.close()
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -361,7 +361,7 @@
 	p.lastCommandID++
 	requestID := string(c.msg.Get(in, "Req-Id"))
 	cmd := &command{id: p.lastCommandID, requestID: requestID, key: keyOf(requestID), client: c,
-		repeatable: p.names.Verbs[verb].Pure, timeLimit: timeLimit, deadline: expires}
+		repeatable: p.names.Verbs[verb].Pure, grouped: p.names.Verbs[verb].Grouped, timeLimit: timeLimit, deadline: expires}
 	c.cmd, c.hadCommand = cmd, true
 	c.setState(stateBusy)
 	p.openRequests[cmd.key] = cmd
--- a/internal/proxy/command.go
+++ b/internal/proxy/command.go
@@ -12,20 +12,22 @@
 
 // command is one that has not been answered yet, or that still has open relays.
 type command struct {
-	id         uint64
-	requestID  string      // value of Req-Id, for the log
-	key        requestKey  // of its Req-Id
-	repeatable bool        // it may run again
-	mayHaveRun bool        // a relay has ended after which it may have run
-	client     *clientConn // nil once the command is answered or the client is gone
-	timeLimit  float64     // seconds
-	deadline   float64     // the deadline, by the loop's clock
-	timer      *loop.Timer
-	relays     []*relay
-	openRelays int
-	done       bool
-	streamed   bool         // the request or an answer is being streamed, so no other backend can take the command
-	answerConn *backendConn // forwards the answer to client, nil if none does
+	id           uint64
+	requestID    string      // value of Req-Id, for the log
+	key          requestKey  // of its Req-Id
+	repeatable   bool        // it may run again
+	grouped      bool        // its repeats are recognized only within a group of backends
+	mayHaveRun   bool        // a relay has ended after which it may have run
+	groupUnknown bool        // a relay was sent to a process that may be another than the listed one
+	client       *clientConn // nil once the command is answered or the client is gone
+	timeLimit    float64     // seconds
+	deadline     float64     // the deadline, by the loop's clock
+	timer        *loop.Timer
+	relays       []*relay
+	openRelays   int
+	done         bool
+	streamed     bool         // the request or an answer is being streamed, so no other backend can take the command
+	answerConn   *backendConn // forwards the answer to client, nil if none does
 }
 
 // end marks the command as ended for its client, which has its final answer or is gone. An answer that is still being
@@ -54,6 +56,12 @@
 	ended            bool
 }
 
+// boundToGroup reports whether the command's next relay must reach the group of backends that drops repeats: an earlier one may
+// have run, or may yet.
+func (cmd *command) boundToGroup() bool {
+	return cmd.grouped && (cmd.mayHaveRun || cmd.openRelays > 1)
+}
+
 // cancelUnwritten cancels the relays whose request is not fully delivered: a backend would start it for a client that
 // is gone. This is allowed even where the settings forbid to cancel, since such a command has not run.
 func (cmd *command) cancelUnwritten() {
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -46,6 +46,7 @@
 	hasList     bool           // a whole list was received from this address
 	listApplied bool           // a whole list was applied since the start: backends that appear later have just started
 	pending     endpointUpdate // decoded, not yet applied
+	updates     int            // number of updates applied
 }
 
 // watchDiscovery moves the watch to another address. Indexes may differ there, so the whole list is requested; the
@@ -112,7 +113,8 @@
 		p.watch.index, p.watch.hasList = update.Index, true
 	}
 	var entries []balance.Entry
-	listed := map[string]bool{}
+	listed, newProcess := map[string]bool{}, false
+	p.watch.updates++
 	for _, e := range update.Endpoints {
 		state, valid := endpointStates[e.Status]
 		addr, err := netip.ParseAddrPort(e.Address)
@@ -127,8 +129,9 @@
 		}
 		if b.addr != addr || b.sinceMs != e.SinceMs {
 			b.closeIdle() // the old process has ended, but its machine may not have closed them
-			b.sinceMs = e.SinceMs
+			b.sinceMs, b.connLost, newProcess = e.SinceMs, false, true
 		}
+		b.toldSeq = p.watch.updates
 		if err == nil {
 			b.addr = addr
 		}
@@ -146,10 +149,37 @@
 		}
 		p.maintenance.forget(func(name string) bool { return listed[name] })
 	}
+	if newProcess {
+		entries = append(entries, p.retireReplaced()...)
+	}
 	p.pruneStarts()
 	p.balancer.UpdateBackends(p.loop.Now(), update.Snapshot, entries)
 }
 
+// retireReplaced marks backends as gone whose address a later process has, and returns their entries. The list may tell of a new
+// process before it tells that the one before it is gone; used as the old one, a cold process would get the work of a warm one.
+func (p *Proxy) retireReplaced() (retired []balance.Entry) {
+	holders := map[netip.AddrPort]*backend{}
+	for _, b := range p.backends.byName {
+		if b.listed.State == balance.Gone {
+			continue
+		}
+		older, newer := holders[b.addr], b
+		if older == nil {
+			holders[b.addr] = b
+			continue
+		}
+		if b.sinceMs < older.sinceMs || b.sinceMs == older.sinceMs && b.toldSeq < older.toldSeq {
+			older, newer = b, older
+		}
+		holders[b.addr] = newer
+		log.Printf("msg=backend_replaced name=%s by=%s address=%s", older.name, newer.name, older.addr)
+		older.listed.State = balance.Gone
+		retired = append(retired, p.applyMaintenance(older))
+	}
+	return retired
+}
+
 // applyMaintenance combines a backend's listed state with the operators' requests and sets the result.
 func (p *Proxy) applyMaintenance(b *backend) balance.Entry {
 	e := p.maintenance.applyTo(b.name, b.listed)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -224,6 +224,7 @@
 	TimeLimit float64 // seconds
 	Receipted bool    // a request carries a key by which a duplicate is recognized
 	Pure      bool    // may be repeated
+	Grouped   bool    // duplicates are recognized only within a group of backends
 }
 
 // Names are the names in the settings; the balancer uses their indexes.
@@ -271,6 +272,7 @@
 			Name      *string  `json:"name"`
 			Effect    *string  `json:"effect"`
 			TimeLimit *float64 `json:"time_limit_ms"`
+			Scope     string   `json:"key_scope"`
 		} `json:"verbs"`
 	}
 	if err := json.Unmarshal(text, &doc); err != nil {
@@ -280,8 +282,9 @@
 		return names, network, fmt.Errorf("settings: %s is missing", m)
 	}
 	for _, v := range doc.Verbs {
-		names.Verbs = append(names.Verbs, Verb{*v.Name, *v.TimeLimit / 1000,
-			effects[*v.Effect] == balance.Receipted, effects[*v.Effect] == balance.Pure})
+		effect := effects[*v.Effect]
+		names.Verbs = append(names.Verbs, Verb{Name: *v.Name, TimeLimit: *v.TimeLimit / 1000, Receipted: effect == balance.Receipted,
+			Pure: effect == balance.Pure, Grouped: effect == balance.Receipted && scopes[v.Scope] != balance.ScopeAll})
 	}
 	for _, r := range doc.Customers {
 		names.Customers = append(names.Customers, *r.Name)
