proxy: two backends at one address with the same start are both kept

An equal start says nothing about who came later; many lists have 0 for 'long ago'.

Change: only a later start replaces.

--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -43,7 +43,6 @@
 	state     balance.State  // the effective state, after the operators' requests
 	sinceMs   float64        // start of its process as listed, Unix milliseconds
 	connCount int            // including those being opened
-	toldSeq   int            // number of the last update that named it
 	connLost  bool           // a connection was ended by its side or refused
 	lostAt    float64        // when that was last seen
 	idle      []*backendConn // the most recently used is last
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -46,7 +46,6 @@
 	hasList     bool           // a whole list was received from this address
 	listApplied bool           // a whole list was applied since the start: backends that appear later have just started
 	pending     endpointUpdate // decoded, not yet applied
-	updates     int            // number of updates applied
 }
 
 // watchDiscovery moves the watch to another address. Indexes may differ there, so the whole list is requested; the
@@ -114,7 +113,6 @@
 	}
 	var entries []balance.Entry
 	listed, newProcess := map[string]bool{}, false
-	p.watch.updates++
 	for _, e := range update.Endpoints {
 		state, valid := endpointStates[e.Status]
 		addr, err := netip.ParseAddrPort(e.Address)
@@ -131,7 +129,6 @@
 			b.closeIdle() // the old process has ended, but its machine may not have closed them
 			b.sinceMs, b.connLost, newProcess = e.SinceMs, false, true
 		}
-		b.toldSeq = p.watch.updates
 		if err == nil {
 			b.addr = addr
 		}
@@ -156,8 +153,9 @@
 	p.balancer.UpdateBackends(p.loop.Now(), update.Snapshot, entries)
 }
 
-// retireReplaced marks backends as gone whose address a later process has, and returns their entries. The list may tell of a new
-// process before it tells that the one before it is gone; used as the old one, a cold process would get the work of a warm one.
+// retireReplaced marks backends as gone whose address a process has that started later, and returns their entries. The list may tell
+// of a new process before it tells that the one before it is gone; used as the old one, a cold process would get the work of a
+// warm one.
 func (p *Proxy) retireReplaced() (retired []balance.Entry) {
 	holders := map[netip.AddrPort]*backend{}
 	for _, b := range p.backends.byName {
@@ -165,11 +163,11 @@
 			continue
 		}
 		older, newer := holders[b.addr], b
-		if older == nil {
+		if older == nil || older.sinceMs == b.sinceMs {
 			holders[b.addr] = b
 			continue
 		}
-		if b.sinceMs < older.sinceMs || b.sinceMs == older.sinceMs && b.toldSeq < older.toldSeq {
+		if b.sinceMs < older.sinceMs {
 			older, newer = b, older
 		}
 		holders[b.addr] = newer
