proxy: an answer of unknown length is not passed on before a byte of its body has come

Cause: passed on the head alone near the time limit, so that a late body might still come whole. Over 64 KiB the first bytes are timed, and there are none before the limit.

TestSlowAnswersAreNotCutOff: the two cases in which nothing of a body of unknown length comes before the limit may fail, but only within 0.1 s of it; all others are as strict as they were.

--- a/internal/proxy/answer_stream.go
+++ b/internal/proxy/answer_stream.go
@@ -16,7 +16,6 @@
 	endlessCheckSeconds      = 0.05 // between checks of an answer after that
 	minAnswerBytesPerSecond  = 32e3 // half the rate of slow clients
 	answerGraceSeconds       = 0.3  // in addition to the time at the minimum rate
-	maxBodyDelaySeconds      = 1.0  // from the first bytes of the head to those of the body
 )
 
 // shouldStream reports whether an incomplete answer is to be streamed to the client.
@@ -27,10 +26,10 @@
 		return false
 	case m.BodyLength() > http1.MaxBufferedResponseBody || m.DecodedBytes() > http1.MaxBufferedResponseBody || bc.conn.ReadBufferFull():
 		return true
-	case m.BodyLength() >= 0 || bc.answerBegan == 0:
+	case m.BodyLength() >= 0 || m.DecodedBytes() == 0 || bc.answerBegan == 0:
 		return false
 	}
-	return now > bc.relay.cmd.deadline-streamBeforeLimitSeconds || m.DecodedBytes() > 0 && now > bc.answerBegan+streamAfterSeconds
+	return now > min(bc.answerBegan+streamAfterSeconds, bc.relay.cmd.deadline-streamBeforeLimitSeconds)
 }
 
 // answerState is what happens to the answer that arrives on a connection.
@@ -190,11 +189,7 @@
 // tooSlow reports whether an answer comes at less than the minimum rate. Time in which its client does not read is not held
 // against it.
 func (bc *backendConn) tooSlow() bool {
-	began := bc.bodyBegan
-	if began == 0 {
-		began = bc.answerBegan + maxBodyDelaySeconds
-	}
-	seconds := bc.p.loop.Now() - began - answerGraceSeconds
+	seconds := bc.p.loop.Now() - bc.bodyBegan - answerGraceSeconds
 	return !bc.readPaused && float64(bc.msg.DecodedBytes()) < minAnswerBytesPerSecond*seconds
 }
 
