loop: streams read less each while memory is short

With 3,200 backends listed, where the balancer lets more through, the mixed crowd of 500 took 29.8 to 31.0 MiB of a limit of 32.

Cause: unsent bytes are counted but not limited: each of 396 streams read up to 32 KiB at once and held what its slow client did not take, so that 11.2 of 8 MiB were buffered (msg=memory_short), and the collector ran every 20 ms (gctrace).

Change: while over half of the buffers' memory is in use, a stream's read buffer is as small as others, and one that is empty is freed.

--- a/cmd/sandpass/flood_test.go
+++ b/cmd/sandpass/flood_test.go
@@ -141,7 +141,7 @@
 		"interim is expected": {"", post("Expect: 100-continue\r\n")},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := startConstrained(t, program, backend.Addr())
+			p := startConstrained(t, program, backend.Addr(), 1)
 			quiet, _ := p.askInTurn(quietSeconds)
 			sent := make(chan int)
 			go func() {
--- a/cmd/sandpass/pressure_test.go
+++ b/cmd/sandpass/pressure_test.go
@@ -42,8 +42,8 @@
 	return program
 }
 
-// startConstrained starts the program with one backend and waits until it is ready.
-func startConstrained(t *testing.T, program string, backend net.Addr) *constrainedProxy {
+// startConstrained starts the program with as many backends, all at one address, and waits until it is ready.
+func startConstrained(t *testing.T, program string, backend net.Addr, backends int) *constrainedProxy {
 	t.Helper()
 	config, address := writeConfig(t)
 	text, err := os.ReadFile(config)
@@ -56,8 +56,12 @@
 		t.Fatal(err)
 	}
 	c["limits"] = map[string]any{"cores": 1.0, "memory_mb": leastMemoryMB, "sockets": mostDescriptors}
-	c["known"] = json.RawMessage(fmt.Sprintf(`{"index":1,"snapshot":true,"endpoints":[{"name":"s-1","address":"%s",
-		"zone":"a","group":1,"status":"ready","weight":1,"since_ms":0}]}`, backend))
+	var entries []any
+	for n := range backends {
+		entries = append(entries, map[string]any{"name": fmt.Sprintf("s-%07x", n), "address": backend.String(), "zone": "a", "group": n / 3,
+			"status": "ready", "weight": 1, "since_ms": 0})
+	}
+	c["known"] = map[string]any{"index": 1, "snapshot": true, "endpoints": entries}
 	if text, err = json.Marshal(c); err == nil {
 		err = os.WriteFile(config, text, 0o600)
 	}
@@ -241,6 +245,7 @@
 	}
 	kinds := []func(int, net.Conn){slowWriters, stopped, stoppedBuffered, manyFields, slowReaders, completeHeads, chunks, sendsAhead}
 	mixed := func(n int, c net.Conn) { kinds[n%len(kinds)](n, c) }
+	const mostBackends = 3200
 	for _, test := range []struct {
 		name    string
 		backend net.Listener
@@ -257,6 +262,8 @@
 		{"requests sent ahead", hung, sendsAhead},
 		{"mixed, long answers", longAnswer, mixed},
 		{"mixed, slow backend", slowReader, mixed},
+		{"mixed, 3,200 backends", longAnswer, mixed},
+		{"nothing, 3,200 backends", longAnswer, func(int, net.Conn) {}},
 		{"three waves", longAnswer, func(n int, c net.Conn) {
 			mixed(n, c)
 			for range 2 {
@@ -268,7 +275,11 @@
 		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			p := startConstrained(t, program, test.backend.Addr())
+			backends := 1
+			if strings.Contains(test.name, "3,200 backends") {
+				backends = mostBackends
+			}
+			p := startConstrained(t, program, test.backend.Addr(), backends)
 			crowd(p.address, test.act)
 			peak := p.peakMemoryMB()
 			t.Logf("peak %.1f MiB of %d", peak, leastMemoryMB)
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -151,7 +151,7 @@
 		return
 	}
 	c.start, c.end = 0, 0
-	if c.largeBuffer {
+	if c.largeBuffer && !c.loop.MemoryShort() {
 		return
 	}
 	if len(c.buffer) == initialBufferBytes && len(c.loop.freeBuffers) < maxFreeBuffers {
@@ -170,8 +170,8 @@
 // buffer, and the loop limits the sum of all buffers.
 func (c *Conn) nextBufferSize() int {
 	size := max(initialBufferBytes, min(c.maxUnconsumed, 2*len(c.buffer)))
-	if c.largeBuffer && c.buffer == nil {
-		size = largeBufferBytes
+	if c.largeBuffer && c.buffer == nil && !c.loop.MemoryShort() {
+		size = largeBufferBytes // what one read brings may have to wait unsent, so many streams read less each
 	}
 	limit := c.loop.MaxBufferBytes
 	if c.accepted {
@@ -214,7 +214,8 @@
 // that is when the peer last read.
 func (c *Conn) LastSentAt() float64 { return c.lastSentAt }
 
-// UseLargeBuffer prepares the connection for a long message that is streamed; ReleaseLargeBuffer ends that.
+// UseLargeBuffer prepares the connection for a long message that is streamed; ReleaseLargeBuffer ends that. While memory is short
+// the buffer is as small as others.
 func (c *Conn) UseLargeBuffer() { c.largeBuffer = true }
 
 // ReleaseLargeBuffer lets the large buffer be freed once it is empty.
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -134,6 +134,9 @@
 // BufferedBytes returns how many bytes read buffers beyond their initial size and unsent data hold; MaxBufferBytes limits it.
 func (l *Loop) BufferedBytes() int { return l.bufferedBytes }
 
+// MemoryShort reports whether more than half of MaxBufferBytes is in use.
+func (l *Loop) MemoryShort() bool { return l.bufferedBytes > l.MaxBufferBytes/2 }
+
 // TimerCount returns how many timers are scheduled, and stopped ones that are still held.
 func (l *Loop) TimerCount() int { return len(l.timers) }
 
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -99,7 +99,7 @@
 func (p *Proxy) trackMemory(now float64) {
 	e, buffered := &p.events, p.loop.BufferedBytes()
 	e.peakBufferedBytes = max(e.peakBufferedBytes, buffered)
-	if buffered <= p.loop.MaxBufferBytes/2 || now < e.pressureLoggedAt+pressureLogSeconds {
+	if !p.loop.MemoryShort() || now < e.pressureLoggedAt+pressureLogSeconds {
 		return
 	}
 	e.pressureLoggedAt = now
@@ -140,8 +140,8 @@
 	for i, n := range e.relayResults {
 		text += fmt.Sprintf(" relays_%s=%d", balance.Result(i), n)
 	}
-	log.Printf("msg=reasons%s id_conflicts=%d repeats_not_sent=%d bodies_not_taken=%d sent_ahead=%d peak_buffered_kb=%d timers=%d suppressed=%d %s",
-		text, e.idConflicts, e.repeatsNotSent, e.bodiesNotTaken, e.sentAhead, e.peakBufferedBytes>>10, p.loop.TimerCount(), e.suppressed,
+	log.Printf("msg=reasons%s id_conflicts=%d repeats_not_sent=%d bodies_not_taken=%d sent_ahead=%d peak_buffered_kb=%d timers=%d "+
+		"suppressed=%d %s", text, e.idConflicts, e.repeatsNotSent, e.bodiesNotTaken, e.sentAhead, e.peakBufferedBytes>>10, p.loop.TimerCount(), e.suppressed,
 		p.clientStates())
 	*e = eventLog{lines: e.lines, refilledAt: e.refilledAt, pressureLoggedAt: e.pressureLoggedAt}
 }
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -64,7 +64,7 @@
 // highWatermark returns how many unsent bytes one side of a stream may have before reading from the other pauses. It is
 // lower when memory is short, since hundreds of slow streams would fill any memory.
 func (p *Proxy) highWatermark() int {
-	if p.loop.BufferedBytes() > p.loop.MaxBufferBytes/2 {
+	if p.loop.MemoryShort() {
 		return lowMemoryWatermarkBytes
 	}
 	return highWatermarkBytes
