--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -315,8 +315,7 @@
 			return // the relay was cancelled
 		}
 	}
-	if r.cmd.done || r.cmd.streamed || r.cmd.boundToGroup() && bc.backend.mayBeReplaced(bc.p.loop.Now()) || bc.backend.state != balance.Ready || bc.superseded() ||
-		!bc.p.balancer.ConnectionOpened(bc.p.loop.Now(), r.cmd.id, r.index) {
+	if !bc.mayBeWritten(r) {
 		r.conn = nil
 		bc.release(true)
 		bc.p.reportOutcome(r, balance.NotSent)
@@ -325,6 +324,18 @@
 	bc.sendCommand()
 }
 
+// mayBeWritten reports whether a relay may still be written to the connection that was opened for it.
+func (bc *backendConn) mayBeWritten(r *relay) bool {
+	now := bc.p.loop.Now()
+	switch {
+	case r.cmd.done || r.cmd.streamed || bc.backend.state != balance.Ready || bc.superseded():
+		return false
+	case r.cmd.boundToGroup() && bc.backend.mayBeReplaced(now):
+		return false
+	}
+	return bc.p.balancer.ConnectionOpened(now, r.cmd.id, r.index)
+}
+
 // superseded reports whether the list has moved the backend to another process or address since the connection was
 // opened: whatever answers at the old address may be a different service.
 func (bc *backendConn) superseded() bool {
--- a/internal/proxy/hidden_end_test.go
+++ b/internal/proxy/hidden_end_test.go
@@ -86,9 +86,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { b.Close() })
 	completed = &atomic.Int32{}
-	serve := func(c net.Conn) {
+	serveConns(t, b, func(c net.Conn) {
 		defer c.Close()
 		r, err := http.ReadRequest(bufio.NewReader(c))
 		<-goOn
@@ -99,16 +98,7 @@
 			completed.Add(1)
 		}
 		io.Copy(io.Discard, c)
-	}
-	go func() {
-		for {
-			c, err := b.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
+	})
 	return b, completed
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -172,7 +172,8 @@
 // prepare decodes and validates the configuration into a Proxy without opening sockets. It also returns the known endpoints,
 // or nil if there are none.
 func prepare(config *Config) (p *Proxy, known *endpointUpdate, err error) {
-	p = &Proxy{startTimes: startTimes{}, balancerTimers: map[uint64]*loop.Timer{}, commands: map[uint64]*command{}, openRequests: map[requestKey]*command{},
+	p = &Proxy{startTimes: startTimes{}, balancerTimers: map[uint64]*loop.Timer{},
+		commands: map[uint64]*command{}, openRequests: map[requestKey]*command{},
 		verbIndex: map[string]int{}, customerIndex: map[string]int{}}
 	p.memorySample[0].Name = "/memory/classes/total:bytes"
 	if len(config.Settings) == 0 {
--- a/internal/proxy/slow_transfer_test.go
+++ b/internal/proxy/slow_transfer_test.go
@@ -110,9 +110,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { b.Close() })
 	completed = &atomic.Int32{}
-	serve := func(c net.Conn) {
+	serveConns(t, b, func(c net.Conn) {
 		defer c.Close()
 		r, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
@@ -132,17 +131,22 @@
 		}
 		io.Copy(io.Discard, io.LimitReader(c, 1)) // holds the connection
 		time.Sleep(8 * time.Second)
-	}
+	})
+	return b, completed
+}
+
+// serveConns serves each connection of a listener until the end of the test.
+func serveConns(t *testing.T, l net.Listener, serve func(net.Conn)) {
+	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
-			c, err := b.Accept()
+			c, err := l.Accept()
 			if err != nil {
 				return
 			}
 			go serve(c)
 		}
 	}()
-	return b, completed
 }
 
 // writeBody writes a body with the given framing, "length" or "chunks". The request's last byte is written when it returns.
