proxy: an announced end of a connection is no sign that its backend was replaced

Cause: any end of a connection to a backend counted as a sign that its process may have ended. Where answers end with their connection (no length, or Connection: close) that is the usual end, and repeats of keyed requests were not sent for 10 s after each.

Change: an end that the answer's head announces is no sign. Resume asks the kernel for unread bytes only after PauseWithEOF.

TestRepeatIsSentAfterAnnouncedCloses fails before (502 after one failure), passes now; TestRepeatDoesNotReachALaterProcessAtTheAddress passes.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -269,8 +269,10 @@
 	if c.paused && c.interest&unix.EPOLLIN == 0 && c.inputSince == 0 && c.fd >= 0 && !c.IsIdle() {
 		c.inputSince = c.loop.iterationStart - c.LastReceiveAge() // no event showed when the input arrived
 	}
-	if since, waiting := c.UnreadSince(); c.pausedWithEOF && waiting {
-		c.inputSince = since
+	if c.pausedWithEOF {
+		if since, waiting := c.UnreadSince(); waiting {
+			c.inputSince = since
+		}
 	}
 	c.paused, c.pausedWithEOF, c.readsAhead = false, false, false
 	c.clearLowWatermark()
--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -423,7 +423,9 @@
 
 // OnDisconnect handles the end of the connection.
 func (bc *backendConn) OnDisconnect(_ *loop.Conn, err error) {
-	bc.backend.noteConnLost(bc.p.loop.Now())
+	if !bc.endAnnounced(err) {
+		bc.backend.noteConnLost(bc.p.loop.Now())
+	}
 	switch {
 	case bc.relay == nil:
 		bc.close()
@@ -444,6 +446,11 @@
 	}
 }
 
+// endAnnounced reports whether the end of the connection follows an answer that ends with it, as its head says.
+func (bc *backendConn) endAnnounced(err error) bool {
+	return err == io.EOF && bc.relay != nil && bc.msg.HeadComplete() && !bc.msg.KeepAlive
+}
+
 // disconnectResult returns the relay's result after the connection broke. Before its last byte was written the
 // command can't have run.
 func (bc *backendConn) disconnectResult() balance.Result {
--- a/internal/proxy/replaced_process_test.go
+++ b/internal/proxy/replaced_process_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -82,6 +84,31 @@
 	}
 }
 
+// A backend that ends a connection as its answer says gives no sign that its process has ended: a repeat still goes to it.
+func TestRepeatIsSentAfterAnnouncedCloses(t *testing.T) {
+	t.Parallel()
+	var fails atomic.Bool
+	handle := func(_ *fakeBackend, c net.Conn, r *http.Request) {
+		if r.Method == "POST" && fails.Swap(false) {
+			io.WriteString(c, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+			return
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nok")
+		c.Close()
+	}
+	one, two := newFakeBackend(t, handle), newFakeBackend(t, handle)
+	p := runProxy(t, newTestProxy(t, 200, endpointList(1, true, readyEndpoint("s-1", one), readyEndpoint("s-2", two)), nil))
+	for range 10 {
+		if status, _, _ := p.dial(t).roundTrip(requestText("look")); status != 200 {
+			t.Fatalf("%d, want 200", status)
+		}
+	}
+	fails.Store(true)
+	if status, body, _ := p.dial(t).roundTrip(requestText("order", "Idempotency-Key: k\r\n", "Content-Length: 0\r\n")); status != 200 {
+		t.Errorf("a keyed request that failed once got %d %s, want 200", status, body)
+	}
+}
+
 // Guards against a cold process that is taken for the warm one that it replaces: the list tells of a new backend at an address
 // before it tells that the backend there is gone.
 func TestLaterProcessReplacesTheOneAtItsAddress(t *testing.T) {
@@ -94,9 +121,11 @@
 	}
 	now := float64(time.Now().UnixMilli())
 	for name, updates := range map[string][]string{
-		"in a change":     {endpointList(1, true, entry("s-old", 0), readyEndpoint("s-other", other)), endpointList(2, false, entry("s-new", now))},
-		"in one list":     {endpointList(1, true, entry("s-new", now), entry("s-old", 0), readyEndpoint("s-other", other))},
-		"restarted later": {endpointList(1, true, entry("s-old", now-9000), readyEndpoint("s-other", other)), endpointList(2, false, entry("s-new", now))},
+		"in a change": {endpointList(1, true, entry("s-old", 0), readyEndpoint("s-other", other)),
+			endpointList(2, false, entry("s-new", now))},
+		"in one list": {endpointList(1, true, entry("s-new", now), entry("s-old", 0), readyEndpoint("s-other", other))},
+		"restarted later": {endpointList(1, true, entry("s-old", now-9000), readyEndpoint("s-other", other)),
+			endpointList(2, false, entry("s-new", now))},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := runProxy(t, newTestProxy(t, 200, "", nil))
