proxy: a process that may be replaced leaves memory for the next one's start

Change: below a limit of 64 MB a process with an inherited listener goes by three quarters of it until the next one shares it by halves.

--- a/cmd/sandpass/pressure_test.go
+++ b/cmd/sandpass/pressure_test.go
@@ -42,11 +42,10 @@
 	return program
 }
 
-// startConstrained starts the program with as many backends, all at one address, and waits until it is ready.
-func startConstrained(t *testing.T, program string, backend net.Addr, backends int) *constrainedProxy {
+// writeConstrainedConfig writes a configuration with the least memory and as many backends, all at one address.
+func writeConstrainedConfig(t *testing.T, listen string, backend net.Addr, backends int) (path string) {
 	t.Helper()
-	config, address := writeConfig(t)
-	text, err := os.ReadFile(config)
+	text, err := os.ReadFile("../../example/config.json")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -55,39 +54,58 @@
 	if err := json.Unmarshal(text, &c); err != nil {
 		t.Fatal(err)
 	}
-	c["limits"] = map[string]any{"cores": 1.0, "memory_mb": leastMemoryMB, "sockets": mostDescriptors}
 	var entries []any
 	for n := range backends {
 		entries = append(entries, map[string]any{"name": fmt.Sprintf("s-%07x", n), "address": backend.String(), "zone": "a", "group": n / 3,
 			"status": "ready", "weight": 1, "since_ms": 0})
 	}
 	c["known"] = map[string]any{"index": 1, "snapshot": true, "endpoints": entries}
+	c["limits"] = map[string]any{"cores": 1.0, "memory_mb": leastMemoryMB, "sockets": mostDescriptors}
+	c["listen"], c["ops"], c["discovery"] = listen, "127.0.0.1:0", "127.0.0.1:1"
+	path = filepath.Join(t.TempDir(), "c.json")
 	if text, err = json.Marshal(c); err == nil {
-		err = os.WriteFile(config, text, 0o600)
+		err = os.WriteFile(path, text, 0o600)
 	}
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &constrainedProxy{t: t, address: address, out: &output{}}
-	p.cmd = exec.Command(program, "serve", "--config", config)
+	return path
+}
+
+// startConstrained starts the program with as many backends, all at one address, and waits until it is ready.
+func startConstrained(t *testing.T, program string, backend net.Addr, backends int) *constrainedProxy {
+	t.Helper()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &constrainedProxy{t: t, address: free.Addr().String(), out: &output{}}
+	free.Close()
+	p.cmd = exec.Command(program, "serve", "--config", writeConstrainedConfig(t, p.address, backend, backends))
 	p.cmd.Stdout, p.cmd.Stderr = p.out, p.out
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { p.cmd.Process.Kill(); p.cmd.Wait() })
+	awaitReady(t, p.address)
+	return p
+}
+
+// awaitReady waits until the process at the address is ready.
+func awaitReady(t *testing.T, address string) {
+	t.Helper()
 	for range 500 {
 		c, err := net.Dial("tcp", address)
 		if err == nil {
 			answer := roundTrip(c, "GET /-/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
 			c.Close()
 			if strings.HasPrefix(answer, "HTTP/1.1 200") {
-				return p
+				return
 			}
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	t.Fatalf("not ready: %s", p.out)
-	return nil
+	t.Fatal("not ready")
 }
 
 // roundTrip writes a request and reads until the connection ends.
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -34,6 +34,8 @@
 	idleCloseEndSeconds     = 1.5     // until all of them are closed: the kill comes at least 3.7 s later
 	minStaySeconds          = 0.5     // that the old process stays for connections accepted last
 	sharedMemoryFraction    = 0.5     // of the memory limit, for each of two processes
+	smallMemoryMB           = 64      // limit below which a process that may be replaced leaves memory for the start of the next
+	smallMemoryFraction     = 0.75    // of such a limit
 	handoverPollSeconds     = 0.05    // between checks for open connections and for a free address
 )
 
@@ -101,6 +103,9 @@
 
 // limitMemory limits the process to a fraction of the configured memory.
 func (p *Proxy) limitMemory(fraction float64) {
+	if p.handover.socketPath != "" && p.startConfig.Limits.MemoryMB < smallMemoryMB {
+		fraction = min(fraction, smallMemoryFraction)
+	}
 	if bytes := fraction * float64(p.startConfig.Limits.MemoryMB) * (1 << 20); bytes > 0 {
 		p.loop.MaxBufferBytes = int(readBufferShare * bytes)
 		if p.handover.setMemoryLimit != nil {
