proxy: changes with an older version have the whole list asked for

Its changes were ignored as old news, for good, so that a drain was missed.

Change: such a change is still not applied, since a later one may have said otherwise, but the whole list is asked for (without since).

TestDiscoveryThatCountsFromTheStartIsHeard fails before (the third request never comes) and passes; TestInterruptedListUpdates, TestReloadRacesOldWatch and the other tests of the watch pass. The price is one list where an older watch still answers.

--- a/internal/proxy/replaced_process_test.go
+++ b/internal/proxy/replaced_process_test.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"sandpass/balance"
 )
 
 // runsByID counts by Req-Id how often processes have run commands.
@@ -156,3 +158,34 @@
 		})
 	}
 }
+
+// Guards against changes that are ignored for good: a discovery process that comes up at the address of one that had gone counts its
+// versions from the start.
+func TestDiscoveryThatCountsFromTheStartIsHeard(t *testing.T) {
+	t.Parallel()
+	a, b := newFakeBackend(t, echo), newFakeBackend(t, echo)
+	draining := readyEndpoint("s-a", a)
+	draining["status"] = "draining"
+	requests := make(chan string, 9)
+	d := fakeDiscovery(t, func(n int, c net.Conn, r *http.Request) {
+		requests <- r.RequestURI
+		switch n {
+		case 1:
+			writeChunk(c, endpointList(41, true, readyEndpoint("s-a", a), readyEndpoint("s-b", b))+"\n")
+			c.Close()
+		case 2: // another process, which knows no version 41
+			writeChunk(c, endpointList(3, false, draining)+"\n")
+		case 3:
+			writeChunk(c, endpointList(3, true, draining, readyEndpoint("s-b", b))+"\n")
+		}
+		c.Read(make([]byte, 1))
+	})
+	p := runProxy(t, newTestProxy(t, 200, "", d))
+	for _, want := range []string{"/api/targets?follow=1", "/api/targets?follow=1&since=41", "/api/targets?follow=1"} {
+		wantWatchRequest(t, requests, want)
+	}
+	p.await(t, "the drain is known", func() bool {
+		x := p.backends.byName["s-a"]
+		return x != nil && x.state == balance.Draining && p.backends.readyCount == 1
+	})
+}
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -105,7 +105,9 @@
 func (p *Proxy) applyEndpoints(update *endpointUpdate) {
 	pool := &p.backends
 	if !update.Snapshot && p.watch.hasList && update.Index < p.watch.index {
-		log.Printf("msg=old_news index=%d known=%d", update.Index, p.watch.index) // a later update may have said otherwise
+		// A later update may have said otherwise, or a new discovery process counts from the start: the whole list tells.
+		log.Printf("msg=old_news index=%d known=%d", update.Index, p.watch.index)
+		p.watch.hasList = false
 		return
 	}
 	if update.Snapshot || p.watch.hasList {
