Test: the client beside a flood has Req-Ids of its own

Traced: that client's first id was 0, as are those of 'the same id' and 'chunks of one byte'; on a quiet machine it was first. It counts from 1 now.

--- a/cmd/sandpass/flood_test.go
+++ b/cmd/sandpass/flood_test.go
@@ -78,7 +78,7 @@
 func (p *constrainedProxy) askInTurn(seconds float64) (perSecond float64, slowest time.Duration) {
 	p.t.Helper()
 	until := time.Now().Add(time.Duration(seconds * float64(time.Second)))
-	for n := 0; time.Now().Before(until); n++ {
+	for n := 1; time.Now().Before(until); n++ { // the flood's ids are 0 and above
 		began := time.Now()
 		conn, err := net.Dial("tcp", p.address)
 		if err != nil {
