proxy: a start logs each error that it waits for

Only the first error of a step was logged, so that neither an operator nor the harness, which tries another port when an address is taken, could see what the start waited for after that.

Change: each error that differs from the last one has a line. TestStartLogsEachErrorThatItWaitsFor, an injected socket error and then a taken address, fails before and passes.

--- a/cmd/sandpass/start_test.go
+++ b/cmd/sandpass/start_test.go
@@ -181,3 +181,23 @@
 		}
 	}
 }
+
+// Guards against a start that waits without a word of why: the log names each error that it waits for, not only the first.
+func TestStartLogsEachErrorThatItWaitsFor(t *testing.T) {
+	t.Parallel()
+	config, address := writeConfig(t)
+	other, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	cmd, out := sandpass(config, "serve")
+	cmd.Env = append(cmd.Env, faultinject.Env+"=socket@1=ENFILE")
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Wait()
+	defer cmd.Process.Kill()
+	out.waitFor(t, "too many open files in system")
+	out.waitFor(t, "address already in use")
+}
--- a/internal/proxy/startup.go
+++ b/internal/proxy/startup.go
@@ -27,14 +27,15 @@
 
 // retryTransient calls step until it succeeds, fails with a permanent error, or startRetryTimeout has passed.
 func retryTransient(ctx context.Context, step func() error) error {
-	began := time.Now()
-	for tries := 0; ; tries++ {
+	began, logged := time.Now(), ""
+	for {
 		err := step()
 		if err == nil || !loop.IsTransient(err) || time.Since(began) > startRetryTimeout {
 			return err
 		}
-		if tries == 0 {
-			log.Printf("msg=start_waits error=%q", err)
+		if text := err.Error(); text != logged {
+			log.Printf("msg=start_waits error=%q", text)
+			logged = text
 		}
 		select {
 		case <-ctx.Done():
