--- a/review/standin2/backend.go
+++ b/review/standin2/backend.go
@@ -5,7 +5,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -22,9 +21,9 @@
 type behaviour struct {
 	work       time.Duration // before it answers
 	resetAfter bool          // resets the connection when it has run the request, with no answer
-	length     int           // bytes of the answer's body, 0 for a short one
-	hang       time.Duration // stands still so long when half of the answer is sent
 	again      time.Duration // sends the answer a second time so much later, if nothing else waits on the connection then
+	// give, if set, writes the answer in place of the usual one. The connection ends after it.
+	give func(conn net.Conn, id string)
 }
 
 // backend is one process.
@@ -163,7 +162,11 @@
 		reset(conn)
 		return false
 	}
-	b.answer(conn, in, id, how)
+	if how.give != nil {
+		how.give(conn, id)
+		return false
+	}
+	b.answer(conn, in, id, how.again)
 	return true
 }
 
@@ -178,23 +181,13 @@
 	b.world.noteRun(run{at: b.world.record.seconds(), id: id, method: r.Method, key: key, backend: b.name, group: b.group.number})
 }
 
-// answer sends the answer made for a request.
-func (b *backend) answer(conn net.Conn, in *bufio.Reader, id string, how behaviour) {
-	body := fmt.Appendf(nil, "done id=%s by=%s ", id, b.name)
-	body = append(body, bytes.Repeat([]byte("a"), max(0, how.length-len(body)))...)
+// answer sends the answer made for a request, and again after a while where that is above 0.
+func (b *backend) answer(conn net.Conn, in *bufio.Reader, id string, again time.Duration) {
+	body := fmt.Sprintf("done id=%s by=%s ", id, b.name)
 	whole := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-	b.world.record.note("backend=%s answers id=%s with %d bytes", b.name, id, len(body))
-	if how.hang > 0 {
-		half := len(whole) / 2
-		conn.Write(whole[:half])
-		b.world.record.note("backend=%s stands still in the middle of its answer to id=%s", b.name, id)
-		time.Sleep(how.hang)
-		_, err := conn.Write(whole[half:])
-		b.world.record.note("backend=%s goes on with its answer to id=%s: %v", b.name, id, err)
-		return
-	}
+	b.world.record.note("backend=%s answers id=%s", b.name, id)
 	conn.Write(whole)
-	if how.again > 0 && nothingComes(conn, in, how.again) {
+	if again > 0 && nothingComes(conn, in, again) {
 		b.world.record.note("backend=%s answers id=%s a second time", b.name, id)
 		conn.Write(whole)
 	}
--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -58,6 +58,8 @@
 	world *world
 	conn  net.Conn
 	in    *bufio.Reader
+
+	readRate int // bytes of an answer that it reads in a second, 0 for no limit
 }
 
 // connect opens a connection to a proxy.
@@ -66,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{w, conn, bufio.NewReader(conn)}, nil
+	return &clientConn{world: w, conn: conn, in: bufio.NewReader(conn)}, nil
 }
 
 // answer is what a client got: status 0 means that there was no whole answer.
@@ -105,7 +107,7 @@
 		return a
 	}
 	c.conn.SetReadDeadline(time.Now().Add(longestBody))
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(&pacedReader{response.Body, c.readRate})
 	if a.err = err; err == nil {
 		a.status, a.body = response.StatusCode, string(body)
 	}
