Review cases 6 and 9: their traffic and settings stay inside the limits that they quote

Cause: case 6 sent 1.8 times the site's traffic for 50 s, and such jumps are named for 2 to 9.5 s only.

--- a/review/standin2/case_window.go
+++ b/review/standin2/case_window.go
@@ -48,7 +48,7 @@
 		return err
 	}
 	defer f.stop()
-	proxy, err := f.startProxy(p, configuration("n0", freeAddress(), f.discovery.address(), officeVerbs()))
+	proxy, err := f.startProxy(p, officeConfiguration("n0", freeAddress(), f.discovery.address()))
 	if err != nil {
 		return err
 	}
--- a/review/standin2/settings.go
+++ b/review/standin2/settings.go
@@ -46,3 +46,14 @@
 		},
 	}
 }
+
+// officeConfiguration is configuration with the figures of closings-north.
+func officeConfiguration(name, listen, discovery string) map[string]any {
+	config := configuration(name, listen, discovery, officeVerbs())
+	settings := config["settings"].(map[string]any)
+	limits := settings["limits"].(map[string]any)
+	limits["max_relays"], limits["retry_after"], limits["connect_timeout_ms"], limits["conn_idle_ms"] = 3, true, 200, 15000
+	settings["safety"] = map[string]any{"cold_share": 0.13, "cold_ms": 24000, "fall_multiple": 4}
+	settings["overage_utility"] = 0.05
+	return config
+}
