Review: scripts that run side by side don't take one another's ports

Cause: a free port was let go before the proxy had it.

Changed: the proxy's addresses have a loopback host of the script's process alone.

--- a/review/standin2/process.go
+++ b/review/standin2/process.go
@@ -66,9 +66,11 @@
 	return "", errors.New("the deploy file has no run line")
 }
 
-// freeAddress returns an address of loopback where nobody listens.
+// freeAddress returns an address where nobody listens. Its host is a loopback address of this process alone, so that no other script
+// that runs beside it takes the port before the proxy does.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&63, pid>>8&255, 1+pid&127))
 	if err != nil {
 		return "127.0.0.1:1"
 	}
