--- a/review/standin2/case_reload.go
+++ b/review/standin2/case_reload.go
@@ -19,7 +19,7 @@
 	heldUp      = 130 * time.Millisecond  // planned; the pages: a proxy that is held up for up to 0.15 s
 	untilSignal = 105 * time.Millisecond  // of that before SIGHUP
 	noSighup    = 1100 * time.Millisecond // the pages: never in the first second of a process
-	upgrades    = 6
+	upgrades    = 12
 	longestHold = 150 * time.Millisecond // a hold that took longer is past the pages, and its upgrade is not judged
 	usualWork   = 300 * time.Millisecond
 	slowWork    = 2400 * time.Millisecond // the pages: up to 8.1 times slower
