loop: a reset that a peek has seen is not reported as a clean close

Cause: the kernel tells a connection's error once. Conn.Resume asks by a peek whether bytes wait; the peek took ECONNRESET, the next read returned 0 bytes, and that is a clean close, which ends such an answer.

Change: all peeks go through Conn.peek, which keeps the error for the read that finds the end. A dialing connection is not peeked at.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -60,6 +60,7 @@
 	largeBuffer   bool    // uses a large buffer and keeps it while it is empty
 	lastSentAt    float64 // when the kernel last accepted written bytes
 	disconnected  bool    // OnDisconnect was called or is scheduled
+	peekedError   error   // the connection's error, which a peek took from the kernel, nil if none did
 	accepted      bool
 	discardLimit  int // bytes that may still be discarded after a call of Discard
 }
@@ -227,19 +228,43 @@
 // IsIdle reports whether the peer has neither sent unread bytes nor closed the connection. An idle connection may be reused
 // only then, since bytes written after the peer's close count as sent.
 func (c *Conn) IsIdle() bool {
-	var b [1]byte
-	_, _, err := unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	_, err := c.peek()
 	return err == unix.EAGAIN && !c.disconnected
 }
 
+// peek returns how many bytes wait unread, 1 at most; 0 without an error means that the peer has closed the connection. The kernel
+// tells a connection's error, such as a reset, only once, so peek keeps it for the read that reports the end. The error of a dial is
+// left to handleEvents.
+func (c *Conn) peek() (n int, err error) {
+	if c.dialing {
+		return 0, unix.EAGAIN
+	}
+	if c.peekedError != nil {
+		return 0, c.peekedError
+	}
+	var b [1]byte
+	n, _, err = unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	if err != nil && !isRetryable(err) {
+		c.peekedError = err
+	}
+	return n, err
+}
+
+// endOfInput returns the error for OnDisconnect after a read has found no more bytes.
+func (c *Conn) endOfInput() error {
+	if c.peekedError != nil {
+		return c.peekedError
+	}
+	return io.EOF
+}
+
 // PeerClosed reports whether the peer has closed or reset the connection after the bytes that were read, even if the loop
 // has not handled that event yet. It cannot see a close behind unread bytes.
 func (c *Conn) PeerClosed() bool {
 	if c.fd < 0 || c.disconnected {
 		return true
 	}
-	var b [1]byte
-	n, _, err := unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	n, err := c.peek()
 	return n == 0 && err == nil || err != nil && !isRetryable(err)
 }
 
@@ -496,7 +521,7 @@
 		c.inputSince = 0
 		c.clearLowWatermark() // the next bytes are to be noted when they come
 	case err == nil:
-		c.disconnect(io.EOF)
+		c.disconnect(c.endOfInput())
 	case !isRetryable(err):
 		c.disconnect(err)
 	}
@@ -547,7 +572,7 @@
 		return
 	}
 	if err == nil {
-		err = io.EOF
+		err = c.endOfInput()
 	}
 	c.disconnect(err)
 }
