balance: a command keeps its verb and customer when settings change before it starts

With verbs in another order a command that must not run twice ran twice.

Cause: while two versions live, such a command waits up to 0.25 s for the other version's reply to its claim. It was passed to the Balancer after that by the indexes that its verb and customer had when it was read; a reload in between replaces the lists.

Evidence: TestSettingsChangeWhileCommandsWaitForTheOtherVersion failed before: a crash where verbs are gone, 2 sends of an unsafe command where they have other places, at the new and the old version alike. No hold of the old version is needed, so the hold of the case only lengthens the wait.

Change: a front passes on the command's class (Classify), which holds the verb's settings and the customer's permanent identifier.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -14,7 +14,7 @@
 //     have been answered, declined or terminated. utility: the value of an answer; it sets a command's priority under overload.
 //
 // A front creates one Balancer per instance with New and applies its settings with Configure. It then reports each
-// event by a method call: CommandReceived, ConnectionOpened, StreamStarted, RelayStalled, RelayEnded, ClientDisconnected,
+// event by a method call: CommandReceived or ClassifiedCommandReceived, ConnectionOpened, StreamStarted, RelayStalled, RelayEnded, ClientDisconnected,
 // UpdateBackends, BackendListFailed, MessageReceived, TimerFired and Stalled. Times are clock readings in seconds.
 // The Balancer acts only through its Host. The interface and the plain types are in host.go; docs/design.md
 // describes the algorithm and where it departs from its model.
@@ -584,8 +584,9 @@
 }
 
 // overAllowance takes a token of the customer's allowance and reports whether there was none.
-func (b *Balancer) overAllowance(customer int) bool {
-	if b.placement.Tier > 0 || customer >= len(b.customers) {
+func (b *Balancer) overAllowance(customerID uint64) bool {
+	customer := slices.Index(b.customerIDs, customerID)
+	if b.placement.Tier > 0 || customer < 0 {
 		return false // lower tiers receive calls, not the clients' commands
 	}
 	rate := b.customers[customer].Allowance / b.instances()
@@ -807,13 +808,19 @@
 	return slices.ContainsFunc(c.relays, func(r relay) bool { return r.to == be })
 }
 
-// CommandReceived adds a command. It must be answered, declined or terminated exactly once, before it expires.
+// CommandReceived adds a command. It must be answered, declined or terminated exactly once, before it expires. verb and customer are
+// indexes of the present settings.
 func (b *Balancer) CommandReceived(now float64, id uint64, verb, customer int, expires float64, key uint64) {
+	b.ClassifiedCommandReceived(now, id, b.Classify(verb, customer), expires, key)
+}
+
+// ClassifiedCommandReceived is like CommandReceived for a command that may have arrived under earlier settings.
+func (b *Balancer) ClassifiedCommandReceived(now float64, id uint64, class CommandClass, expires float64, key uint64) {
 	b.now = now
 	if _, ok := b.commands[id]; ok {
 		return
 	}
-	v := b.verbs[verb]
+	v := class.verb
 	b.seq++
 	// If the deadline may be inaccurate, the true one shows by itself: relays time out then.
 	expires = max(expires, min(expires+b.limits.DeadlineError, now+v.TimeLimit))
@@ -822,7 +829,7 @@
 	b.keyedCommands.add(now, callSpanSeconds, indicator(key != 0))
 	c.nested = key == 0 && b.keyedCommands.sum > b.arrived.read(now, callSpanSeconds)/2
 	b.nestedCommands.add(now, callSpanSeconds, indicator(c.nested))
-	if b.overAllowance(customer) {
+	if b.overAllowance(class.customerID) {
 		c.priority *= b.overage
 	}
 	if expires-now <= expiryTicks*b.tick {
@@ -830,7 +837,7 @@
 		return
 	}
 	b.commands[id] = c
-	c.groups[0] = b.groups.lookup(b.customerID(customer)<<1|1, now, groupSpanSeconds)
+	c.groups[0] = b.groups.lookup(class.customerID<<1|1, now, groupSpanSeconds)
 	if key != 0 {
 		c.groups[1] = b.groups.lookup(key<<1, now, groupSpanSeconds)
 	}
--- a/balance/instance.go
+++ b/balance/instance.go
@@ -65,6 +65,18 @@
 	b.dispatchHeld()
 }
 
+// CommandClass is the verb and the customer of a command, as they were configured when Classify returned it. It remains valid when the
+// settings change, which indexes do not.
+type CommandClass struct {
+	verb       *verb
+	customerID uint64
+}
+
+// Classify returns the class of a command by the indexes of its verb and customer in the present settings.
+func (b *Balancer) Classify(verb, customer int) CommandClass {
+	return CommandClass{b.verbs[verb], b.customerID(customer)}
+}
+
 // customerID returns a permanent identifier of the customer. Its index changes with the settings, and what was
 // learned about one customer must never apply to another that takes over its index. Customers that are not
 // configured share 0.
--- a/internal/proxy/command_intake.go
+++ b/internal/proxy/command_intake.go
@@ -70,7 +70,7 @@
 // commandHead is what the Balancer needs to know of a command.
 type commandHead struct {
 	requestID      string
-	verb, customer int
+	verb, customer int     // indexes of the settings in force when the command was read
 	timeLimit      float64 // seconds
 	resource       uint64  // hash of the resource that it names, 0 if it names none
 }
@@ -163,8 +163,9 @@
 // startCommand passes a command to the Balancer, once the other process of an upgrade does not have one with its Req-Id.
 func (c *clientConn) startCommand(cmd *command, head commandHead) {
 	p := c.p
+	class := p.balancer.Classify(head.verb, head.customer) // the settings may change before the claim is answered
 	start := func() {
-		p.balancer.CommandReceived(p.loop.Now(), cmd.id, head.verb, head.customer, cmd.deadline, head.resource)
+		p.balancer.ClassifiedCommandReceived(p.loop.Now(), cmd.id, class, cmd.deadline, head.resource)
 	}
 	other := p.claimTarget()
 	if cmd.repeatable || other == nil {
