balance: a command that is sent without a grant no longer waits for one

What callers saw: after a reload that ends the messages between peers, a command that must not run twice got 502 while its relay was open, and a pure one got a further relay without any budget.

Cause: a held command asks a peer for a grant every 50 ms. Such a reload sends held commands at once; the wait for the grant went on, and its timeout sent or held the command again.

Evidence: TestWaitForAGrantEndsWithTheFirstRelay failed before: 2 relays of the pure command, the effectful one terminated. Not seen on real processes.

Change: sendRelay ends the wait.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -891,6 +891,7 @@
 func (b *Balancer) sendRelay(c *command, be *backend) {
 	v := c.verb
 	n := len(c.relays)
+	b.endGrantWait(c) // a later grant, or its timeout, must not send another relay
 	if n > 0 {
 		b.extraRelays.add(b.now, b.limits.ExtraRelays.Span, 1)
 	} else {
