balance, proxy: a keyed request's relay arrives before its group forgets the other one

The backend that ran it reset the connection; the repeat went at once to the other backend of the group, which read slowly, and came whole 2.6 s after the first run, where the group drops repeats for 1.5 s.

Cause: the window was held against the time at which a relay is handed out. After that the kernel sends by itself, and a backend's machine may hold a body that is read later.

Change: a relay beside another that may have run has a deadline, the end of the earliest window less a tick and 0.15 s; what is not acknowledged whole by then is reset (CancelUndelivered). A repeat or hedge is sent, and a decline given, only if the body arrives in time at 32 kB/s.

Open: a backend slower than 32 kB/s whose machine has the whole request.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -221,7 +221,7 @@
 func (b *Balancer) mayRelay(c *command, be *backend, n int) bool {
 	v := c.verb
 	for i, r := range c.relays {
-		if i != n && !r.neverRan && v.Effect != Pure && (v.Effect == Effectful || b.now > r.sentAt+v.DedupWindow-b.tick ||
+		if i != n && !r.neverRan && v.Effect != Pure && (v.Effect == Effectful || b.now+c.deliverySeconds > b.rememberedUntil(v, &r) ||
 			v.Scope == ScopeZone && be.Zone != r.to.Zone || v.Scope == ScopeCell && be.Cell != r.to.Cell) {
 			return false
 		}
@@ -811,11 +811,12 @@
 // CommandReceived adds a command. It must be answered, declined or terminated exactly once, before it expires. verb and customer are
 // indexes of the present settings.
 func (b *Balancer) CommandReceived(now float64, id uint64, verb, customer int, expires float64, key uint64) {
-	b.ClassifiedCommandReceived(now, id, b.Classify(verb, customer), expires, key)
+	b.ClassifiedCommandReceived(now, id, b.Classify(verb, customer), 0, expires, key)
 }
 
-// ClassifiedCommandReceived is like CommandReceived for a command that may have arrived under earlier settings.
-func (b *Balancer) ClassifiedCommandReceived(now float64, id uint64, class CommandClass, expires float64, key uint64) {
+// ClassifiedCommandReceived is like CommandReceived for a command that may have arrived under earlier settings and has a body of the
+// given length in bytes.
+func (b *Balancer) ClassifiedCommandReceived(now float64, id uint64, class CommandClass, bodyBytes int, expires float64, key uint64) {
 	b.now = now
 	if _, ok := b.commands[id]; ok {
 		return
@@ -824,7 +825,8 @@
 	b.seq++
 	// If the deadline may be inaccurate, the true one shows by itself: relays time out then.
 	expires = max(expires, min(expires+b.limits.DeadlineError, now+v.TimeLimit))
-	c := &command{id: id, seq: b.seq, verb: v, key: key, receivedAt: now, expiresAt: expires}
+	c := &command{id: id, seq: b.seq, verb: v, key: key, receivedAt: now, expiresAt: expires,
+		deliverySeconds: deliverySeconds(bodyBytes)}
 	c.priority = v.Utility / max(b.maxUtility, epsilon)
 	b.keyedCommands.add(now, callSpanSeconds, indicator(key != 0))
 	c.nested = key == 0 && b.keyedCommands.sum > b.arrived.read(now, callSpanSeconds)/2
@@ -907,6 +909,7 @@
 	be.coldBudget.tokens-- // only limits while the backend is cold
 	b.relaysSent.add(b.now, slowSpanSeconds, 1)
 	b.host.Relay(c.id, be.ID)
+	b.limitDeliveries(c)
 	if b.limits.PeerMessages {
 		b.startTimer(reportIntervalSeconds, func() { b.repeatReport(c, n) })
 	}
@@ -1103,7 +1106,7 @@
 	v := c.verb
 	return v.Effect == Pure || !slices.ContainsFunc(c.relays, func(r relay) bool {
 		return !r.neverRan && (v.Effect == Effectful || v.Scope != ScopeAll ||
-			c.expiresAt+b.retryAfter(v) > r.sentAt+v.DedupWindow-b.tick)
+			c.expiresAt+b.retryAfter(v)+c.deliverySeconds > b.rememberedUntil(v, &r))
 	})
 }
 
@@ -1162,7 +1165,7 @@
 	b.removeHeld(c)
 	b.endGrantWait(c)
 	b.cancelOthers(c, -1)
-	b.stopTimers(c)
+	c.timers = b.stopTimers(c.timers)
 	b.removeIfDone(c)
 }
 
@@ -1170,5 +1173,6 @@
 func (b *Balancer) removeIfDone(c *command) {
 	if c.done && c.pendingRelays == 0 {
 		delete(b.commands, c.id)
+		c.deliveryTimers = b.stopTimers(c.deliveryTimers)
 	}
 }
--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -15,13 +15,14 @@
 	head        int
 }
 
-func (h *benchHost) Relay(_ uint64, to BackendID) { h.lastBackend = to; h.relays++ }
-func (h *benchHost) Cancel(uint64, int)           {}
-func (h *benchHost) Decline(uint64, float64)      {}
-func (h *benchHost) Terminate(uint64)             {}
-func (h *benchHost) WatchBackends()               {}
-func (h *benchHost) StopTimer(uint64)             {}
-func (h *benchHost) SendToPeer(int, []byte)       {}
+func (h *benchHost) Relay(_ uint64, to BackendID)  { h.lastBackend = to; h.relays++ }
+func (h *benchHost) Cancel(uint64, int)            {}
+func (h *benchHost) CancelUndelivered(uint64, int) {}
+func (h *benchHost) Decline(uint64, float64)       {}
+func (h *benchHost) Terminate(uint64)              {}
+func (h *benchHost) WatchBackends()                {}
+func (h *benchHost) StopTimer(uint64)              {}
+func (h *benchHost) SendToPeer(int, []byte)        {}
 func (h *benchHost) StartTimer(s float64, token uint64) {
 	h.timers = append(h.timers, timer{h.now + s, token})
 }
--- a/balance/class_test.go
+++ b/balance/class_test.go
@@ -22,7 +22,7 @@
 		configure([]Verb{pure, effectful}, []Customer{{Allowance: 1, PreviousIndex: 0}, {Allowance: 1000, PreviousIndex: 1}})
 		class := h.b.Classify(1, 1)
 		configure(c.verbs, c.customers)
-		h.b.ClassifiedCommandReceived(h.now, 1, class, h.now+6, 0)
+		h.b.ClassifiedCommandReceived(h.now, 1, class, 0, h.now+6, 0)
 		h.outcome(1, 0, Reset)
 		if relays := len(h.relaysOf(1)); relays != 1 || len(h.terminated) != 1 {
 			t.Errorf("%s: an effectful command that may have run had %d relays, terminated %v", name, relays, h.terminated)
@@ -47,7 +47,7 @@
 		over := 0
 		for i := range uint64(10) {
 			id := uint64(100*n) + i
-			h.b.ClassifiedCommandReceived(h.now, id, c.class, h.now+6, 0)
+			h.b.ClassifiedCommandReceived(h.now, id, c.class, 0, h.now+6, 0)
 			if command := h.b.commands[id]; command != nil && command.priority < 1 {
 				over++
 			}
--- a/balance/helper_test.go
+++ b/balance/helper_test.go
@@ -34,6 +34,7 @@
 	relays         []sentRelay
 	cancels        []uint64
 	pendingCancels []cancelledRelay // cancelled relays whose outcome was not yet reported
+	undelivered    []cancelledRelay // relays that were to be cancelled unless they had arrived
 	declined       []uint64
 	terminated     []uint64
 	watchCount     int
@@ -51,6 +52,9 @@
 func (h *fakeHost) Cancel(cmd uint64, n int) {
 	h.cancels, h.pendingCancels = append(h.cancels, cmd), append(h.pendingCancels, cancelledRelay{cmd, n})
 }
+func (h *fakeHost) CancelUndelivered(cmd uint64, n int) {
+	h.undelivered = append(h.undelivered, cancelledRelay{cmd, n})
+}
 func (h *fakeHost) Decline(cmd uint64, _ float64) { h.end(cmd); h.declined = append(h.declined, cmd) }
 func (h *fakeHost) Terminate(cmd uint64)          { h.end(cmd); h.terminated = append(h.terminated, cmd) }
 func (h *fakeHost) StartTimer(s float64, token uint64) {
--- a/balance/host.go
+++ b/balance/host.go
@@ -13,6 +13,9 @@
 	Relay(cmd uint64, to BackendID)
 	// Cancel stops waiting for one relay.
 	Cancel(cmd uint64, relay int)
+	// CancelUndelivered is like Cancel for a relay whose request has not arrived whole at its backend's machine, and prevents that
+	// its rest arrives. It does nothing to other relays. Hosts whose relays arrive at once do nothing.
+	CancelUndelivered(cmd uint64, relay int)
 	// Decline ends a command with the promise that a retry is harmless. retryAfter is the advised wait in seconds;
 	// 0 gives no advice.
 	Decline(cmd uint64, retryAfter float64)
--- a/balance/instance.go
+++ b/balance/instance.go
@@ -104,15 +104,15 @@
 	c.timers = append(c.timers, b.startTimer(seconds, callback))
 }
 
-// stopTimers stops the timers of a finished command.
-func (b *Balancer) stopTimers(c *command) {
-	for _, token := range c.timers {
+// stopTimers stops the timers with these tokens. It returns the empty list of tokens.
+func (b *Balancer) stopTimers(tokens []uint64) []uint64 {
+	for _, token := range tokens {
 		if _, pending := b.timers[token]; pending {
 			delete(b.timers, token)
 			b.host.StopTimer(token)
 		}
 	}
-	c.timers = nil
+	return nil
 }
 
 // TimerFired reports that a requested timer has expired.
--- a/balance/state.go
+++ b/balance/state.go
@@ -51,6 +51,8 @@
 	coordinator           int      // instance that was asked
 	stalled               bool     // the process was stalled while it was open
 	timers                []uint64 // tokens of the timers that end with the command
+	deliverySeconds       float64  // that a slow backend may need to read its body
+	deliveryTimers        []uint64 // tokens of the timers that end with its last relay
 }
 
 // takeover is the state of a cell that this instance coordinates in place of another.
--- a/internal/benchwire/wire.go
+++ b/internal/benchwire/wire.go
@@ -79,6 +79,9 @@
 	*h.reply = binary.LittleEndian.AppendUint16(*h.reply, uint16(relay))
 }
 
+// CancelUndelivered does nothing: a relay arrives at once.
+func (h *host) CancelUndelivered(uint64, int) {}
+
 func (h *host) Decline(cmd uint64, retryAfter float64) {
 	h.record(outBusy, 16)
 	h.u64(cmd)
--- a/internal/emulator/instances.go
+++ b/internal/emulator/instances.go
@@ -420,6 +420,9 @@
 	inst.sim.queue.push(onAnswer, event{at: inst.sim.now, relay: r, generation: 1})
 }
 
+// CancelUndelivered implements balance.Host. It does nothing: the simulated network delivers a relay whole.
+func (inst *instance) CancelUndelivered(uint64, int) {}
+
 // Decline implements balance.Host.
 func (inst *instance) Decline(id uint64, retryAfter float64) {
 	inst.endCommand(id, declined, retryAfter)
--- a/internal/proxy/check.go
+++ b/internal/proxy/check.go
@@ -16,6 +16,7 @@
 
 func (idleHost) Relay(uint64, balance.BackendID) {}
 func (idleHost) Cancel(uint64, int)              {}
+func (idleHost) CancelUndelivered(uint64, int)   {}
 func (idleHost) Decline(uint64, float64)         {}
 func (idleHost) Terminate(uint64)                {}
 func (idleHost) StartTimer(float64, uint64)      {}
--- a/internal/proxy/command_intake.go
+++ b/internal/proxy/command_intake.go
@@ -164,8 +164,9 @@
 func (c *clientConn) startCommand(cmd *command, head commandHead) {
 	p := c.p
 	class := p.balancer.Classify(head.verb, head.customer) // the settings may change before the claim is answered
+	bodyBytes := c.msg.DecodedBytes()                      // of a streamed body too: such a command has one relay only
 	start := func() {
-		p.balancer.ClassifiedCommandReceived(p.loop.Now(), cmd.id, class, cmd.deadline, head.resource)
+		p.balancer.ClassifiedCommandReceived(p.loop.Now(), cmd.id, class, bodyBytes, cmd.deadline, head.resource)
 	}
 	other := p.claimTarget()
 	if cmd.repeatable || other == nil {
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -43,6 +43,7 @@
 	closed            [closeReasonCount]int
 	relayResults      [balance.ResultCount]int
 	idConflicts       int // Req-Ids that were open or may have run
+	lateDeliveries    int // relays that did not arrive while their group remembered another one
 	repeatsNotSent    int // repeats that might have reached a process outside their group
 	bodiesNotTaken    int // bodies that a backend did not take in time
 	sentAhead         int // commands declined since their client may have gone unseen
@@ -140,8 +141,8 @@
 	for i, n := range e.relayResults {
 		text += fmt.Sprintf(" relays_%s=%d", balance.Result(i), n)
 	}
-	log.Printf("msg=reasons%s id_conflicts=%d repeats_not_sent=%d bodies_not_taken=%d sent_ahead=%d peak_buffered_kb=%d timers=%d "+
-		"suppressed=%d %s", text, e.idConflicts, e.repeatsNotSent, e.bodiesNotTaken, e.sentAhead, e.peakBufferedBytes>>10, p.loop.TimerCount(), e.suppressed,
+	log.Printf("msg=reasons%s id_conflicts=%d repeats_not_sent=%d late_deliveries=%d bodies_not_taken=%d sent_ahead=%d peak_buffered_kb=%d timers=%d "+
+		"suppressed=%d %s", text, e.idConflicts, e.repeatsNotSent, e.lateDeliveries, e.bodiesNotTaken, e.sentAhead, e.peakBufferedBytes>>10, p.loop.TimerCount(), e.suppressed,
 		p.clientStates())
 	*e = eventLog{lines: e.lines, refilledAt: e.refilledAt, pressureLoggedAt: e.pressureLoggedAt}
 }
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -47,6 +47,24 @@
 	p.reportNextIteration(r, balance.Cancelled)
 }
 
+// CancelUndelivered gives up a relay whose request the backend's machine has not acknowledged whole, and resets its connection, so that
+// the kernel does not send the rest. A connection that is not up yet is left to ConnectionOpened.
+func (p *Proxy) CancelUndelivered(id uint64, index int) {
+	cmd := p.commands[id]
+	if cmd == nil || index >= len(cmd.relays) {
+		return
+	}
+	r := cmd.relays[index]
+	if r.ended || r.conn == nil || !r.conn.connected || !r.conn.conn.HasUnacknowledged() {
+		return
+	}
+	p.events.lateDeliveries++
+	p.logEvent("msg=delivery_too_late command=%d id=%q relay=%d backend=%s unsent=%d", cmd.id, cmd.requestID, r.index, r.backendName(),
+		r.conn.conn.UnsentBytes())
+	r.conn.close()
+	p.reportNextIteration(r, balance.Cancelled)
+}
+
 // Decline answers a command with 503: it has not run, so a retry is harmless. retryAfter is in seconds.
 func (p *Proxy) Decline(id uint64, retryAfter float64) {
 	if cmd := p.commands[id]; cmd != nil {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -20,6 +20,7 @@
 
 func (nopHost) Relay(uint64, balance.BackendID) {}
 func (nopHost) Cancel(uint64, int)              {}
+func (nopHost) CancelUndelivered(uint64, int)   {}
 func (nopHost) Decline(uint64, float64)         {}
 func (nopHost) Terminate(uint64)                {}
 func (nopHost) StartTimer(float64, uint64)      {}
