--- a/internal/proxy/answer_reset_test.go
+++ b/internal/proxy/answer_reset_test.go
@@ -25,7 +25,7 @@
 			io.WriteString(c, strings.Replace(requestText("pay", "Content-Length: 0\r\n"), "HTTP/1.1", version, 1))
 			answer := <-answering
 			io.WriteString(answer, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
-			p.writeUntilPaused(t, answer)
+			p.writeUntilPaused(t, answer, func(c net.Conn, piece string) { io.WriteString(c, piece) })
 			resetConn(b, answer, nil)
 			close(ended)
 			if status, got, _ := c.readAnswer(); status == 200 {
@@ -43,12 +43,13 @@
 	return only
 }
 
-// writeUntilPaused writes a body in pieces, each once the proxy has read the one before, until the proxy waits for the client.
-func (r *testProxy) writeUntilPaused(t *testing.T, answer net.Conn) {
+// writeUntilPaused writes a body in pieces, each once the proxy has read the one before, until the proxy waits for the client. It
+// returns the length of the body.
+func (r *testProxy) writeUntilPaused(t *testing.T, answer net.Conn, write func(net.Conn, string)) (written int) {
 	t.Helper()
 	piece := strings.Repeat("x", 8<<10)
-	for written, paused := 0, false; !paused; {
-		io.WriteString(answer, piece)
+	for paused := false; !paused; {
+		write(answer, piece)
 		written += len(piece)
 		r.await(t, "the proxy has read the piece or waits for its client", func() bool {
 			bc := r.onlyBackendConn()
@@ -56,4 +57,5 @@
 			return paused || bc.msg.DecodedBytes() == written
 		})
 	}
+	return written
 }
--- a/internal/proxy/races_test.go
+++ b/internal/proxy/races_test.go
@@ -742,43 +742,28 @@
 // doesn't read, the whole answer must be passed on. It used to be discarded at the reset.
 func TestBackendResetsAfterWholeAnswer(t *testing.T) {
 	t.Parallel()
-	clientHeld, wasReset := make(chan bool, 1), make(chan bool)
-	var whole atomic.Int64
-	b := newFakeBackend(t, func(b *fakeBackend, c net.Conn, r *http.Request) {
-		io.WriteString(c, chunkedHead)
-		for piece, full := strings.Repeat("x", 16<<10), false; !full; {
-			writeChunk(c, piece)
-			whole.Add(16 << 10)
-			select {
-			case full = <-clientHeld:
-			case <-time.After(time.Millisecond):
-			}
-		}
-		writeChunk(c, "the last")
-		io.WriteString(c, "0\r\n\r\n")
-		raw, _ := c.(*net.TCPConn).SyscallConn()
-		waitUntil(t, "the proxy's kernel has received everything", func() (sent bool) {
-			raw.Control(func(fd uintptr) { n, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ); sent = err == nil && n == 0 })
-			return sent
-		})
-		resetConn(b, c, r)
-		wasReset <- true
+	answering, ended := make(chan net.Conn), make(chan bool)
+	b := newFakeBackend(t, func(_ *fakeBackend, c net.Conn, _ *http.Request) {
+		answering <- c
+		<-ended
 	})
 	p := runProxy(t, newTestProxy(t, 200, endpointList(1, true, readyEndpoint("s-1", b)), nil))
 	c := p.dial(t)
 	io.WriteString(c, requestText("pay", "Content-Length: 0\r\n"))
-	p.await(t, "the answer is held for its client", func() bool {
-		for bc := range p.backends.conns {
-			if bc.readPaused {
-				return true
-			}
-		}
-		return false
+	answer := <-answering
+	io.WriteString(answer, chunkedHead)
+	whole := p.writeUntilPaused(t, answer, writeChunk) // all of it is read, so that there is room for the end
+	writeChunk(answer, "the last")
+	io.WriteString(answer, "0\r\n\r\n")
+	raw, _ := answer.(*net.TCPConn).SyscallConn()
+	waitUntil(t, "the proxy's kernel has received everything", func() (sent bool) {
+		raw.Control(func(fd uintptr) { n, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ); sent = err == nil && n == 0 })
+		return sent
 	})
-	clientHeld <- true
-	<-wasReset
-	if status, got, _ := c.readAnswer(); status != 200 || int64(len(got)) != whole.Load()+int64(len("the last")) {
-		t.Errorf("%d, %d bytes of %d", status, len(got), whole.Load())
+	resetConn(b, answer, nil)
+	close(ended)
+	if status, got, _ := c.readAnswer(); status != 200 || len(got) != whole+len("the last") {
+		t.Errorf("%d, %d bytes of %d", status, len(got), whole+len("the last"))
 	}
 }
 
