proxy: a long streamed body counts whole where a decline promises a safe retry

What callers saw: a keyed request of 400 KiB that may have run got 503, a promise that a retry is harmless, where its group forgets the key before a slow backend has read the retry's body.

Cause: the body counted with what had come when the request was passed on, and a long one is passed on before it is whole.

TestLongKeyedCommandThatMayHaveRunIsNotDeclined failed before in one of four cases (a stated length, 503 for 502); it passes now. Of a body without a stated length the least that it has is counted.

--- a/internal/proxy/command_intake.go
+++ b/internal/proxy/command_intake.go
@@ -164,7 +164,7 @@
 func (c *clientConn) startCommand(cmd *command, head commandHead) {
 	p := c.p
 	class := p.balancer.Classify(head.verb, head.customer) // the settings may change before the claim is answered
-	bodyBytes := c.msg.DecodedBytes()                      // of a streamed body too: such a command has one relay only
+	bodyBytes := c.expectedBodyBytes()
 	start := func() {
 		p.balancer.ClassifiedCommandReceived(p.loop.Now(), cmd.id, class, bodyBytes, cmd.deadline, head.resource)
 	}
@@ -184,6 +184,15 @@
 	})
 }
 
+// expectedBodyBytes returns the length of the command's body. Where a streamed body has no stated length, it is the least that it has.
+func (c *clientConn) expectedBodyBytes() int {
+	length := max(c.msg.BodyLength(), c.msg.DecodedBytes())
+	if c.bodyStreaming {
+		length = max(length, http1.MaxBufferedCommandBody)
+	}
+	return length
+}
+
 // commandReceivedAt returns the time by which the command had arrived.
 func (c *clientConn) commandReceivedAt() float64 {
 	if at, ahead := c.conn.ReadAheadSince(c.msg.Size()); ahead {
--- a/internal/proxy/repeat_delivery_test.go
+++ b/internal/proxy/repeat_delivery_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -152,6 +153,28 @@
 	}
 }
 
+// Guards against a promise that a retry is harmless where the group forgets the key before a slow backend has read the retry's body: the
+// body of the first request was streamed, and counted with what had come of it at first.
+func TestLongKeyedCommandThatMayHaveRunIsNotDeclined(t *testing.T) {
+	settings := strings.NewReplacer(`"key_scope": "cell", "window_ms": 5000`, `"key_scope": "all", "window_ms": 9000`).Replace(settingsText)
+	for _, framing := range []string{"length", "chunks"} {
+		for bodyBytes, want := range map[int]int{16 << 10: 503, 400 << 10: 502} {
+			t.Run(fmt.Sprintf("%s, %d bytes", framing, bodyBytes), func(t *testing.T) {
+				t.Parallel()
+				client := runWithSettings(t, settings, newFakeBackend(t, resetConn)).dial(t)
+				field := map[string]string{"length": fmt.Sprintf("Content-Length: %d\r\n", bodyBytes), "chunks": "Transfer-Encoding: chunked\r\n"}[framing]
+				io.WriteString(client, requestText("order", "Idempotency-Key: k\r\n", field))
+				if err := writeBody(client, framing, numberedBody(bodyBytes)); err != nil {
+					t.Fatal(err)
+				}
+				if status, text, _ := client.readAnswer(); status != want {
+					t.Errorf("status %d %s, want %d", status, text, want)
+				}
+			})
+		}
+	}
+}
+
 // allowHedges has enough commands answered that the next one may be hedged, and soon.
 func allowHedges(t *testing.T, c *testClient) {
 	t.Helper()
