balance: a repeat whose connection comes up late has its delivery checked too

Cause: the check of its delivery came before the connection was up and left it to ConnectionOpened, which allows writing until the window ends and started no other check.

TestDeliveryIsCheckedAfterALateConnection failed before (module); the package passes. Not seen on sockets.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -234,7 +234,11 @@
 func (b *Balancer) ConnectionOpened(now float64, id uint64, n int) bool {
 	b.now = now
 	c, ok := b.commands[id]
-	return ok && !c.done && !c.streaming && n < len(c.relays) && c.relays[n].pending && b.mayRelay(c, c.relays[n].to, n)
+	if !ok || c.done || c.streaming || n >= len(c.relays) || !c.relays[n].pending || !b.mayRelay(c, c.relays[n].to, n) {
+		return false
+	}
+	b.limitLateDelivery(c, n)
+	return true
 }
 
 // pick draws a backend by weight, skipping those with far more of this instance's commands than the mean. It
--- a/balance/delivery.go
+++ b/balance/delivery.go
@@ -48,6 +48,14 @@
 	}
 }
 
+// limitLateDelivery is called before relay n is written. If its deadline has passed while the connection was being opened, the delivery
+// is checked as soon as it was written.
+func (b *Balancer) limitLateDelivery(c *command, n int) {
+	if c.verb.Effect == Receipted && b.deliveryDeadline(c, n) <= b.now {
+		b.limitDelivery(c, n)
+	}
+}
+
 // deliveryDue ends a relay that has not arrived whole, unless what set its deadline has proved not to have run.
 func (b *Balancer) deliveryDue(c *command, n int) {
 	switch {
--- a/balance/delivery_test.go
+++ b/balance/delivery_test.go
@@ -74,6 +74,23 @@
 	}
 }
 
+// Guards against a repeat whose connection comes up after the check of its delivery: it is checked once more, when it was written.
+func TestDeliveryIsCheckedAfterALateConnection(t *testing.T) {
+	h := startBalancer(t, receiptedSetup(true))
+	sentAt := h.now
+	h.receiveWithBody(1, 0)
+	h.outcome(1, 0, Reset)
+	h.advanceTo(sentAt + 1.4)
+	h.undelivered = nil // the front does nothing: the connection is not up
+	if !h.b.ConnectionOpened(h.now, 1, 1) {
+		t.Fatal("it may not be written")
+	}
+	h.advanceTo(h.now + 0.001)
+	if !slices.Equal(h.undelivered, []cancelledRelay{{1, 1}}) {
+		t.Errorf("cancelled %v, want the repeat", h.undelivered)
+	}
+}
+
 // Guards against a first relay that arrives late, after its group has forgotten the relay beside it that ran. It is cancelled although the
 // command has its answer, where losers stay open.
 func TestLateFirstRelayIsCancelledAfterItsRepeat(t *testing.T) {
